--- a/core/bill/bill.go
+++ b/core/bill/bill.go
@@ -38,6 +38,9 @@
 	// AdoptAfter is how long a silent daemon's copies wait before their holder
 	// writes them. Writing one twice does no harm.
 	AdoptAfter = 10 * time.Second
+	// OverdueAfter is how long a copy waits at most, also when its origin
+	// lives: it may have started anew and know nothing of the bill.
+	OverdueAfter = 30 * time.Second
 	// retryFloor and retryCeiling bound the pause after a failed write.
 	retryFloor   = 200 * time.Millisecond
 	retryCeiling = 5 * time.Second
@@ -141,79 +144,108 @@
 	for _, b := range l.pending {
 		out = append(out, b)
 	}
-	slices.SortFunc(out, func(a, b Bill) int { return cmp.Compare(a.Key, b.Key) })
+	sortBills(out)
 	return out
 }
 
-// copies are the bills held for one other daemon.
-type copies struct {
-	bills map[string]Bill
-	heard time.Time
+// copied is a bill held for another daemon, with when it came.
+type copied struct {
+	bill Bill
+	at   time.Time
 }
 
 // Copies holds bills for other daemons. It is owned by one goroutine.
 type Copies struct {
-	from map[string]*copies
+	from map[string]map[string]copied
 }
 
 // NewCopies returns an empty set.
-func NewCopies() *Copies { return &Copies{from: map[string]*copies{}} }
+func NewCopies() *Copies { return &Copies{from: map[string]map[string]copied{}} }
 
 // Hold keeps copies of another daemon's bills, as far as there is room, and
 // reports whether it kept them all.
 func (c *Copies) Hold(origin string, bills []Bill, now time.Time) bool {
 	held := c.from[origin]
 	if held == nil {
-		held = &copies{bills: map[string]Bill{}}
+		held = map[string]copied{}
 		c.from[origin] = held
 	}
-	held.heard = now
 	for _, b := range bills {
-		if len(held.bills) >= MaxPending {
+		if len(held) >= MaxPending {
 			return false
 		}
-		held.bills[b.Key] = b
+		held[b.Key] = copied{bill: b, at: now}
 	}
 	return true
 }
 
 // Release drops copies that the platform has acknowledged to their origin.
-func (c *Copies) Release(origin string, keys []string, now time.Time) {
+func (c *Copies) Release(origin string, keys []string) {
 	held := c.from[origin]
-	if held == nil {
-		return
-	}
-	held.heard = now
 	for _, key := range keys {
-		delete(held.bills, key)
+		delete(held, key)
 	}
-	if len(held.bills) == 0 {
+	if len(held) == 0 {
 		delete(c.from, origin)
 	}
 }
 
-// Adopt returns the bills of the daemons that are gone; this daemon writes
-// them now. The answer of usable says which daemons are not gone.
-func (c *Copies) Adopt(usable func(id string) bool, now time.Time) []Bill {
-	var out []Bill
+// Adopted are copies that their holder writes itself now.
+type Adopted struct {
+	// Orphans are bills of daemons that are gone.
+	Orphans []Bill
+	// Overdue are bills of daemons that may still hold them too.
+	Overdue []Bill
+}
+
+// Adopt takes the copies out that this daemon is to write itself. The answer
+// of usable says which daemons are not gone.
+func (c *Copies) Adopt(usable func(id string) bool, now time.Time) Adopted {
+	var out Adopted
 	for origin, held := range c.from {
-		if usable(origin) || now.Sub(held.heard) < AdoptAfter {
-			continue
+		lives := usable(origin)
+		for key, kept := range held {
+			age := now.Sub(kept.at)
+			switch {
+			case !lives && age >= AdoptAfter:
+				out.Orphans = append(out.Orphans, kept.bill)
+			case age >= OverdueAfter:
+				out.Overdue = append(out.Overdue, kept.bill)
+			default:
+				continue
+			}
+			delete(held, key)
 		}
-		for _, b := range held.bills {
-			out = append(out, b)
+		if len(held) == 0 {
+			delete(c.from, origin)
+		}
+	}
+	sortBills(out.Orphans)
+	sortBills(out.Overdue)
+	return out
+}
+
+// All returns every copy held, in order of key, for a hand-over.
+func (c *Copies) All() []Bill {
+	var out []Bill
+	for _, held := range c.from {
+		for _, kept := range held {
+			out = append(out, kept.bill)
 		}
-		delete(c.from, origin)
 	}
-	slices.SortFunc(out, func(a, b Bill) int { return cmp.Compare(a.Key, b.Key) })
+	sortBills(out)
 	return out
 }
 
+func sortBills(bills []Bill) {
+	slices.SortFunc(bills, func(a, b Bill) int { return cmp.Compare(a.Key, b.Key) })
+}
+
 // Held is how many copies are held.
 func (c *Copies) Held() int {
 	n := 0
 	for _, held := range c.from {
-		n += len(held.bills)
+		n += len(held)
 	}
 	return n
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -82,6 +82,9 @@
 	pending time.Time
 }
 
+// Hash is the hash of the member's id, by which the ring is ordered.
+func (m Member) Hash() uint64 { return m.hash }
+
 // usable reports whether the member is counted on.
 func (m *Member) usable() bool { return m.State == Alive || m.State == Suspect }
 
@@ -356,6 +359,26 @@
 // Size is the number of usable members in the own data hall, self included.
 func (g *Group) Size() int { return len(g.ring) }
 
+// Set is the sum of the hashes of the own data hall's usable members.
+func (g *Group) Set() uint64 {
+	sum := uint64(0)
+	for _, m := range g.ring {
+		sum += m.hash
+	}
+	return sum
+}
+
+// Missing is how many listed members of the own data hall are not counted on.
+func (g *Group) Missing() int {
+	n := 0
+	for _, m := range g.members {
+		if m.listed && m.Hall == g.hall && !m.usable() {
+			n++
+		}
+	}
+	return n
+}
+
 // Halls are the data halls that have usable members, in order of name.
 func (g *Group) Halls() []string {
 	out := make([]string, 0, len(g.halls))
--- a/core/node/message.go
+++ b/core/node/message.go
@@ -17,8 +17,10 @@
 	// Hall and Addr let a member be known that no list names yet.
 	Hall string
 	Addr string
-	// Ask wants an answer.
+	// Ask wants an answer. Turn is then the asker's turn; the answer repeats
+	// it, so that the asker knows that it does not come from before a pause.
 	Ask     bool
+	Turn    uint64
 	Offers  []spread.Offer
 	Updates []member.Update
 	Leaving []LeavingServer
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -21,6 +21,12 @@
 const (
 	// TickEvery is the time between two ticks.
 	TickEvery = time.Second
+	// PausedAfter is the time without any event from which a node takes its
+	// process to have been paused.
+	PausedAfter = 3 * time.Second
+	// DoubtFor is how long a process that was paused tries to confirm its
+	// table, before it takes itself for cut off.
+	DoubtFor = 5 * time.Second
 	// FlushEvery is the time between two flushes while bills are held.
 	FlushEvery = 50 * time.Millisecond
 	// OverdueAfter is the age of the table from which daemons that are not
@@ -83,6 +89,11 @@
 	holder  map[string]string
 	stopped bool
 	orders  []Order
+	// last is when the last event came, resumed when the last pause ended, and
+	// resumedTurn the turn then. A start counts as the end of a pause.
+	last        time.Time
+	resumed     time.Time
+	resumedTurn uint64
 }
 
 // New starts a node.
@@ -96,12 +107,18 @@
 		halls:   1,
 		leaving: map[string]time.Time{},
 		holder:  map[string]string{},
+		last:    now,
+		resumed: now,
 	}
 }
 
 // Handle takes an event and returns what to do.
 func (n *Node) Handle(e Event, now time.Time) []Order {
 	n.orders = nil
+	if now.Sub(n.last) > PausedAfter {
+		n.resumed, n.resumedTurn = now, n.turn
+	}
+	n.last = now
 	switch e := e.(type) {
 	case Tick:
 		n.tick(e, now)
@@ -128,6 +145,18 @@
 	return n.orders
 }
 
+// doubting reports whether the node has so lately resumed that messages may
+// wait in its inbox from before.
+func (n *Node) doubting(now time.Time) bool { return now.Sub(n.resumed) < DoubtFor }
+
+// LastEvent is when the last event came.
+func (n *Node) LastEvent() time.Time { return n.last }
+
+// Doubt reports whether the table has still to be confirmed after a pause.
+func (n *Node) Doubt(now time.Time) bool {
+	return n.doubting(now) && n.Store.ConfirmedAt(spread.Config).Before(n.resumed)
+}
+
 func (n *Node) send(to string, m Message) {
 	if addr := n.Group.Addr(to); addr != "" && to != n.self.ID {
 		n.orders = append(n.orders, Send{To: to, Addr: addr, Message: m})
@@ -137,7 +166,7 @@
 func (n *Node) tick(t Tick, now time.Time) {
 	n.turn++
 	for _, id := range n.Group.Tick(now) {
-		n.send(id, n.heartbeat(true, now))
+		n.send(id, n.probe(now))
 	}
 	n.probeAbroad(now)
 	n.askSeeds(now)
@@ -155,14 +184,20 @@
 	}
 }
 
-// heartbeat makes the message of that name.
-func (n *Node) heartbeat(ask bool, now time.Time) Heartbeat {
+// probe makes a heartbeat that wants an answer.
+func (n *Node) probe(now time.Time) Heartbeat {
+	m := n.heartbeat(now)
+	m.Ask, m.Turn = true, n.turn
+	return m
+}
+
+// heartbeat makes one that tells news.
+func (n *Node) heartbeat(now time.Time) Heartbeat {
 	self := n.Group.Self()
 	return Heartbeat{
 		Incarnation: self.Incarnation,
 		Hall:        n.self.Hall,
 		Addr:        n.self.Addr,
-		Ask:         ask,
 		Offers:      n.Store.Offers(now),
 		Updates:     n.Group.Updates(updatesPerMessage),
 		Leaving:     n.leavingNews(now),
@@ -194,7 +229,7 @@
 			continue
 		}
 		if id, ok := n.Group.Pick(hall, n.draw(hall)); ok {
-			n.send(id, n.heartbeat(true, now))
+			n.send(id, n.probe(now))
 		}
 	}
 }
@@ -207,7 +242,7 @@
 	for i := range min(readers, len(n.Seeds)) {
 		seed := n.Seeds[(int(n.turn)+i)%len(n.Seeds)]
 		if seed.ID != n.self.ID {
-			n.orders = append(n.orders, Send{To: seed.ID, Addr: seed.Addr, Message: n.heartbeat(true, now)})
+			n.orders = append(n.orders, Send{To: seed.ID, Addr: seed.Addr, Message: n.probe(now)})
 		}
 	}
 }
@@ -224,14 +259,17 @@
 // sums adds up and passes on the figures of the tree.
 func (n *Node) sums(own tally.Sums, now time.Time) {
 	n.own = own
-	own.Daemons = 1
+	own.Daemons, own.Set = 1, n.Group.Self().Hash()
 	own.Oldest = n.Store.Get(spread.Config).Number
 	total := n.Tree.Sum(own, n.Group.Children(), now)
 	if parent, ok := n.Group.Parent(); ok {
 		n.send(parent, TallyUp{Sums: total})
 		return
 	}
-	n.Tree.Root(n.self.Hall, n.Group.Size(), total, now)
+	n.Tree.Root(tally.Hall{
+		Name: n.self.Hall, Members: uint32(n.Group.Size()), Down: uint32(n.Group.Missing()),
+		Complete: total.Set == n.Group.Set(), Sums: total,
+	}, now)
 	n.tellTotals(now)
 	for _, hall := range n.Group.Halls() {
 		if hall == n.self.Hall {
@@ -267,7 +305,7 @@
 	case Fetch:
 		n.fetchFrom(r.From, m, now)
 	case Deliver:
-		n.accept(m.Document, now.Add(-time.Duration(m.AgeMS)*time.Millisecond), now)
+		n.delivered(m, now)
 	case TallyUp:
 		n.Tree.Child(r.From, m.Sums, now)
 	case TallyDown:
@@ -282,7 +320,7 @@
 			n.orders = append(n.orders, BillSafe{Key: key})
 		}
 	case Release:
-		n.Copies.Release(r.From, m.Keys, now)
+		n.Copies.Release(r.From, m.Keys)
 	}
 }
 
@@ -291,8 +329,9 @@
 	for _, u := range m.Updates {
 		n.Group.Apply(u, now)
 	}
+	trusted := !n.doubting(now) || (!m.Ask && m.Turn > n.resumedTurn)
 	for _, o := range m.Offers {
-		if n.Store.Hear(o, now) {
+		if n.Store.Hear(o, trusted, now) {
 			n.send(from, Fetch{Topic: o.Topic})
 		}
 	}
@@ -302,7 +341,8 @@
 	if !m.Ask {
 		return
 	}
-	answer := n.heartbeat(false, now)
+	answer := n.heartbeat(now)
+	answer.Turn = m.Turn
 	if u, wrong := n.Group.Believes(from); wrong {
 		answer.Updates = append(answer.Updates, u)
 	}
@@ -321,6 +361,16 @@
 	n.send(from, Deliver{Document: doc, AgeMS: uint64(max(0, age))})
 }
 
+// delivered takes a document from another daemon. After a pause it may come
+// from before, and confirms nothing.
+func (n *Node) delivered(m Deliver, now time.Time) {
+	confirmed := now.Add(-time.Duration(m.AgeMS) * time.Millisecond)
+	if n.doubting(now) && !confirmed.Before(n.resumed) {
+		confirmed = n.resumed.Add(-1)
+	}
+	n.accept(m.Document, confirmed, now)
+}
+
 // accept takes a document if it is newer, and tells the fingers at once.
 func (n *Node) accept(doc spread.Document, confirmed, now time.Time) {
 	if err := n.Store.Accept(doc, confirmed); err != nil {
@@ -334,14 +384,14 @@
 // the hall, to one daemon of each other hall.
 func (n *Node) tellNews(now time.Time) {
 	for _, id := range n.Group.Fingers() {
-		n.send(id, n.heartbeat(false, now))
+		n.send(id, n.heartbeat(now))
 	}
 	if rank := n.Group.Rank(); rank >= readers || rank < 0 {
 		return
 	}
 	for _, hall := range n.Group.Halls() {
 		if id, ok := n.Group.Pick(hall, n.draw(hall)); ok && hall != n.self.Hall {
-			n.send(id, n.heartbeat(false, now))
+			n.send(id, n.heartbeat(now))
 		}
 	}
 }
@@ -397,10 +447,10 @@
 	}
 	n.turn++
 	for _, id := range n.Group.First(n.self.Hall, readers) {
-		n.send(id, n.heartbeat(false, now))
+		n.send(id, n.heartbeat(now))
 	}
 	buddy, ok := n.buddy()
-	bills := append(n.Ledger.Bills(), n.Copies.Adopt(func(string) bool { return false }, now.Add(bill.AdoptAfter))...)
+	bills := append(n.Ledger.Bills(), n.Copies.All()...)
 	if len(bills) == 0 || !ok {
 		return
 	}
--- a/core/node/node_bills.go
+++ b/core/node/node_bills.go
@@ -113,9 +113,15 @@
 	n.flush(now)
 }
 
-// adopt takes over the bills of daemons that are gone.
+// adopt takes over the bills of daemons that are gone, and, without a copy of
+// their own, those that their origin should have had written by now.
 func (n *Node) adopt(now time.Time) {
-	for _, b := range n.Copies.Adopt(n.Group.Usable, now) {
+	adopted := n.Copies.Adopt(n.Group.Usable, now)
+	for _, b := range adopted.Orphans {
 		n.addBill(b, now)
 	}
+	for _, b := range adopted.Overdue {
+		n.Ledger.Add(b, now)
+		n.holder[b.Key] = n.self.ID
+	}
 }
--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -326,6 +326,10 @@
 		d.Outcome = Refuse{Code: CallNotAllowed, Text: "this organisation may not call " + method + " " + service + path}
 		return d, rule
 	}
+	if v.doubtful(now) {
+		d.Outcome = Refuse{Code: StaleConfig, RetryAfter: RetryCapacity, Text: "this daemon was paused and has to confirm its table first"}
+		return d, rule
+	}
 	server, kind := pick(v, v.Services[service], avoid, 0, seed, now)
 	if server == nil {
 		d.Outcome = Refuse{Code: NoCapacity, RetryAfter: RetryCapacity, Text: "no server of " + service + " can take work now"}
--- a/core/route/gate.go
+++ b/core/route/gate.go
@@ -31,7 +31,7 @@
 }
 
 // GateCall is Gate for the call of a plain service.
-func GateCall(v *View, organisation, service, method, path, serverID string) error {
+func GateCall(v *View, organisation, service, method, path, serverID string, now time.Time) error {
 	const op = "gate call"
 	tenant := v.Table.Tenant(organisation)
 	if tenant == nil {
@@ -40,6 +40,9 @@
 	if _, ok := tenant.Call(service, method, path); !ok {
 		return refused(op, CallNotAllowed, "%s may no longer call %s%s", organisation, service, path)
 	}
+	if v.doubtful(now) {
+		return refused(op, StaleConfig, "this daemon was paused and has to confirm its table first")
+	}
 	return gateServer(op, v.Services[service], serverID)
 }
 
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -69,8 +69,14 @@
 	Table      *table.Table
 	// ConfirmedAt is when Generation was last known to be the newest.
 	ConfirmedAt time.Time
-	Hall        string
-	Ages        Ages
+	// PublishedAt is when the control state last made a view. A view that is
+	// older than StalledAfter comes from before a pause of the process.
+	PublishedAt time.Time
+	// Doubt tells that the process was paused and has not yet found out
+	// whether there is a newer generation: nothing is served meanwhile.
+	Doubt bool
+	Hall  string
+	Ages  Ages
 	// Engines are the model engines by the version they have loaded, the own
 	// data hall's first.
 	Engines map[table.Ref][]*Server
@@ -97,8 +103,17 @@
 	}
 }
 
+// StalledAfter is the age from which a view is taken for one from before a
+// pause: the control state makes one at least once a second.
+const StalledAfter = 3 * time.Second
+
+// doubtful reports whether the process may have slept through an edit.
+func (v *View) doubtful(now time.Time) bool {
+	return v.Doubt || (!v.PublishedAt.IsZero() && now.Sub(v.PublishedAt) > StalledAfter)
+}
+
 // stale reports whether the view is too old to serve the candidate.
 func (v *View) stale(c table.Candidate, now time.Time) bool {
 	limit := v.maxAge(c)
-	return limit > 0 && v.Age(now) > limit
+	return v.doubtful(now) || (limit > 0 && v.Age(now) > limit)
 }
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -120,15 +120,18 @@
 	return out
 }
 
-// Hear takes another daemon's offer and reports whether to fetch from it.
-func (s *Store) Hear(o Offer, now time.Time) bool {
+// Hear takes another daemon's offer and reports whether to fetch from it. Only
+// a trusted offer confirms the document held.
+func (s *Store) Hear(o Offer, trusted bool, now time.Time) bool {
 	if o.Topic >= Topics {
 		return false
 	}
 	h := &s.held[o.Topic]
 	switch {
 	case o.Number == h.doc.Number && o.Sum == h.doc.Sum:
-		s.Confirm(o.Topic, o.Number, now.Add(-time.Duration(min(o.AgeMS, uint64(maxAge/time.Millisecond)))*time.Millisecond))
+		if trusted {
+			s.Confirm(o.Topic, o.Number, now.Add(-o.age()))
+		}
 		return false
 	case o.Number <= h.doc.Number:
 		return false
@@ -142,6 +145,10 @@
 // maxAge bounds what an offer may claim as its age.
 const maxAge = 365 * 24 * time.Hour
 
+func (o Offer) age() time.Duration {
+	return time.Duration(min(o.AgeMS, uint64(maxAge.Milliseconds()))) * time.Millisecond
+}
+
 // Confirm notes that the document of that number was the newest at a time.
 func (s *Store) Confirm(topic Topic, number uint64, at time.Time) {
 	h := &s.held[topic]
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -52,6 +52,9 @@
 type Sums struct {
 	_       struct{} `cbor:",toarray"`
 	Daemons uint32
+	// Set is the sum of the hashes of the daemons' ids: it tells whether just
+	// the expected daemons were added up, each of them once.
+	Set uint64
 	// Oldest is the lowest table generation in force on any of them.
 	Oldest   uint64
 	Demands  []Demand
@@ -66,7 +69,7 @@
 	if o.Daemons == 0 {
 		return s
 	}
-	out := Sums{Daemons: s.Daemons + o.Daemons, Oldest: min(s.Oldest, o.Oldest)}
+	out := Sums{Daemons: s.Daemons + o.Daemons, Set: s.Set + o.Set, Oldest: min(s.Oldest, o.Oldest)}
 	out.Demands = merge(s.Demands, o.Demands, func(d Demand) Key { return d.Key }, func(a, b Demand) Demand {
 		return Demand{Key: a.Key, Requests: a.Requests + b.Requests, Tokens: a.Tokens + b.Tokens, InFlight: a.InFlight + b.InFlight}
 	})
@@ -123,6 +126,10 @@
 	// Members is how many daemons its root counts on; Sums.Daemons of them
 	// have reported.
 	Members uint32
+	// Down is how many listed daemons the root does not count on.
+	Down uint32
+	// Complete tells that just the members have reported, each once.
+	Complete bool
 	// Round grows with every total that the hall's roots make.
 	Round uint64
 	// AgeMS is how old the total is, in milliseconds.
@@ -177,11 +184,10 @@
 
 // Root notes the total of the own data hall, made here because this daemon is
 // the root of its tree.
-func (t *Tree) Root(name string, members int, sums Sums, now time.Time) {
-	round := t.halls[name].hall.Round + 1
+func (t *Tree) Root(h Hall, now time.Time) {
 	// Roots change: a new one goes on above the rounds of the old one.
-	round = max(round, uint64(now.UnixMilli()))
-	t.halls[name] = known{hall: Hall{Name: name, Members: uint32(members), Round: round, Sums: sums}, at: now}
+	h.Round = max(t.halls[h.Name].hall.Round+1, uint64(now.UnixMilli()))
+	t.halls[h.Name] = known{hall: h, at: now}
 }
 
 // Learn takes a data hall's total from another daemon.
--- a/daemon/cmd/ladderridge/cmd_halls.go
+++ b/daemon/cmd/ladderridge/cmd_halls.go
@@ -32,13 +32,15 @@
 
 // inForce reports whether every daemon of a hall has a generation in force.
 func inForce(h control.HallDump, number uint64) bool {
-	return !h.Stale && h.Members > 0 && h.Daemons >= h.Members && h.Oldest >= number
+	return !h.Stale && h.Members > 0 && h.Complete && h.Oldest >= number
 }
 
 func showHall(h control.HallDump, number uint64) string {
 	switch {
 	case h.Stale:
 		return fmt.Sprintf("  %-16s unconfirmed: the data hall is silent", h.Name)
+	case inForce(h, number) && h.Down > 0:
+		return fmt.Sprintf("  %-16s in force on %d daemons (generation %d); %d listed ones do not answer and get it before they serve", h.Name, h.Members, h.Oldest, h.Down)
 	case inForce(h, number):
 		return fmt.Sprintf("  %-16s in force on all %d daemons (generation %d)", h.Name, h.Members, h.Oldest)
 	default:
--- a/daemon/cmd/ladderridge/cmd_watch.go
+++ b/daemon/cmd/ladderridge/cmd_watch.go
@@ -49,11 +49,11 @@
 		wg.Go(func() { errs[i] = f.watch(ctx, addr, &mu) })
 	}
 	wg.Wait()
-	// An interrupt is how a watch ends.
-	if stopped := ctx.Err() != nil; stopped {
-		return nil
+	if ctx.Err() == nil {
+		return errors.Join(errs...)
 	}
-	return errors.Join(errs...)
+	// An interrupt is how a watch ends.
+	return nil
 }
 
 func (f filter) watch(ctx context.Context, addr string, mu *sync.Mutex) error {
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -151,6 +151,8 @@
 	safe    map[string]chan struct{}
 	dirty   bool
 	pollers *pollers
+	// ticked is when the last tick was.
+	ticked time.Time
 }
 
 // Run runs the control goroutine until ctx ends.
@@ -225,7 +227,7 @@
 	case nodeEvent:
 		leaving := len(l.node.LeavingServers())
 		l.feed(e.inner, now)
-		if len(l.node.LeavingServers()) != leaving {
+		if len(l.node.LeavingServers()) != leaving || l.Snapshot().View.Doubt {
 			l.publish(now)
 		}
 	case billEvent:
@@ -275,6 +277,7 @@
 }
 
 func (l *loop) tick(now time.Time) {
+	l.ticked = now
 	own := tally.Sums{Evidence: l.guard.own()}
 	if l.Demands != nil {
 		own.Demands = l.Demands()
@@ -370,6 +373,8 @@
 		Generation:  l.gen,
 		Table:       l.table,
 		ConfirmedAt: l.node.Store.ConfirmedAt(spread.Config),
+		PublishedAt: l.ticked,
+		Doubt:       l.node.Doubt(now),
 		Hall:        l.Settings.Hall,
 		Ages:        route.Ages{Steady: l.Settings.SteadyAge, RollingOut: l.Settings.RollingOutAge},
 		Quality:     l.quality,
--- a/daemon/control/dump.go
+++ b/daemon/control/dump.go
@@ -44,10 +44,14 @@
 type HallDump struct {
 	Name    string `json:"name"`
 	Members uint32 `json:"members"`
+	// Down daemons are listed but not counted on.
+	Down    uint32 `json:"down"`
 	Daemons uint32 `json:"daemons"`
-	Oldest  uint64 `json:"oldest_generation"`
-	AgeMS   uint64 `json:"age_ms"`
-	Stale   bool   `json:"stale"`
+	// Complete tells that just the members have reported, each once.
+	Complete bool   `json:"complete"`
+	Oldest   uint64 `json:"oldest_generation"`
+	AgeMS    uint64 `json:"age_ms"`
+	Stale    bool   `json:"stale"`
 }
 
 // Dump is the whole control state of a daemon.
@@ -143,7 +147,7 @@
 	for _, h := range l.node.Tree.Halls(now) {
 		seen[h.Name] = true
 		out = append(out, HallDump{
-			Name: h.Name, Members: h.Members, Daemons: h.Sums.Daemons, Oldest: h.Sums.Oldest, AgeMS: h.AgeMS,
+			Name: h.Name, Members: h.Members, Down: h.Down, Daemons: h.Sums.Daemons, Complete: h.Complete, Oldest: h.Sums.Oldest, AgeMS: h.AgeMS,
 			Stale: h.AgeMS > uint64(tally.Stale.Milliseconds()),
 		})
 	}
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -96,7 +96,7 @@
 		Header: passedHeaders(c.r.Header), Body: c.body, Once: c.once,
 		Gate: func() error {
 			view := c.front.Control.Snapshot().View
-			return route.GateCall(view, c.tenant.Organisation.Name, c.service, c.r.Method, c.path, c.server.ID)
+			return route.GateCall(view, c.tenant.Organisation.Name, c.service, c.r.Method, c.path, c.server.ID, time.Now())
 		},
 	}, table.Ref{})
 	if err != nil {
