Tests of the core, each with an oracle

Cause: the core had no tests of its own. Found by them: a bucket that was just short of a token told the caller to come back after 0 s (wait rounded down to nothing); it is 1 ms at least now.

--- /dev/null
+++ b/core/bill/bill_test.go
@@ -0,0 +1,80 @@
+package bill_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "ladderridge.example/core/fixedseed"
+
+	"ladderridge.example/core/bill"
+)
+
+// TestEveryBillCountsOnce drives a ledger against a platform that loses
+// answers, fails and has some bills already.
+func TestEveryBillCountsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := bill.NewLedger()
+		now := time.Unix(1_800_000_000, 0)
+		platform := map[string]int{}
+		added := 0
+		write := func(lost, failed bool) {
+			batch := l.Batch(now, false)
+			if len(batch) == 0 {
+				return
+			}
+			if failed {
+				l.Failed(0, now)
+				return
+			}
+			var found []string
+			for _, b := range batch {
+				if platform[b.Key] > 0 {
+					found = append(found, b.Key)
+				}
+			}
+			if len(found) == 0 {
+				for _, b := range batch {
+					platform[b.Key]++
+				}
+			}
+			if lost {
+				l.Failed(0, now)
+				return
+			}
+			l.Done(found, now)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				for range rapid.IntRange(1, 150).Draw(t, "n") {
+					l.Add(bill.Bill{Key: fmt.Sprint(added)}, now)
+					added++
+				}
+			},
+			"elsewhere": func(t *rapid.T) {
+				if added > 0 {
+					key := fmt.Sprint(rapid.IntRange(0, added-1).Draw(t, "key"))
+					platform[key] = max(platform[key], 1)
+				}
+			},
+			"write": func(t *rapid.T) { write(rapid.Bool().Draw(t, "lost"), rapid.Bool().Draw(t, "failed")) },
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		for range 1000 {
+			now = now.Add(6 * time.Second)
+			write(false, false)
+		}
+		if l.Pending() > 0 || len(platform) != added {
+			t.Fatalf("of %d bills %d are written and %d pending", added, len(platform), l.Pending())
+		}
+		for key, n := range platform {
+			if n != 1 {
+				t.Fatalf("bill %s counts %d times", key, n)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/claim/claim_test.go
@@ -0,0 +1,44 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ladderridge.example/core/claim"
+)
+
+var now = time.UnixMilli(1_800_000_000_000)
+
+func TestVerdicts(t *testing.T) {
+	open := claim.Record{Claimer: "a", Print: "p", State: claim.Open, UntilUnixMS: now.Add(8 * time.Second).UnixMilli()}
+	done := open.WithAnswer(200, "text/plain", []byte("x"))
+	late := open
+	late.UntilUnixMS = now.UnixMilli()
+	for name, c := range map[string]struct {
+		found claim.Record
+		id    string
+		print string
+		want  claim.Verdict
+	}{
+		"own":            {open, "a", "p", claim.Mine{}},
+		"under way":      {open, "b", "p", claim.InProgress{RetryAfter: 2 * time.Second}},
+		"claimer gone":   {late, "b", "p", claim.OutcomeUnknown{}},
+		"has run":        {done, "b", "p", claim.Replay{Record: done}},
+		"nobody knows":   {open.WithUnknown(), "b", "p", claim.OutcomeUnknown{}},
+		"another's key":  {done, "b", "q", claim.KeyReused{}},
+		"key reused now": {open, "b", "q", claim.KeyReused{}},
+	} {
+		if diff := cmp.Diff(c.want, claim.Judge(c.found, c.id, c.print, now)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+func TestLargeAnswerIsNotRecorded(t *testing.T) {
+	r := claim.Record{}.WithAnswer(200, "text/plain", make([]byte, claim.MaxBody+1))
+	if !r.Cut || r.Body != nil || r.State != claim.Done {
+		t.Errorf("got %+v", r)
+	}
+}
--- a/core/limit/bucket.go
+++ b/core/limit/bucket.go
@@ -17,6 +17,9 @@
 // minBurst lets even a small share admit one whole request.
 const minBurst = 1.0
 
+// minWait is the shortest wait that is told.
+const minWait = time.Millisecond
+
 // Refill returns the bucket as it stands at now, for a rate in units a second.
 func (b Bucket) Refill(now time.Time, rate float64) Bucket {
 	burst := max(rate*burstSeconds, minBurst)
@@ -39,7 +42,8 @@
 	if rate <= 0 {
 		return b, time.Minute, false
 	}
-	return b, time.Duration((n - b.Level) / rate * float64(time.Second)), false
+	wait := time.Duration((n - b.Level) / rate * float64(time.Second))
+	return b, max(wait, minWait), false
 }
 
 // Spend takes n units that have been used already, into debt if need be.
--- /dev/null
+++ b/core/limit/limit_test.go
@@ -0,0 +1,77 @@
+package limit_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "ladderridge.example/core/fixedseed"
+
+	"ladderridge.example/core/limit"
+)
+
+// TestBucketAdmitsTheRate offers more than the rate for ten seconds.
+func TestBucketAdmitsTheRate(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	var b limit.Bucket
+	admitted := 0
+	for range 10_000 {
+		var ok bool
+		var wait time.Duration
+		if b, wait, ok = b.Take(now, 20, 1); ok {
+			admitted++
+		} else if wait <= 0 || wait > 50*time.Millisecond {
+			t.Fatalf("refused with %v to wait", wait)
+		}
+		now = now.Add(time.Millisecond)
+	}
+	if admitted < 200 || admitted > 221 {
+		t.Errorf("admitted %d in 10 s at 20 a second", admitted)
+	}
+}
+
+// TestSharesNeverExceedTheLimit draws demands and what each daemon knows: the
+// shares of all daemons together keep within the limit when their knowledge is
+// the same, and halls that do not see each other keep within it too.
+func TestSharesNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const whole = 1000.0
+		halls := rapid.IntRange(1, 4).Draw(t, "halls")
+		demands := make([][]float64, halls)
+		hall := make([]limit.HallDemand, halls)
+		for h := range halls {
+			for range rapid.IntRange(1, 10).Draw(t, "daemons") {
+				d := rapid.Float64Range(0, 500).Draw(t, "demand")
+				demands[h] = append(demands[h], d)
+				hall[h].Demand += d
+			}
+			hall[h].Daemons = len(demands[h])
+		}
+		cut := rapid.Bool().Draw(t, "cut")
+		total := 0.0
+		for h := range halls {
+			in := limit.ShareInput{Limit: whole, Halls: halls, Hall: hall[h]}
+			in.Hall.Fresh = true
+			for o := range halls {
+				if o != h {
+					other := hall[o]
+					other.Fresh = !cut
+					in.Others = append(in.Others, other)
+				}
+			}
+			for _, d := range demands[h] {
+				in.Own = d
+				share := limit.Share(in)
+				if share < 0 || math.IsNaN(share) {
+					t.Fatalf("a share of %v", share)
+				}
+				total += share
+			}
+		}
+		if total > whole*1.0001 {
+			t.Fatalf("the shares add up to %v of %v", total, whole)
+		}
+	})
+}
--- /dev/null
+++ b/core/tally/tally_test.go
@@ -0,0 +1,60 @@
+package tally_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	_ "ladderridge.example/core/fixedseed"
+
+	"ladderridge.example/core/tally"
+)
+
+func drawSums(t *rapid.T) tally.Sums {
+	s := tally.Sums{Daemons: 1, Set: rapid.Uint64().Draw(t, "set"), Oldest: rapid.Uint64Range(1, 9).Draw(t, "oldest")}
+	keys := rapid.SliceOfDistinct(rapid.Uint32Range(0, 6), func(k uint32) uint32 { return k }).Draw(t, "keys")
+	slices.Sort(keys)
+	for _, k := range keys {
+		s.Demands = append(s.Demands, tally.Demand{Key: tally.Key(k), InFlight: rapid.Uint32Range(0, 9).Draw(t, "in flight")})
+		s.Evidence = append(s.Evidence, tally.Evidence{Key: tally.Key(k), Answers: rapid.Uint64Range(0, 9).Draw(t, "answers")})
+	}
+	return s
+}
+
+// TestAddingIsIndependentOfTheTree adds the same sums in different orders.
+func TestAddingIsIndependentOfTheTree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawSums(t), drawSums(t), drawSums(t)
+		left, right := a.Add(b).Add(c), c.Add(a.Add(b))
+		if diff := cmp.Diff(left, right); diff != "" {
+			t.Fatal(diff)
+		}
+		for k := range tally.Key(7) {
+			want := a.Demand(k).InFlight + b.Demand(k).InFlight + c.Demand(k).InFlight
+			if got := left.Demand(k).InFlight; got != want {
+				t.Fatalf("key %d has %d in flight, want %d", k, got, want)
+			}
+		}
+	})
+}
+
+func TestSilentChildrenAndHallsNoLongerCount(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tree := tally.NewTree()
+	tree.Child("b", tally.Sums{Daemons: 3}, now)
+	own := tally.Sums{Daemons: 1}
+	if got := tree.Sum(own, []string{"b"}, now).Daemons; got != 4 {
+		t.Errorf("%d daemons, want 4", got)
+	}
+	if got := tree.Sum(own, []string{"b"}, now.Add(tally.Stale+time.Second)).Daemons; got != 1 {
+		t.Errorf("with a silent child %d daemons, want 1", got)
+	}
+	tree.Learn(tally.Hall{Name: "h", Round: 2, AgeMS: 1000}, now)
+	tree.Learn(tally.Hall{Name: "h", Round: 1}, now.Add(time.Second))
+	if _, fresh := tree.Fresh("h", now.Add(tally.Stale)); fresh {
+		t.Error("an old round made a silent data hall fresh again")
+	}
+}
--- a/daemon/peer/acts_test.go
+++ b/daemon/peer/acts_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "ladderridge.example/core/fixedseed"
+
 	"ladderridge.example/core/spread"
 )
 
