Queues, cascades and roll-outs that the daemons drive; ports of the tests

Cause: full servers were sent more work, a cheap first try was not possible, and nothing stepped or withdrew a roll-out.

Choice: a request waits for a place in a bounded queue (class, then the organisation's priority, then turns) and is refused at once if it could not be in time. A cascade keeps the cheap answer by the engine's own signal. Roll-outs are stepped by the root of each data hall's tree with conditional writes; pooled counts or ratings withdraw a bad version through the table.

Found by the tests, each failed first: requests that a full engine declined used up their attempts and were refused (now they wait); ratings that came before a daemon's first look never counted against a version (the test's state is now folded into the quality document, the same on every daemon).

Also: the capacity run with 100 daemons failed on "address already in use", because the ports came from the range of outgoing connections. They come from below it now, and a daemon whose address is taken ends at once with the error instead of trying for ever.

--- a/core/evidence/cusum.go
+++ b/core/evidence/cusum.go
@@ -23,6 +23,10 @@
 // than e^14 (1.2 million) answers of a good version.
 var Default = Test{Good: 0.02, Bad: 0.10, Threshold: 14}
 
+// Ratings tells 10% from 40% of bad ratings, with a false alarm once in more
+// than e^9 (8,000) ratings of a good version.
+var Ratings = Test{Good: 0.10, Bad: 0.40, Threshold: 9}
+
 // WithCounts returns the test after a number of answers, of which some were
 // bad. Within one batch the order of answers is unknown; the bad ones are
 // taken as spread evenly, by summing the whole batch at once.
--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -31,12 +31,15 @@
 	Seed uint64
 	// Avoid are servers that this request has tried already.
 	Avoid []string
+	// Cascade lets a version be tried first that may not reach its target, but
+	// says itself how good its answer is.
+	Cascade bool
 	// Above, if not zero, asks for a version of a higher quality than this:
 	// the escalation of a cascade.
 	Above float64
 }
 
-// Outcome is what a decision came to: Send or Refuse.
+// Outcome is what a decision came to: Send, Wait or Refuse.
 type Outcome interface{ outcome() }
 
 // Send sends the request to a server.
@@ -46,6 +49,9 @@
 	Server *Server
 	// Quality is the estimate on which the version was chosen.
 	Quality float64
+	// Cascade, if not zero, is the signal of its own quality from which the
+	// version's answer is kept.
+	Cascade float64
 }
 
 // Refuse turns the request down; nothing has run.
@@ -56,7 +62,15 @@
 	Text       string
 }
 
+// Wait lets the request wait for a place: every server of the version is full.
+// It names the version, or the service.
+type Wait struct {
+	Ref     table.Ref
+	Service string
+}
+
 func (Send) outcome()   {}
+func (Wait) outcome()   {}
 func (Refuse) outcome() {}
 
 // Decision is an outcome with the steps that led to it.
@@ -104,7 +118,30 @@
 		return d.noCandidate()
 	}
 	chosen, quality := d.choose(eligible)
-	return d.send(chosen, quality)
+	out := d.send(chosen, quality)
+	if _, full := out.(Wait); full {
+		if c, ok := d.spillVersion(eligible, chosen); ok {
+			return d.send(c, d.quality(c))
+		}
+	}
+	return out
+}
+
+// spillVersion is the cheapest other steady version that reaches its target
+// and has room, for a request whose own version has none.
+func (d *decider) spillVersion(eligible []table.Candidate, full table.Candidate) (table.Candidate, bool) {
+	var best table.Candidate
+	found := false
+	for _, c := range eligible {
+		switch {
+		case c.Version.Ref == full.Version.Ref, c.Status != table.Steady, d.quality(c) < c.Target:
+		case found && c.Version.Price >= best.Version.Price:
+		case !anyRoom(d.view.Engines[c.Version.Ref], d.req.Avoid, d.now):
+		default:
+			best, found = c, true
+		}
+	}
+	return best, found
 }
 
 // pinned serves a session's own version or refuses; it never moves a session.
@@ -125,12 +162,16 @@
 // eligible returns the candidates that may take a new session.
 func (d *decider) eligible() []table.Candidate {
 	out := d.eligibleBuf[:0]
+	var guarded []table.Candidate
 	for _, c := range d.req.Tenant.Candidates {
 		if !d.matches(c.Version.Ref) {
 			continue
 		}
 		if code := d.exclude(c); code != "" {
 			d.reason = code
+			if code == VersionGuarded && c.Status == table.Steady {
+				guarded = append(guarded, c)
+			}
 			s := step(StepExcluded, c.Version.Ref)
 			s.Reason = code
 			d.steps = append(d.steps, s)
@@ -138,6 +179,11 @@
 		}
 		out = append(out, c)
 	}
+	if len(out) == 0 && len(guarded) > 0 {
+		// A steady version that has gone bad serves on when there is no other.
+		d.steps = append(d.steps, Step{Kind: StepLastResort, Reason: VersionGuarded})
+		return guarded
+	}
 	return out
 }
 
@@ -158,10 +204,10 @@
 		return VersionWithdrawn
 	case d.view.stale(c, d.now):
 		return StaleConfig
-	case d.view.Guarded[c.Version.Ref] != "":
-		return VersionGuarded
 	case !d.anyServer(c.Version.Ref):
 		return NoCapacity
+	case d.view.guarded(d.req.Tenant.Organisation.Name, c.Version.Ref):
+		return VersionGuarded
 	case d.req.Above > 0 && d.quality(c) <= d.req.Above:
 		return ModelNotAllowed
 	}
@@ -211,13 +257,13 @@
 		for j < len(eligible) && eligible[j].Version.Ref.Model == eligible[i].Version.Ref.Model {
 			j++
 		}
-		c := d.split(eligible[i:j])
+		c := d.split(d.goodEnough(eligible[i:j]))
 		q := d.quality(c)
 		models++
 		s := step(StepEligible, c.Version.Ref)
 		s.Value = q
 		d.steps = append(d.steps, s)
-		if q >= c.Target && (!found || c.Version.Price < chosen.Version.Price) {
+		if d.reaches(c, q) && (!found || c.Version.Price < chosen.Version.Price) {
 			chosen, chosenQuality, found = c, q, true
 		}
 		if i == 0 || q > bestQuality {
@@ -237,6 +283,33 @@
 	return chosen, chosenQuality
 }
 
+// goodEnough leaves out a model's steady versions that do not reach their
+// target, if one does and the caller leaves the choice to the system. Versions
+// in roll-out stay: their stage bounds their share.
+func (d *decider) goodEnough(versions []table.Candidate) []table.Candidate {
+	if d.req.Model != Auto || len(versions) == 1 {
+		return versions
+	}
+	var good []table.Candidate
+	steady := false
+	for _, c := range versions {
+		reaches := d.reaches(c, d.quality(c))
+		if reaches || c.Status == table.RollingOut {
+			good = append(good, c)
+		}
+		steady = steady || (reaches && c.Status == table.Steady)
+	}
+	if !steady {
+		return versions
+	}
+	return good
+}
+
+// reaches reports whether a version's answer will do, or can be tried first.
+func (d *decider) reaches(c table.Candidate, quality float64) bool {
+	return quality >= c.Target || (d.req.Cascade && c.Cascade > 0)
+}
+
 // split picks one of a model's versions: those in roll-out take the share of
 // their stage, the steady ones the rest by weight.
 func (d *decider) split(versions []table.Candidate) table.Candidate {
@@ -308,6 +381,10 @@
 func (d *decider) send(c table.Candidate, quality float64) Outcome {
 	ref := c.Version.Ref
 	server, kind := pick(d.view, d.view.Engines[ref], d.req.Avoid, d.req.Prefix, d.req.Seed, d.now)
+	if kind == StepWait {
+		d.steps = append(d.steps, step(kind, ref))
+		return Wait{Ref: ref}
+	}
 	if server == nil {
 		return Refuse{Code: NoCapacity, RetryAfter: RetryCapacity, Text: "no server of " + ref.String() + " can take work now"}
 	}
@@ -315,7 +392,11 @@
 	s.Server = server.ID
 	s.Value = float64(server.Estimate())
 	d.steps = append(d.steps, s)
-	return Send{Ref: ref, Price: c.Version.Price, Server: server, Quality: quality}
+	out := Send{Ref: ref, Price: c.Version.Price, Server: server, Quality: quality}
+	if d.req.Cascade && quality < c.Target {
+		out.Cascade = c.Cascade
+	}
+	return out
 }
 
 // DecideCall chooses the server for a call of a plain service.
@@ -331,6 +412,11 @@
 		return d, rule
 	}
 	server, kind := pick(v, v.Services[service], avoid, 0, seed, now)
+	if kind == StepWait {
+		d.Steps = append(d.Steps, Step{Kind: kind})
+		d.Outcome = Wait{Service: service}
+		return d, rule
+	}
 	if server == nil {
 		d.Outcome = Refuse{Code: NoCapacity, RetryAfter: RetryCapacity, Text: "no server of " + service + " can take work now"}
 		return d, rule
@@ -344,32 +430,57 @@
 // chosen for its prefix cache.
 const affinitySlack = 1.25
 
-// pick chooses among servers: the prefix's own one if it is not overloaded,
-// else the less loaded of two, in the own data hall if one there has room.
+// pick chooses among the servers that have room, in the own data hall if one
+// there has. If none has, it returns no server and StepWait, and if none is
+// there at all StepRefused.
 func pick(v *View, servers []*Server, avoid []string, prefix, seed uint64, now time.Time) (*Server, StepKind) {
 	var buf [64]*Server
 	own, other := buf[:0], []*Server(nil)
+	kind := StepRefused
 	for _, s := range servers {
-		if !s.Available(now) || contains(avoid, s.ID) {
-			continue
-		}
-		if s.Hall == v.Hall {
+		switch {
+		case !s.Available(now) || contains(avoid, s.ID):
+		case s.full():
+			kind = StepWait
+		case s.Hall == v.Hall:
 			own = append(own, s)
-		} else {
+		default:
 			other = append(other, s)
 		}
 	}
 	if len(own) > 0 {
-		s, kind := pickOne(own, prefix, seed)
-		if !s.full() || len(other) == 0 {
-			return s, kind
+		return pickOne(own, prefix, seed)
+	}
+	if len(other) > 0 {
+		s, _ := pickOne(other, prefix, seed)
+		return s, StepSpill
+	}
+	return nil, kind
+}
+
+// anyRoom reports whether one of the servers can take a request now.
+func anyRoom(servers []*Server, avoid []string, now time.Time) bool {
+	for _, s := range servers {
+		if s.Available(now) && !s.full() && !contains(avoid, s.ID) {
+			return true
 		}
 	}
-	if len(other) == 0 {
-		return nil, StepRefused
+	return false
+}
+
+// Room is how many requests servers can take now, at most limit.
+func Room(servers []*Server, limit int, now time.Time) int {
+	room := 0
+	for _, s := range servers {
+		switch {
+		case !s.Available(now) || s.full():
+		case s.Capacity == 0:
+			return limit
+		default:
+			room += s.Capacity - s.Estimate()
+		}
 	}
-	s, _ := pickOne(other, prefix, seed)
-	return s, StepSpill
+	return min(room, limit)
 }
 
 func pickOne(servers []*Server, prefix, seed uint64) (*Server, StepKind) {
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -86,6 +86,13 @@
 	Quality map[QualityKey]float64
 	// Guarded versions have gone bad by pooled or local evidence.
 	Guarded map[table.Ref]string
+	// BadFor are versions that single organisations rate as bad.
+	BadFor map[QualityKey]bool
+}
+
+// guarded reports whether a version gets no new sessions of an organisation.
+func (v *View) guarded(organisation string, ref table.Ref) bool {
+	return v.Guarded[ref] != "" || v.BadFor[QualityKey{Organisation: organisation, Ref: ref}]
 }
 
 // Age is how old the view's knowledge of the newest generation is.
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -59,6 +59,11 @@
 	Stages []float64
 	// Stage is the current index in Stages.
 	Stage int
+	// StepAfter is how long a stage lasts at least before the daemons go on to
+	// the next one; 0 leaves the steps to operators.
+	StepAfter time.Duration
+	// StepAnswers is how many answers a stage needs at least.
+	StepAnswers int
 }
 
 // Share is the part in [0,1] of new sessions that a version in roll-out takes.
@@ -78,6 +83,10 @@
 	Weight int
 	// Target is the quality in [0,1] that answers must reach.
 	Target float64
+	// Cascade, if not zero, lets the version be tried first although it does
+	// not reach the target: its answer is kept if the engine's own signal of
+	// its quality is at least this, or else a better version answers.
+	Cascade float64
 }
 
 // Call is a rule for the calls of a plain service. The longest path prefix
@@ -103,9 +112,10 @@
 type Candidate struct {
 	Version Version
 	// Status is the later one of the two rows' statuses.
-	Status Status
-	Weight int
-	Target float64
+	Status  Status
+	Weight  int
+	Target  float64
+	Cascade float64
 }
 
 // Tenant is everything a decision needs to know of one organisation.
@@ -152,7 +162,7 @@
 	}
 	for _, a := range t.Allows {
 		v := versions[a.Ref]
-		c := Candidate{Version: v, Status: max(v.Status, a.Status), Weight: a.Weight, Target: a.Target}
+		c := Candidate{Version: v, Status: max(v.Status, a.Status), Weight: a.Weight, Target: a.Target, Cascade: a.Cascade}
 		if tenant := t.tenants[a.Organisation]; tenant != nil {
 			tenant.Candidates = append(tenant.Candidates, c)
 		}
--- a/core/table/table_csv.go
+++ b/core/table/table_csv.go
@@ -29,6 +29,9 @@
 	colMaxAge
 	colStages
 	colStage
+	colStepAfter
+	colStepAnswers
+	colCascade
 	colRequests
 	colTokens
 	colConcurrency
@@ -43,7 +46,7 @@
 
 var columnNames = []string{
 	"kind", "organisation", "model", "version", "status", "weight", "target", "price", "quality",
-	"max_age", "stages", "stage", "requests_per_s", "tokens_per_s", "concurrency", "priority",
+	"max_age", "stages", "stage", "step_after", "step_answers", "cascade", "requests_per_s", "tokens_per_s", "concurrency", "priority",
 	"key_sha256", "service", "method", "path", "repeat",
 }
 
@@ -210,6 +213,9 @@
 		Quality: p.number(colQuality, 1),
 		MaxAge:  p.duration(colMaxAge),
 		Stage:   int(p.integer(colStage, 100)),
+
+		StepAfter:   p.duration(colStepAfter),
+		StepAnswers: int(p.integer(colStepAnswers, 1e9)),
 	}
 	for field := range strings.FieldsSeq(p.text(colStages)) {
 		share, err := strconv.ParseFloat(field, 64)
@@ -236,6 +242,7 @@
 		Status:       p.status(),
 		Weight:       int(p.integer(colWeight, 1e6)),
 		Target:       p.number(colTarget, 1),
+		Cascade:      p.number(colCascade, 1),
 	}
 	p.unique(kindAllow + " " + a.Organisation + " " + a.Ref.String())
 	p.allows = append(p.allows, place{row: p.rowNo, name: a.Organisation})
@@ -429,9 +436,9 @@
 	r.cells[colStatus] = v.Status.String()
 	r.cells[colPrice] = formatInteger(v.Price)
 	r.cells[colQuality] = formatNumber(v.Quality)
-	if v.MaxAge > 0 {
-		r.cells[colMaxAge] = v.MaxAge.String()
-	}
+	r.cells[colMaxAge] = formatDuration(v.MaxAge)
+	r.cells[colStepAfter] = formatDuration(v.StepAfter)
+	r.cells[colStepAnswers] = formatInteger(int64(v.StepAnswers))
 	stages := make([]string, 0, len(v.Stages))
 	for _, s := range v.Stages {
 		stages = append(stages, strconv.FormatFloat(s, 'g', -1, 64))
@@ -450,6 +457,7 @@
 	r.cells[colStatus] = a.Status.String()
 	r.cells[colWeight] = formatInteger(int64(a.Weight))
 	r.cells[colTarget] = formatNumber(a.Target)
+	r.cells[colCascade] = formatNumber(a.Cascade)
 	return r
 }
 
@@ -474,6 +482,13 @@
 	return strconv.FormatFloat(x, 'g', -1, 64)
 }
 
+func formatDuration(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
 func formatInteger(n int64) string {
 	if n == 0 {
 		return ""
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -35,7 +35,9 @@
 
 // Admin serves operators. Set the exported fields before Run.
 type Admin struct {
-	Addr     string
+	Addr string
+	// Listener takes operators' connections; nil listens at Addr.
+	Listener net.Listener
 	Control  *control.Control
 	Records  *record.Log
 	Registry *prometheus.Registry
@@ -50,9 +52,13 @@
 
 // Run serves operators until ctx ends.
 func (a *Admin) Run(ctx context.Context) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.Addr)
-	if err != nil {
-		return err
+	l := a.Listener
+	a.Listener = nil
+	if l == nil {
+		var err error
+		if l, err = (&net.ListenConfig{}).Listen(ctx, "tcp", a.Addr); err != nil {
+			return err
+		}
 	}
 	s := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout, BaseContext: func(net.Listener) context.Context { return ctx }}
 	go func() {
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -100,6 +100,16 @@
 	NeedEcho bool
 	// Gate is the last check before any byte goes out.
 	Gate func() error
+	// Ended, if set, is called when the server has its place back.
+	Ended func()
+}
+
+// leave gives the server its place back.
+func (x *Exchange) leave() {
+	x.Server.Load.InFlight.Add(-1)
+	if x.Ended != nil {
+		x.Ended()
+	}
 }
 
 // Reply is a server's answer whose body is still to be read.
@@ -110,8 +120,7 @@
 	// InFlight is the load that the server reported, or -1.
 	InFlight int
 
-	attempt *attempt.Attempt
-	load    *route.Load
+	exchange *Exchange
 }
 
 // Send sends an exchange. When it fails, the attempt's outcome says whether
@@ -134,10 +143,10 @@
 	x.Server.Load.InFlight.Add(1)
 	resp, err := transport.RoundTrip(r) //nolint:bodyclose // The Reply owns the body.
 	if err != nil {
-		x.Server.Load.InFlight.Add(-1)
+		x.leave()
 		return nil, failed(x.Attempt, err)
 	}
-	reply := &Reply{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, InFlight: -1, attempt: x.Attempt, load: x.Server.Load}
+	reply := &Reply{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, InFlight: -1, exchange: &x}
 	if n, err := strconv.Atoi(resp.Header.Get(wire.HeaderLoad)); err == nil && n >= 0 {
 		reply.InFlight = n
 	}
@@ -213,27 +222,32 @@
 }
 
 // Leaving reports whether an error says that the server takes no new work.
-func Leaving(err error) bool {
+func Leaving(err error) bool { return declined(err, wire.DeclinedLeaving) }
+
+// Full reports whether an error says that the server has no place now.
+func Full(err error) bool { return declined(err, wire.DeclinedFull) }
+
+func declined(err error, why string) bool {
 	var e *Error
-	return errors.As(err, &e) && e.Kind == Declined && e.Err != nil && e.Err.Error() == wire.DeclinedLeaving
+	return errors.As(err, &e) && e.Kind == Declined && e.Err != nil && e.Err.Error() == why
 }
 
 // close frees the connection and the server's place.
 func (r *Reply) close() {
 	_ = r.Body.Close()
-	r.load.InFlight.Add(-1)
+	r.exchange.leave()
 }
 
 // Finish ends an answer that arrived whole.
 func (r *Reply) Finish() error {
 	r.close()
-	return r.attempt.On(attempt.Finish)
+	return r.exchange.Attempt.On(attempt.Finish)
 }
 
 // Lose ends an answer that broke off; cause says how.
 func (r *Reply) Lose(cause error) error {
 	r.close()
-	if err := r.attempt.On(attempt.Lose); err != nil {
+	if err := r.exchange.Attempt.On(attempt.Lose); err != nil {
 		return err
 	}
 	return &Error{Op: "read answer", Kind: Broken, Err: cause}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -64,6 +64,8 @@
 	// Demands returns what organisations asked of this daemon since it was
 	// last called, per second, sorted by key.
 	Demands func() []tally.Demand
+	// Published, if set, is told of every new snapshot.
+	Published func()
 	// Incarnation is the daemon's start time in milliseconds.
 	Incarnation uint64
 
@@ -144,13 +146,15 @@
 	store   *tablestore.Store
 	servers *servers
 	guard   *guard
-	table   *table.Table
-	gen     table.Generation
-	vms     platform.VMList
-	quality map[route.QualityKey]float64
-	safe    map[string]chan struct{}
-	dirty   bool
-	pollers *pollers
+	// rollouts are driven by the root of the data hall's tree.
+	rollouts *rollouts
+	table    *table.Table
+	gen      table.Generation
+	vms      platform.VMList
+	quality  map[route.QualityKey]float64
+	safe     map[string]chan struct{}
+	dirty    bool
+	pollers  *pollers
 	// ticked is when the last tick was.
 	ticked time.Time
 }
@@ -161,15 +165,16 @@
 	now := time.Now()
 	self := member.Listed{ID: c.Settings.ID, Hall: c.Settings.Hall, Addr: c.Settings.Peers}
 	l := &loop{
-		Control: c,
-		ctx:     ctx,
-		node:    node.New(self, c.Incarnation, now),
-		store:   &tablestore.Store{Platform: c.Platform},
-		servers: newServers(c.Settings.Hall),
-		guard:   newGuard(),
-		table:   table.New(table.Table{}),
-		safe:    map[string]chan struct{}{},
-		pollers: newPollers(c.post),
+		Control:  c,
+		ctx:      ctx,
+		node:     node.New(self, c.Incarnation, now),
+		store:    &tablestore.Store{Platform: c.Platform},
+		servers:  newServers(c.Settings.Hall),
+		guard:    newGuard(),
+		rollouts: newRollouts(),
+		table:    table.New(table.Table{}),
+		safe:     map[string]chan struct{}{},
+		pollers:  newPollers(c.post),
 	}
 	for _, seed := range c.Settings.Seeds {
 		l.node.Seeds = append(l.node.Seeds, member.Listed{ID: seed.ID, Addr: seed.Addr})
@@ -235,6 +240,8 @@
 		l.feed(node.BillAdded{Bill: e.bill}, now)
 	case reportEvent:
 		l.reported(e, now)
+	case stepEvent:
+		l.rollouts.busy = false
 	case askEvent:
 		e.run(l)
 		close(e.done)
@@ -268,8 +275,9 @@
 		l.servers.failed(f.Server, now)
 		l.dirty = true
 	case Declined:
+		l.servers.declined(f.Server, f.Leaving, now)
+		l.dirty = true
 		if f.Leaving {
-			l.servers.declined(f.Server)
 			l.feed(node.ServerLeaving{ID: f.Server}, now)
 			l.publish(now)
 		}
@@ -284,6 +292,7 @@
 	}
 	l.feed(node.Tick{Own: own}, now)
 	l.guard.pool(l.pooled(now), now)
+	l.driveRollouts(now)
 	l.publish(now)
 }
 
@@ -328,7 +337,7 @@
 	case spread.VMs:
 		err = l.changeVMs(doc, now)
 	case spread.Quality:
-		l.quality, err = decodeQuality(doc.Data)
+		err = l.changeQuality(doc)
 	}
 	if err != nil {
 		l.Log.Error().Err(err).Msg("control: a document was refused")
@@ -336,6 +345,16 @@
 	l.publish(now)
 }
 
+func (l *loop) changeQuality(doc spread.Document) error {
+	read, err := decodeQuality(doc.Data)
+	if err != nil {
+		return err
+	}
+	l.quality = read.estimates()
+	l.guard.badFor = read.badFor()
+	return nil
+}
+
 func (l *loop) changeTable(doc spread.Document) error {
 	t, err := table.Parse(doc.Data)
 	if err != nil {
@@ -379,9 +398,13 @@
 		Ages:        route.Ages{Steady: l.Settings.SteadyAge, RollingOut: l.Settings.RollingOutAge},
 		Quality:     l.quality,
 		Guarded:     l.guard.guarded(),
+		BadFor:      l.guard.badFor,
 	}
 	l.servers.view(v, l.node.Leaving)
 	l.snapshot.Store(&Snapshot{View: v, Shares: l.shares(now), BillsFull: l.node.Ledger.Full()})
+	if l.Published != nil {
+		l.Published()
+	}
 }
 
 // shares works out what this daemon may use of each organisation's limits.
--- a/daemon/control/control_io.go
+++ b/daemon/control/control_io.go
@@ -11,9 +11,7 @@
 
 	"ladderridge.example/core/bill"
 	"ladderridge.example/core/node"
-	"ladderridge.example/core/route"
 	"ladderridge.example/core/spread"
-	"ladderridge.example/core/table"
 	"ladderridge.example/daemon/platform"
 	"ladderridge.example/daemon/wire"
 )
@@ -161,18 +159,3 @@
 	}
 	return report, json.NewDecoder(resp.Body).Decode(&report)
 }
-
-// decodeQuality reads a quality document into estimates.
-func decodeQuality(data []byte) (map[route.QualityKey]float64, error) {
-	var doc qualityDocument
-	if err := json.Unmarshal(data, &doc); err != nil {
-		return nil, &Error{Op: "take quality", Kind: BadDocument, Err: err}
-	}
-	out := make(map[route.QualityKey]float64, len(doc.Rows))
-	for _, r := range doc.Rows {
-		if q, ok := r.bound(); ok {
-			out[route.QualityKey{Organisation: r.Organisation, Ref: table.Ref{Model: r.Model, Version: r.Version}}] = q
-		}
-	}
-	return out, nil
-}
--- a/daemon/control/event.go
+++ b/daemon/control/event.go
@@ -64,6 +64,10 @@
 	done chan struct{}
 }
 
+// stepEvent says that a roll-out's step is stored, or not.
+type stepEvent struct{}
+
+func (stepEvent) event()   {}
 func (nodeEvent) event()   {}
 func (billEvent) event()   {}
 func (reportEvent) event() {}
--- a/daemon/control/guard.go
+++ b/daemon/control/guard.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
 	"ladderridge.example/core/evidence"
+	"ladderridge.example/core/route"
 	"ladderridge.example/core/table"
 	"ladderridge.example/core/tally"
 )
@@ -29,9 +31,30 @@
 // guard watches how versions answer. It is owned by the control goroutine.
 type guard struct {
 	versions map[table.Ref]*watched
+	// badFor are the versions that single organisations' ratings find bad.
+	badFor map[route.QualityKey]bool
 }
 
-func newGuard() *guard { return &guard{versions: map[table.Ref]*watched{}} }
+func newGuard() *guard {
+	return &guard{versions: map[table.Ref]*watched{}, badFor: map[route.QualityKey]bool{}}
+}
+
+// alarm is why all daemons together find a version bad, or "".
+func (g *guard) alarm(ref table.Ref) string {
+	if w := g.versions[ref]; w != nil && w.pooled.Alarmed() {
+		return "all daemons together find it bad"
+	}
+	organisations := 0
+	for key := range g.badFor {
+		if key.Ref == ref {
+			organisations++
+		}
+	}
+	if organisations > 0 {
+		return fmt.Sprintf("the ratings of %d organisations find it bad", organisations)
+	}
+	return ""
+}
 
 func (g *guard) of(ref table.Ref) *watched {
 	w := g.versions[ref]
--- a/daemon/control/quality.go
+++ b/daemon/control/quality.go
@@ -6,6 +6,9 @@
 	"math"
 	"slices"
 
+	"ladderridge.example/core/evidence"
+	"ladderridge.example/core/route"
+	"ladderridge.example/core/table"
 	"ladderridge.example/daemon/platform"
 )
 
@@ -24,8 +27,19 @@
 	Count        float64 `json:"count"`
 	Sum          float64 `json:"sum"`
 	Squares      float64 `json:"squares"`
+	// Against is the sum of the test that finds the version bad.
+	Against float64 `json:"against"`
 }
 
+func (r qualityRow) ref() table.Ref { return table.Ref{Model: r.Model, Version: r.Version} }
+
+func (r qualityRow) key() route.QualityKey {
+	return route.QualityKey{Organisation: r.Organisation, Ref: r.ref()}
+}
+
+// badScore is the score below which a rated answer counts as bad.
+const badScore = 0.4
+
 // keep is the weight that older ratings keep with each new one: the latest
 // five hundred or so count.
 const keep = 0.998
@@ -42,9 +56,23 @@
 	r.Count = r.Count*keep + 1
 	r.Sum = r.Sum*keep + score
 	r.Squares = r.Squares*keep + score*score
+	bad := uint64(0)
+	if score < badScore {
+		bad = 1
+	}
+	test := r.test().WithCounts(1, bad)
+	r.Against = min(test.Sum, 2*test.Threshold)
 	return r
 }
 
+// test is the test of the ratings so far. Good ratings bring its sum down
+// again, from at most twice the threshold.
+func (r qualityRow) test() evidence.Test {
+	t := evidence.Ratings
+	t.Sum = r.Against
+	return t
+}
+
 // bound is the lower confidence bound of the mean score, if there are enough
 // ratings.
 func (r qualityRow) bound() (float64, bool) {
@@ -56,6 +84,37 @@
 	return max(0, mean-zScore*math.Sqrt(variance/r.Count)), true
 }
 
+// decodeQuality reads a quality document.
+func decodeQuality(data []byte) (qualityDocument, error) {
+	var doc qualityDocument
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return doc, &Error{Op: "take quality", Kind: BadDocument, Err: err}
+	}
+	return doc, nil
+}
+
+// estimates are the bounds of the rows that have enough ratings.
+func (d qualityDocument) estimates() map[route.QualityKey]float64 {
+	out := make(map[route.QualityKey]float64, len(d.Rows))
+	for _, r := range d.Rows {
+		if q, ok := r.bound(); ok {
+			out[r.key()] = q
+		}
+	}
+	return out
+}
+
+// badFor are the versions that single organisations' ratings find bad.
+func (d qualityDocument) badFor() map[route.QualityKey]bool {
+	out := map[route.QualityKey]bool{}
+	for _, r := range d.Rows {
+		if r.test().Alarmed() {
+			out[r.key()] = true
+		}
+	}
+	return out
+}
+
 // foldRatings takes ratings into a document.
 func foldRatings(held []byte, ratings []platform.Rating) qualityDocument {
 	var doc qualityDocument
--- a/daemon/control/servers.go
+++ b/daemon/control/servers.go
@@ -144,10 +144,15 @@
 	}
 }
 
-// declined notes a server's own word that it is leaving.
-func (s *servers) declined(id string) {
-	if b := s.byID[id]; b != nil {
+// declined notes a server's own word that it is leaving, or full.
+func (s *servers) declined(id string, leaving bool, now time.Time) {
+	b := s.byID[id]
+	switch {
+	case b == nil:
+	case leaving:
 		b.leaving = true
+	default:
+		b.reported, b.at, b.own = max(b.reported, b.capacity), now, int(b.load.InFlight.Load())
 	}
 }
 
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -61,7 +61,11 @@
 	switch out := d.Outcome.(type) {
 	case route.Send:
 		c.server = out.Server
-		return nil
+	case route.Wait:
+		if out := c.waitFor(pool{service: out.Service}); out != nil {
+			return out
+		}
+		return c.decide()
 	case route.Refuse:
 		return fromDecision(out)
 	}
@@ -76,10 +80,9 @@
 		if err == nil {
 			return nil
 		}
-		if !c.mayRetry(a.Outcome(), c.once) {
-			return c.failure(a.Outcome(), err)
+		if out := c.again(a.Outcome(), err, c.once, pool{service: c.service}); out != nil {
+			return out
 		}
-		c.step(route.Step{Kind: route.StepRetry, Value: float64(c.attempts)})
 		if out := c.decide(); out != nil {
 			return out.withRun(c.outcome(a.Outcome()))
 		}
--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -26,6 +26,10 @@
 	claim   *claimed
 	// sent is the version that the last attempt went to.
 	sent route.Send
+	// begun is when the request came.
+	begun time.Time
+	// above is the quality of the answer that an escalation must exceed.
+	above float64
 }
 
 // chat answers a chat request.
@@ -38,7 +42,7 @@
 		return out
 	}
 	j.rec.Model = req.Model
-	c := &chatJob{job: j, req: req, prefix: prefix(req), once: j.r.Header.Get(wire.HeaderRepeat) == wire.RepeatNo}
+	c := &chatJob{job: j, req: req, prefix: prefix(req), once: j.r.Header.Get(wire.HeaderRepeat) == wire.RepeatNo, begun: time.Now()}
 	if c.session, out = j.findSession(req.Model); out != nil {
 		return out
 	}
@@ -83,14 +87,18 @@
 	}
 	d := route.Decide(view, route.Request{
 		ID: c.id, Tenant: tenant, Model: c.req.Model, Session: c.session.name, Pin: c.session.ref,
-		Prefix: c.prefix, Seed: c.seed(), Avoid: c.avoid,
+		Prefix: c.prefix, Seed: c.seed(), Avoid: c.avoid, Cascade: c.mayCascade(), Above: c.above,
 	}, time.Now())
 	c.steps(d.Steps)
 	c.rec.Generation = view.Generation.Number
 	switch out := d.Outcome.(type) {
 	case route.Send:
 		c.sent = out
-		return nil
+	case route.Wait:
+		if out := c.waitFor(pool{ref: out.Ref}); out != nil {
+			return out
+		}
+		return c.decide()
 	case route.Refuse:
 		return fromDecision(out)
 	}
@@ -108,10 +116,9 @@
 		if c.answered {
 			return c.resume(a, err)
 		}
-		if !c.mayRetry(a.Outcome(), c.once) {
-			return c.failure(a.Outcome(), err)
+		if out := c.again(a.Outcome(), err, c.once, pool{ref: c.sent.Ref}); out != nil {
+			return out
 		}
-		c.step(route.Step{Kind: route.StepRetry, Value: float64(c.attempts)})
 		if out := c.decide(); out != nil {
 			return out.withRun(c.outcome(a.Outcome()))
 		}
@@ -171,16 +178,13 @@
 
 // whole passes on an answer that is not streamed.
 func (c *chatJob) whole(reply *backend.Reply) error {
-	data, err := reply.ReadAll(maxAnswer)
+	answer, err := c.readAnswer(reply)
 	if err != nil {
 		return err
 	}
-	var answer wire.ChatAnswer
-	if err := json.Unmarshal(data, &answer); err != nil {
-		c.tellAnswer(reply, true)
-		return err
+	if c.shouldEscalate(answer) {
+		answer = c.escalate(answer)
 	}
-	c.tellAnswer(reply, false)
 	c.tokens = answer.Usage.CompletionTokens
 	answer.ID, answer.Model = c.id, c.sent.Ref.String()
 	out, err := json.Marshal(answer)
@@ -195,6 +199,18 @@
 	return nil
 }
 
+// readAnswer reads a whole answer that is not streamed.
+func (c *chatJob) readAnswer(reply *backend.Reply) (wire.ChatAnswer, error) {
+	var answer wire.ChatAnswer
+	data, err := reply.ReadAll(maxAnswer)
+	if err != nil {
+		return answer, err
+	}
+	err = json.Unmarshal(data, &answer)
+	c.tellAnswer(reply, err != nil)
+	return answer, err
+}
+
 // head sends the status and the headers of an answer.
 func (c *chatJob) head(contentType string, run attempt.Outcome) {
 	c.tellSession(c.session, c.sent.Ref)
--- a/daemon/front/error.go
+++ b/daemon/front/error.go
@@ -32,6 +32,7 @@
 	TokenLimit         Code = "token_limit"
 	ConcurrencyLimit   Code = "concurrency_limit"
 	BillsFull          Code = "billing_backlog"
+	Overloaded         Code = "overloaded"
 	NotReady           Code = "not_ready"
 	SessionUnconfirmed Code = "session_unconfirmed"
 	ClaimUnavailable   Code = "claim_unavailable"
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -40,6 +40,9 @@
 // Front serves callers. Get one from New, set the exported fields, then Run.
 type Front struct {
 	Settings *settings.Settings
+	// Listener takes callers' connections; nil listens at the address of the
+	// settings.
+	Listener net.Listener
 	Control  Controller
 	Backend  *backend.Client
 	Claims   *claims.Store
@@ -60,6 +63,7 @@
 
 	limiter  *limiter
 	retries  *retries
+	waiting  *waiting
 	ids      atomic.Uint64
 	start    string
 	stopping atomic.Bool
@@ -75,7 +79,7 @@
 
 // New returns a front that has served nothing yet.
 func New() *Front {
-	f := &Front{limiter: newLimiter(), retries: newRetries(), start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
+	f := &Front{limiter: newLimiter(), retries: newRetries(), waiting: newWaiting(), start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -91,9 +95,13 @@
 
 // Run serves callers until ctx ends, and then until Stop has been called.
 func (f *Front) Run(ctx context.Context) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", f.Settings.Callers)
-	if err != nil {
-		return err
+	l := f.Listener
+	f.Listener = nil
+	if l == nil {
+		var err error
+		if l, err = (&net.ListenConfig{}).Listen(ctx, "tcp", f.Settings.Callers); err != nil {
+			return err
+		}
 	}
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/daemon/front/read.go
+++ b/daemon/front/read.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -42,12 +43,18 @@
 			return refuse(http.StatusBadRequest, BadRequest, name+" must have at most "+strconv.Itoa(maxName)+" bytes of UTF-8")
 		}
 	}
-	switch v := j.r.Header.Get(wire.HeaderRepeat); v {
-	case "", "yes", wire.RepeatNo:
-		return nil
-	default:
-		return refuse(http.StatusBadRequest, BadRequest, wire.HeaderRepeat+" must be yes or no")
+	if out := j.checkWord(wire.HeaderRepeat, "yes", wire.RepeatNo); out != nil {
+		return out
 	}
+	return j.checkWord(wire.HeaderPriority, wire.PriorityHigh, wire.PriorityNormal, wire.PriorityLow)
+}
+
+// checkWord checks a header that takes one of some words.
+func (j *job) checkWord(name string, words ...string) *refusal {
+	if v := j.r.Header.Get(name); v != "" && !slices.Contains(words, v) {
+		return refuse(http.StatusBadRequest, BadRequest, name+" must be one of "+strings.Join(words, ", "))
+	}
+	return nil
 }
 
 // maxTokens bounds max_tokens.
--- a/daemon/front/send.go
+++ b/daemon/front/send.go
@@ -27,18 +27,29 @@
 
 // exchange sends one attempt and notes what became of it.
 func (j *job) exchange(x backend.Exchange, ref table.Ref) (*backend.Reply, error) {
+	x.Ended = func() { j.front.waiting.served(j.pool(ref), j.front.Control.Snapshot().View, time.Now()) }
 	s := route.Step{Kind: route.StepAttempt, Model: ref.Model, Version: ref.Version, Server: x.Server.ID, Text: x.Attempt.ID}
 	reply, err := j.front.Backend.Send(j.ctx, x)
 	if err != nil {
 		j.mayHaveRun = j.mayHaveRun || x.Attempt.Outcome() == attempt.Unknown
 		s.Text += " " + x.Attempt.State() + ": " + err.Error()
-		j.avoid = append(j.avoid, x.Server.ID)
+		if !backend.Full(err) {
+			j.avoid = append(j.avoid, x.Server.ID)
+		}
 		j.tellFailure(x.Server.ID, err)
 	}
 	j.step(s)
 	return reply, err
 }
 
+// pool is where the request's attempts go.
+func (j *job) pool(ref table.Ref) pool {
+	if ref == (table.Ref{}) {
+		return pool{service: j.rec.Service}
+	}
+	return pool{ref: ref}
+}
+
 // tellFailure lets the control state know of a server that failed.
 func (j *job) tellFailure(server string, err error) {
 	switch {
@@ -50,6 +61,24 @@
 	}
 }
 
+// again prepares another attempt after a failed one: it waits for a place if
+// the server was full, and otherwise takes a retry. It returns the final answer
+// if there is to be none.
+func (j *job) again(last attempt.Outcome, err error, once bool, p pool) *refusal {
+	if backend.Full(err) && j.ctx.Err() == nil {
+		j.attempts--
+		if out := j.waitFor(p); out != nil {
+			return out.withRun(j.outcome(last))
+		}
+		return nil
+	}
+	if !j.mayRetry(last, once) {
+		return j.failure(last, err)
+	}
+	j.step(route.Step{Kind: route.StepRetry, Value: float64(j.attempts)})
+	return nil
+}
+
 // outcome is what may truthfully be said of the request after its attempts so
 // far: if any of them may have run, so may the request.
 func (j *job) outcome(last attempt.Outcome) attempt.Outcome {
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -71,6 +72,9 @@
 	if err := p.build(); err != nil {
 		return err
 	}
+	if err := p.listen(ctx); err != nil {
+		return err
+	}
 	// Parts outlive ctx until the planned stop is through.
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -109,6 +113,7 @@
 	p.control.Settings, p.control.Platform, p.control.Peers = s, client, p.peers
 	p.control.Log = p.log
 	p.control.Demands = p.front.Demands
+	p.control.Published = p.front.Wake
 	p.control.Incarnation = uint64(time.Now().UnixMilli())
 	p.front.Settings, p.front.Control, p.front.Backend = s, p.control, p.backend
 	p.front.Claims, p.front.Pins, p.front.Records = p.claims, pins.New(client), p.records
@@ -119,6 +124,19 @@
 	return nil
 }
 
+// listen takes the addresses, so that a daemon whose address is in use ends at
+// once with an error.
+func (p *Process) listen(ctx context.Context) error {
+	var err error
+	if p.front.Listener, err = (&net.ListenConfig{}).Listen(ctx, "tcp", p.Settings.Callers); err != nil {
+		return err
+	}
+	if p.admin.Listener, err = (&net.ListenConfig{}).Listen(ctx, "tcp", p.Settings.Admin); err != nil {
+		return err
+	}
+	return nil
+}
+
 // tree is the supervisor tree: what serves callers apart from what the daemons
 // do among themselves, so that the one can be restarted without the other.
 func (p *Process) tree() *suture.Supervisor {
@@ -199,6 +217,7 @@
 	Answered int64 `json:"answered"`
 	Refused  int64 `json:"refused"`
 	Open     int64 `json:"open"`
+	Waiting  int   `json:"waiting"`
 	Unsafe   int64 `json:"answers_before_bill_was_safe"`
 	Crossed  int64 `json:"crossed_answers"`
 }
@@ -213,7 +232,7 @@
 		Control: c, Peers: p.peers.Usage(), Settling: p.claims.Settling(),
 		Front: FrontDump{
 			Requests: p.front.Requests.Load(), Answered: p.front.Answered.Load(), Refused: p.front.Refused.Load(),
-			Open: p.front.Open.Load(), Unsafe: p.front.Unsafe.Load(), Crossed: p.backend.CrossedAnswers.Load(),
+			Open: p.front.Open.Load(), Waiting: p.front.Waiting(), Unsafe: p.front.Unsafe.Load(), Crossed: p.backend.CrossedAnswers.Load(),
 		},
 	}, nil
 }
--- a/daemon/record/record.go
+++ b/daemon/record/record.go
@@ -12,24 +12,26 @@
 
 // Record is everything known of one request once it has ended.
 type Record struct {
-	Request      string       `json:"request"`
-	Organisation string       `json:"organisation"`
-	Daemon       string       `json:"daemon"`
-	Hall         string       `json:"hall"`
-	At           time.Time    `json:"at"`
-	Model        string       `json:"model,omitempty"`
-	Service      string       `json:"service,omitempty"`
-	Session      string       `json:"session,omitempty"`
-	Key          string       `json:"key,omitempty"`
-	Version      string       `json:"version,omitempty"`
-	Generation   uint64       `json:"generation"`
-	Status       int          `json:"status"`
-	Run          string       `json:"run"`
-	Code         string       `json:"code,omitempty"`
-	Tokens       int          `json:"tokens,omitempty"`
-	Cost         int64        `json:"cost,omitempty"`
-	DurationMS   float64      `json:"duration_ms"`
-	Steps        []route.Step `json:"steps"`
+	Request      string    `json:"request"`
+	Organisation string    `json:"organisation"`
+	Daemon       string    `json:"daemon"`
+	Hall         string    `json:"hall"`
+	At           time.Time `json:"at"`
+	Model        string    `json:"model,omitempty"`
+	Service      string    `json:"service,omitempty"`
+	Session      string    `json:"session,omitempty"`
+	Key          string    `json:"key,omitempty"`
+	Version      string    `json:"version,omitempty"`
+	Generation   uint64    `json:"generation"`
+	Status       int       `json:"status"`
+	Run          string    `json:"run"`
+	Code         string    `json:"code,omitempty"`
+	Tokens       int       `json:"tokens,omitempty"`
+	Cost         int64     `json:"cost,omitempty"`
+	// Spent is the cost of answers that were made and not given.
+	Spent      int64        `json:"spent,omitempty"`
+	DurationMS float64      `json:"duration_ms"`
+	Steps      []route.Step `json:"steps"`
 }
 
 // Size is how many records are kept.
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -78,6 +78,13 @@
 	e.fault = f
 }
 
+// SetQuality changes the quality of the engine's answers.
+func (e *Engine) SetQuality(q float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Quality = q
+}
+
 // Runs returns how often each request id was run.
 func (e *Engine) Runs() map[string]int {
 	e.mu.Lock()
@@ -110,10 +117,10 @@
 	e.mu.Unlock()
 	switch {
 	case f.Leaving:
-		e.decline(w, "leaving")
+		e.decline(w, wire.DeclinedLeaving)
 		return f, false
 	case e.Batch > 0 && int(e.inFlight.Load()) > e.Batch:
-		e.decline(w, "full")
+		e.decline(w, wire.DeclinedFull)
 		return f, false
 	}
 	if f.HoldAnswers {
@@ -161,10 +168,16 @@
 		e.whole(w, r, tokens)
 	}
 	if e.Rating != nil {
-		e.Rating(id, e.Quality)
+		e.Rating(id, e.quality())
 	}
 }
 
+func (e *Engine) quality() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Quality
+}
+
 func (e *Engine) count(id string) {
 	e.runs.Add(1)
 	e.mu.Lock()
@@ -232,7 +245,7 @@
 		Object:  "chat.completion",
 		Choices: []wire.Choice{{Message: wire.Message{Role: "assistant", Content: strings.Join(tokens, "")}, FinishReason: "stop"}},
 		Usage:   wire.Usage{CompletionTokens: len(tokens)},
-		Quality: e.Quality,
+		Quality: e.quality(),
 	}})
 }
 
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -24,6 +24,14 @@
 	HeaderDeadline = "Ladderridge-Deadline-Ms"
 )
 
+// HeaderPriority orders a caller's own requests: high, normal or low.
+const (
+	HeaderPriority = "Ladderridge-Priority"
+	PriorityHigh   = "high"
+	PriorityNormal = "normal"
+	PriorityLow    = "low"
+)
+
 // SessionNew in HeaderSession asks for a new session of the daemon's naming.
 const SessionNew = "new"
 
@@ -54,8 +62,12 @@
 	HeaderLoad = "Ladderridge-Load"
 )
 
-// DeclinedLeaving in HeaderDeclined says that the server takes no new work.
-const DeclinedLeaving = "leaving"
+// What HeaderDeclined says: the server takes no new work at all, or has no
+// place now.
+const (
+	DeclinedLeaving = "leaving"
+	DeclinedFull    = "full"
+)
 
 // Terminator is the data of the event that ends a complete stream.
 const Terminator = "[DONE]"
