Traces: decisions written down, and replayed against stated outcomes

Cause: a decision could be explained but not run again. `ladderridge trace` takes a daemon's decisions with the views that they are made by; `ladderridge replay` decides them again and shows the first step that differs.

Found by a trace written by hand (all servers of a version tried, the other version withdrawn): the refusal named the last candidate's reason, "withdrawn", without Retry-After, although coming back would have helped. The most hopeful reason is told now.

--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,7 +103,8 @@
 	req   Request
 	now   time.Time
 	steps []Step
-	// reason is why the last candidate was excluded.
+	// reason is the most hopeful of the reasons for which candidates were
+	// excluded: it tells the caller whether coming back helps.
 	reason Code
 	// eligibleBuf backs the list of eligible candidates without allocating.
 	eligibleBuf [8]table.Candidate
@@ -168,7 +170,7 @@
 			continue
 		}
 		if code := d.exclude(c); code != "" {
-			d.reason = code
+			d.reason = moreHopeful(d.reason, code)
 			if code == VersionGuarded && c.Status == table.Steady {
 				guarded = append(guarded, c)
 			}
@@ -216,23 +218,24 @@
 
 func (d *decider) anyServer(ref table.Ref) bool {
 	for _, s := range d.view.Engines[ref] {
-		if s.Available(d.now) && !d.avoided(s) {
+		if s.Available(d.now) && !slices.Contains(d.req.Avoid, s.ID) {
 			return true
 		}
 	}
 	return false
 }
 
-func (d *decider) avoided(s *Server) bool {
-	for _, id := range d.req.Avoid {
-		if id == s.ID {
-			return true
-		}
+// hopes are the reasons for exclusions, the most hopeful last.
+var hopes = []Code{"", ModelNotAllowed, VersionWithdrawn, VersionGuarded, StaleConfig, NoCapacity}
+
+func moreHopeful(a, b Code) Code {
+	if slices.Index(hopes, b) > slices.Index(hopes, a) {
+		return b
 	}
-	return false
+	return a
 }
 
-// noCandidate turns the last exclusion into the refusal.
+// noCandidate turns the most hopeful exclusion into the refusal.
 func (d *decider) noCandidate() Outcome {
 	switch d.reason {
 	case "", ModelNotAllowed:
@@ -439,7 +442,7 @@
 	kind := StepRefused
 	for _, s := range servers {
 		switch {
-		case !s.Available(now) || contains(avoid, s.ID):
+		case !s.Available(now) || slices.Contains(avoid, s.ID):
 		case s.full():
 			kind = StepWait
 		case s.Hall == v.Hall:
@@ -461,7 +464,7 @@
 // anyRoom reports whether one of the servers can take a request now.
 func anyRoom(servers []*Server, avoid []string, now time.Time) bool {
 	for _, s := range servers {
-		if s.Available(now) && !s.full() && !contains(avoid, s.ID) {
+		if s.Available(now) && !s.full() && !slices.Contains(avoid, s.ID) {
 			return true
 		}
 	}
@@ -527,12 +530,3 @@
 	}
 	return float64(total) / float64(len(servers))
 }
-
-func contains(ids []string, id string) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/core/trace/trace.go
@@ -0,0 +1,400 @@
+// Package trace writes decisions down and runs them again. A trace is a text
+// file of JSON objects, one a line: a view, and then the requests that were
+// decided by it, with what came out. docs/TRACES.md describes the format.
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"ladderridge.example/core/fault"
+	"ladderridge.example/core/route"
+	"ladderridge.example/core/table"
+)
+
+// Kind says what sort of error the package met.
+type Kind string
+
+// The kinds of error.
+const (
+	// Malformed is a line that is no part of a trace.
+	Malformed Kind = "malformed trace"
+	// Differs is a decision that comes out otherwise than the trace states.
+	Differs Kind = "decision differs"
+)
+
+// String names the kind.
+func (k Kind) String() string { return string(k) }
+
+// Error is the error type of this package.
+type Error = fault.Of[Kind]
+
+// Line is one line of a trace: a view or a request.
+type Line struct {
+	View    *View    `json:"view,omitempty"`
+	Request *Request `json:"request,omitempty"`
+}
+
+// View is everything that decisions are made from.
+type View struct {
+	Generation uint64 `json:"generation"`
+	// Table is the table's file.
+	Table       string    `json:"table"`
+	Hall        string    `json:"hall"`
+	ConfirmedAt time.Time `json:"confirmed_at"`
+	PublishedAt time.Time `json:"published_at,omitzero"`
+	Doubt       bool      `json:"doubt,omitempty"`
+	SteadyAge   string    `json:"steady_age,omitempty"`
+	RollingAge  string    `json:"rolling_out_age,omitempty"`
+	Servers     []Server  `json:"servers"`
+	Quality     []Quality `json:"quality,omitempty"`
+	Guarded     []string  `json:"guarded,omitempty"`
+	BadFor      []Quality `json:"bad_for,omitempty"`
+}
+
+// Server is one backend server of a view.
+type Server struct {
+	ID           string    `json:"id"`
+	Hall         string    `json:"hall"`
+	Loaded       []string  `json:"loaded,omitempty"`
+	Service      string    `json:"service,omitempty"`
+	Leaving      bool      `json:"leaving,omitempty"`
+	Reported     int       `json:"reported,omitempty"`
+	Capacity     int       `json:"capacity,omitempty"`
+	OwnAtReport  int       `json:"own_at_report,omitempty"`
+	EjectedUntil time.Time `json:"ejected_until,omitzero"`
+}
+
+// Quality is an estimate of one version by one organisation.
+type Quality struct {
+	Organisation string  `json:"organisation"`
+	Version      string  `json:"version"`
+	Value        float64 `json:"value,omitempty"`
+}
+
+// Request is one decision, with its stated outcome.
+type Request struct {
+	At           time.Time `json:"at"`
+	ID           string    `json:"id"`
+	Organisation string    `json:"organisation"`
+	Model        string    `json:"model"`
+	Session      string    `json:"session,omitempty"`
+	Pin          string    `json:"pin,omitempty"`
+	Prefix       uint64    `json:"prefix,omitempty"`
+	Seed         uint64    `json:"seed"`
+	Avoid        []string  `json:"avoid,omitempty"`
+	Cascade      bool      `json:"cascade,omitempty"`
+	Above        float64   `json:"above,omitempty"`
+	// InFlight is what the daemon had under way on servers then.
+	InFlight []InFlight `json:"in_flight,omitempty"`
+	Outcome  Outcome    `json:"outcome"`
+	// Steps are compared if there are any.
+	Steps []route.Step `json:"steps,omitempty"`
+}
+
+// InFlight is the daemon's own load of one server.
+type InFlight struct {
+	Server   string `json:"server"`
+	Requests int64  `json:"requests"`
+}
+
+// Outcome is what a decision comes to. Server may be left out of a trace that
+// is written by hand: then any one will do.
+type Outcome struct {
+	// Kind is send, wait or refuse.
+	Kind    string     `json:"kind"`
+	Version string     `json:"version,omitempty"`
+	Server  string     `json:"server,omitempty"`
+	Code    route.Code `json:"code,omitempty"`
+}
+
+// OutcomeOf writes a decision's outcome down.
+func OutcomeOf(o route.Outcome) Outcome {
+	switch o := o.(type) {
+	case route.Send:
+		return Outcome{Kind: "send", Version: o.Ref.String(), Server: o.Server.ID}
+	case route.Wait:
+		return Outcome{Kind: "wait", Version: o.Ref.String()}
+	case route.Refuse:
+		return Outcome{Kind: "refuse", Code: o.Code}
+	}
+	return Outcome{}
+}
+
+func parseRef(s string) table.Ref {
+	model, version, _ := strings.Cut(s, "@")
+	return table.Ref{Model: model, Version: version}
+}
+
+// maxLine bounds a line of a trace, in bytes.
+const maxLine = 16 << 20
+
+// Result is what a replay found.
+type Result struct {
+	Views    int
+	Requests int
+}
+
+// Replay decides every request of a trace again. It fails at the first one
+// that comes out otherwise, and says at which step.
+func Replay(r io.Reader) (Result, error) {
+	var res Result
+	var view *route.View
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for n := 1; lines.Scan(); n++ {
+		if strings.TrimSpace(lines.Text()) == "" {
+			continue
+		}
+		line, err := decode(lines.Bytes())
+		if err == nil && line.View != nil {
+			view, err = line.View.view()
+			res.Views++
+		}
+		if err == nil && line.Request != nil {
+			err = line.Request.replay(view)
+			res.Requests++
+		}
+		if err != nil {
+			return res, fmt.Errorf("line %d: %w", n, err)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return res, &Error{Op: "read trace", Kind: Malformed, Err: err}
+	}
+	return res, nil
+}
+
+func decode(data []byte) (Line, error) {
+	var line Line
+	if err := json.Unmarshal(data, &line); err != nil {
+		return line, &Error{Op: "read line", Kind: Malformed, Err: err}
+	}
+	if (line.View == nil) == (line.Request == nil) {
+		return line, &Error{Op: "read line", Kind: Malformed, Err: errors.New("a line has one view or one request")}
+	}
+	return line, nil
+}
+
+// replay decides a request again and compares.
+func (r *Request) replay(v *route.View) error {
+	const op = "replay request"
+	if v == nil {
+		return &Error{Op: op, Kind: Malformed, Err: errors.New("no view comes before " + r.ID)}
+	}
+	tenant := v.Table.Tenant(r.Organisation)
+	if tenant == nil {
+		return &Error{Op: op, Kind: Malformed, Err: errors.New("the table has no organisation " + r.Organisation)}
+	}
+	r.setLoads(v)
+	req := route.Request{
+		ID: r.ID, Tenant: tenant, Model: r.Model, Session: r.Session, Prefix: r.Prefix,
+		Seed: r.Seed, Avoid: r.Avoid, Cascade: r.Cascade, Above: r.Above,
+	}
+	if r.Pin != "" {
+		req.Pin = parseRef(r.Pin)
+	}
+	return r.compare(route.Decide(v, req, r.At))
+}
+
+func (r *Request) setLoads(v *route.View) {
+	loads := map[string]int64{}
+	for _, l := range r.InFlight {
+		loads[l.Server] = l.Requests
+	}
+	for _, servers := range v.Engines {
+		for _, s := range servers {
+			s.Load.InFlight.Store(loads[s.ID])
+		}
+	}
+}
+
+func (r *Request) compare(d route.Decision) error {
+	for i := range max(len(r.Steps), len(d.Steps)) {
+		if len(r.Steps) == 0 {
+			break
+		}
+		if i >= len(r.Steps) || i >= len(d.Steps) || r.Steps[i] != d.Steps[i] {
+			return r.differs(fmt.Sprintf("step %d is %q, stated was %q", i+1, stepAt(d.Steps, i), stepAt(r.Steps, i)))
+		}
+	}
+	got, want := OutcomeOf(d.Outcome), r.Outcome
+	if want.Server == "" {
+		got.Server = ""
+	}
+	if got != want {
+		return r.differs(fmt.Sprintf("the outcome is %+v, stated was %+v", got, want))
+	}
+	return nil
+}
+
+func stepAt(steps []route.Step, i int) string {
+	if i >= len(steps) {
+		return "none"
+	}
+	return steps[i].String()
+}
+
+func (r *Request) differs(text string) error {
+	return &Error{Op: "replay request " + r.ID, Kind: Differs, Err: errors.New(text)}
+}
+
+// view builds the view that decisions are made from.
+func (v *View) view() (*route.View, error) {
+	t, err := table.Parse([]byte(v.Table))
+	if err != nil {
+		return nil, err
+	}
+	out := &route.View{
+		Generation: table.Generation{Number: v.Generation}, Table: t, Hall: v.Hall,
+		ConfirmedAt: v.ConfirmedAt, PublishedAt: v.PublishedAt, Doubt: v.Doubt,
+		Engines: map[table.Ref][]*route.Server{}, Services: map[string][]*route.Server{},
+		Quality: map[route.QualityKey]float64{}, Guarded: map[table.Ref]string{}, BadFor: map[route.QualityKey]bool{},
+	}
+	if out.Ages.Steady, err = parseAge(v.SteadyAge); err != nil {
+		return nil, err
+	}
+	if out.Ages.RollingOut, err = parseAge(v.RollingAge); err != nil {
+		return nil, err
+	}
+	for _, s := range v.Servers {
+		server := &route.Server{
+			ID: s.ID, Hall: s.Hall, Leaving: s.Leaving, Reported: s.Reported, Capacity: s.Capacity,
+			OwnAtReport: s.OwnAtReport, EjectedUntil: s.EjectedUntil, Load: &route.Load{},
+		}
+		for _, ref := range s.Loaded {
+			out.Engines[parseRef(ref)] = append(out.Engines[parseRef(ref)], server)
+		}
+		if s.Service != "" {
+			out.Services[s.Service] = append(out.Services[s.Service], server)
+		}
+	}
+	for _, q := range v.Quality {
+		out.Quality[q.key()] = q.Value
+	}
+	for _, q := range v.BadFor {
+		out.BadFor[q.key()] = true
+	}
+	for _, ref := range v.Guarded {
+		out.Guarded[parseRef(ref)] = "as the trace says"
+	}
+	return out, nil
+}
+
+func parseAge(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		return 0, &Error{Op: "read view", Kind: Malformed, Err: err}
+	}
+	return d, nil
+}
+
+func (q Quality) key() route.QualityKey {
+	return route.QualityKey{Organisation: q.Organisation, Ref: parseRef(q.Version)}
+}
+
+// ViewOf writes a view down.
+func ViewOf(v *route.View) View {
+	out := View{
+		Generation: v.Generation.Number, Table: string(v.Table.Encode()), Hall: v.Hall,
+		ConfirmedAt: v.ConfirmedAt, PublishedAt: v.PublishedAt, Doubt: v.Doubt,
+		SteadyAge: v.Ages.Steady.String(), RollingAge: v.Ages.RollingOut.String(),
+	}
+	servers := map[string]*Server{}
+	for ref, list := range v.Engines {
+		for _, s := range list {
+			w := writeServer(servers, s)
+			w.Loaded = append(w.Loaded, ref.String())
+		}
+	}
+	for service, list := range v.Services {
+		for _, s := range list {
+			writeServer(servers, s).Service = service
+		}
+	}
+	for _, s := range servers {
+		slices.Sort(s.Loaded)
+		out.Servers = append(out.Servers, *s)
+	}
+	slices.SortFunc(out.Servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	for key, q := range v.Quality {
+		out.Quality = append(out.Quality, Quality{Organisation: key.Organisation, Version: key.Ref.String(), Value: q})
+	}
+	for key := range v.BadFor {
+		out.BadFor = append(out.BadFor, Quality{Organisation: key.Organisation, Version: key.Ref.String()})
+	}
+	for ref := range v.Guarded {
+		out.Guarded = append(out.Guarded, ref.String())
+	}
+	slices.Sort(out.Guarded)
+	return out
+}
+
+func writeServer(servers map[string]*Server, s *route.Server) *Server {
+	w := servers[s.ID]
+	if w == nil {
+		w = &Server{
+			ID: s.ID, Hall: s.Hall, Leaving: s.Leaving, Reported: s.Reported, Capacity: s.Capacity,
+			OwnAtReport: s.OwnAtReport, EjectedUntil: s.EjectedUntil,
+		}
+		servers[s.ID] = w
+	}
+	return w
+}
+
+// RequestOf writes a decision down. The view's loads must not have changed
+// since it was made: see Freeze.
+func RequestOf(v *route.View, r route.Request, at time.Time, d route.Decision) Request {
+	out := Request{
+		At: at, ID: r.ID, Organisation: r.Tenant.Organisation.Name, Model: r.Model, Session: r.Session,
+		Prefix: r.Prefix, Seed: r.Seed, Avoid: r.Avoid, Cascade: r.Cascade, Above: r.Above,
+		Outcome: OutcomeOf(d.Outcome), Steps: d.Steps,
+	}
+	if r.Pin != (table.Ref{}) {
+		out.Pin = r.Pin.String()
+	}
+	seen := map[string]bool{}
+	for _, list := range v.Engines {
+		for _, s := range list {
+			if n := s.Load.InFlight.Load(); n > 0 && !seen[s.ID] {
+				seen[s.ID] = true
+				out.InFlight = append(out.InFlight, InFlight{Server: s.ID, Requests: n})
+			}
+		}
+	}
+	slices.SortFunc(out.InFlight, func(a, b InFlight) int { return strings.Compare(a.Server, b.Server) })
+	return out
+}
+
+// Freeze returns a copy of a view whose loads no longer change, so that a
+// decision by it can be written down just as it was made. back leads from a
+// server of the copy to the original.
+func Freeze(v *route.View) (frozen *route.View, back map[*route.Server]*route.Server) {
+	w := *v
+	w.Engines = make(map[table.Ref][]*route.Server, len(v.Engines))
+	back = map[*route.Server]*route.Server{}
+	copies := map[*route.Server]*route.Server{}
+	for ref, list := range v.Engines {
+		for _, s := range list {
+			c := copies[s]
+			if c == nil {
+				still := *s
+				still.Load = &route.Load{}
+				still.Load.InFlight.Store(s.Load.InFlight.Load())
+				c = &still
+				copies[s], back[c] = c, s
+			}
+			w.Engines[ref] = append(w.Engines[ref], c)
+		}
+	}
+	return &w, back
+}
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"ladderridge.example/core/trace"
 	"ladderridge.example/daemon/control"
 	"ladderridge.example/daemon/record"
 )
@@ -28,6 +29,7 @@
 	PathWatch   = "/watch"
 	PathExplain = "/explain"
 	PathHalls   = "/halls"
+	PathTrace   = "/trace"
 )
 
 // headerTimeout bounds how long a request's head may take.
@@ -40,6 +42,7 @@
 	Listener net.Listener
 	Control  *control.Control
 	Records  *record.Log
+	Tracer   *record.Tracer
 	Registry *prometheus.Registry
 	// Dump returns the whole state of the process, to be written as JSON.
 	Dump func() (any, error)
@@ -79,6 +82,7 @@
 	mux.Handle("GET "+PathMetrics, promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET "+PathDump, a.dump)
 	mux.HandleFunc("GET "+PathWatch, a.watch)
+	mux.HandleFunc("GET "+PathTrace, a.trace)
 	mux.HandleFunc("GET "+PathExplain, a.explain)
 	mux.HandleFunc("GET "+PathHalls, a.halls)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
@@ -133,6 +137,20 @@
 	records, end := a.Records.Watch()
 	defer end()
 	q := r.URL.Query()
+	stream(w, r, records, func(rec record.Record) bool {
+		return matches(q.Get("organisation"), rec.Organisation) && matches(q.Get("version"), rec.Version) && matches(q.Get("run"), rec.Run)
+	})
+}
+
+// trace streams decisions with the views that they are made by.
+func (a *Admin) trace(w http.ResponseWriter, r *http.Request) {
+	lines, end := a.Tracer.Listen()
+	defer end()
+	stream(w, r, lines, func(trace.Line) bool { return true })
+}
+
+// stream sends what comes, one JSON object a line, until the caller goes away.
+func stream[T any](w http.ResponseWriter, r *http.Request, items <-chan T, wanted func(T) bool) {
 	flush := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
@@ -142,11 +160,11 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case rec := <-records:
-			if !matches(q.Get("organisation"), rec.Organisation) || !matches(q.Get("version"), rec.Version) || !matches(q.Get("run"), rec.Run) {
+		case item := <-items:
+			if !wanted(item) {
 				continue
 			}
-			if e.Encode(rec) != nil {
+			if e.Encode(item) != nil {
 				return
 			}
 			_ = flush.Flush()
--- /dev/null
+++ b/daemon/backend/stream_test.go
@@ -0,0 +1,45 @@
+package backend_test
+
+import (
+	"strings"
+	"testing"
+
+	"ladderridge.example/daemon/backend"
+)
+
+// whole reports whether a stream ended by its terminator.
+func whole(body string) bool {
+	s := backend.NewStream(strings.NewReader(body))
+	for {
+		_, last, err := s.Next()
+		if err != nil || last {
+			return last
+		}
+	}
+}
+
+func TestOnlyTheTerminatorEndsAStream(t *testing.T) {
+	for body, want := range map[string]bool{
+		"data: a\n\ndata: [DONE]\n\n":         true,
+		"data:a\r\n\r\ndata:[DONE]\r\n\r\n":   true,
+		": comment\nevent: x\ndata: [DONE]\n": true,
+		"data: a\n\n":                         false,
+		"":                                    false,
+		"data: [DONE":                         false,
+		"data: [DONE] x\n":                    false,
+	} {
+		if got := whole(body); got != want {
+			t.Errorf("%q: whole is %v", body, got)
+		}
+	}
+}
+
+// FuzzStream checks that a stream is whole only if a line says so.
+func FuzzStream(f *testing.F) {
+	f.Add("data: a\n\ndata: [DONE]\n\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		if whole(body) && !strings.Contains(body, "[DONE]") {
+			t.Fatal("whole without a terminator")
+		}
+	})
+}
--- a/daemon/cmd/ladderridge/main.go
+++ b/daemon/cmd/ladderridge/main.go
@@ -28,7 +28,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(tableCommand(), watchCommand(), explainCommand(), dumpCommand(), hallsCommand(),
-		keysCommand(), standinCommand(), loadCommand(), billsCommand(), callCommand())
+		keysCommand(), traceCommand(), replayCommand(), standinCommand(), loadCommand(), billsCommand(), callCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "ladderridge:", err)
 		return 1
--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -85,7 +85,7 @@
 	if tenant == nil {
 		return refuse(http.StatusUnauthorized, WrongKey, "the organisation is no longer in the table")
 	}
-	d := route.Decide(view, route.Request{
+	d := c.front.Tracer.Decide(view, route.Request{
 		ID: c.id, Tenant: tenant, Model: c.req.Model, Session: c.session.name, Pin: c.session.ref,
 		Prefix: c.prefix, Seed: c.seed(), Avoid: c.avoid, Cascade: c.mayCascade(), Above: c.above,
 	}, time.Now())
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -48,6 +48,7 @@
 	Claims   *claims.Store
 	Pins     *pins.Store
 	Records  *record.Log
+	Tracer   *record.Tracer
 	Log      log.Logger
 	// Observe, if set, is told of every request of an organisation.
 	Observe func(record.Record)
--- /dev/null
+++ b/daemon/peer/codec_test.go
@@ -0,0 +1,76 @@
+package peer_test
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"ladderridge.example/core/bill"
+	"ladderridge.example/core/member"
+	"ladderridge.example/core/node"
+	"ladderridge.example/core/spread"
+	"ladderridge.example/core/tally"
+	"ladderridge.example/daemon/peer"
+)
+
+// messages has one of each type.
+var messages = []node.Message{
+	node.Heartbeat{
+		Incarnation: 7, Hall: "h", Addr: "127.0.0.1:1", Ask: true, Turn: 3,
+		Offers:  []spread.Offer{{Topic: spread.VMs, Number: 4, Sum: 5, AgeMS: 6}},
+		Updates: []member.Update{{ID: "a", Incarnation: 2, State: member.Down}},
+		Leaving: []node.LeavingServer{{ID: "e", AgeMS: 1}},
+	},
+	node.Fetch{Topic: spread.Config},
+	node.Deliver{Document: spread.NewDocument(spread.Config, 9, []byte("table")), AgeMS: 8},
+	node.TallyUp{Sums: tally.Sums{Daemons: 2, Set: 5, Oldest: 1, Demands: []tally.Demand{{Key: 1, Requests: 2, Tokens: 3, InFlight: 4}}}},
+	node.TallyDown{Halls: []tally.Hall{{Name: "h", Members: 3, Complete: true, Round: 4, Sums: tally.Sums{Evidence: []tally.Evidence{{Key: 1, Answers: 2, Bad: 1}}}}}},
+	node.Copies{Bills: []bill.Bill{{Key: "k", Organisation: "o", Tokens: 3, Cost: 4}}, Adopt: true},
+	node.CopiesHeld{Keys: []string{"k"}},
+	node.Release{Keys: []string{"k", "l"}},
+}
+
+func TestMessagesReadBackAsThemselves(t *testing.T) {
+	for _, m := range messages {
+		data, err := peer.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := peer.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(m, got, cmpopts.EquateEmpty(), cmp.Exporter(func(reflect.Type) bool { return true })); diff != "" {
+			t.Errorf("%T: %s", m, diff)
+		}
+	}
+}
+
+// FuzzDecode checks that any bytes are a message or a typed error, and that a
+// node lives through any message.
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages {
+		data, err := peer.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := peer.Decode(data)
+		if err != nil {
+			var typed *peer.Error
+			if !errors.As(err, &typed) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		l := newLinks(1)
+		l.addAll(3, 2)
+		l.feed("entry-000", node.Received{From: "entry-001", Message: m})
+		l.feed("entry-000", node.Tick{})
+	})
+}
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -103,6 +103,7 @@
 	}
 	client := &platform.Client{URL: s.PlatformURL, Hall: s.Hall, Timeout: s.PlatformTimeout, HTTP: &http.Client{}}
 	p.records = record.NewLog()
+	tracer := record.NewTracer()
 	p.backend = backend.New()
 	p.claims = &claims.Store{Platform: client}
 	p.front = front.New()
@@ -117,10 +118,10 @@
 	p.control.Incarnation = uint64(time.Now().UnixMilli())
 	p.front.Settings, p.front.Control, p.front.Backend = s, p.control, p.backend
 	p.front.Claims, p.front.Pins, p.front.Records = p.claims, pins.New(client), p.records
-	p.front.Log = p.log
+	p.front.Log, p.front.Tracer = p.log, tracer
 	registry, observe := p.metrics()
 	p.front.Observe = observe
-	p.admin = &admin.Admin{Addr: s.Admin, Control: p.control, Records: p.records, Registry: registry, Dump: p.Dump}
+	p.admin = &admin.Admin{Addr: s.Admin, Control: p.control, Records: p.records, Tracer: tracer, Registry: registry, Dump: p.Dump}
 	return nil
 }
 
