Queue: no place is spent on a request that is too late

Two reasons, told apart by the classes' figures: requests were taken out of the queue although what was left to their deadline was shorter than an answer takes (p99 9.9 s of 10 s), and background requests were let in by the pool's whole rate although the higher classes leave them little, so they filled the queue and came too late.

Not ruled out by a measurement: the queue's bounds and the turns among organisations; they were left as they were.

Change: the queue measures how long answers take and how fast each class arrives. It lets a request in if its class's rate serves it in time, and refuses those that have become too late at once when it meets them.

Another finding, from 100 real daemons: the busiest one used 16 KB/s (budget 9 KB/s) while the median used 5. The daemons that lead a data hall asked any daemon of the others in turn, so connections were made and went idle all the time. They now keep to four contacts in each hall.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -217,20 +217,31 @@
 	return out[:min(len(out), updatesPerMessage)]
 }
 
+// contacts is how many daemons of another data hall are asked in turn: few, so
+// that the connections to them stay open.
+const contacts = 4
+
 // probeAbroad keeps each data hall in touch with every other one: two of its
 // daemons ask one daemon there at every tick.
 func (n *Node) probeAbroad(now time.Time) {
+	for _, id := range n.abroad() {
+		n.send(id, n.probe(now))
+	}
+}
+
+// abroad are the daemons of other data halls, one each, that this one is in
+// touch with at this turn; none if it does not lead its hall.
+func (n *Node) abroad() []string {
 	if n.Group.Rank() < 0 || n.Group.Rank() >= readers {
-		return
+		return nil
 	}
+	var out []string
 	for _, hall := range n.Group.Halls() {
-		if hall == n.self.Hall {
-			continue
-		}
-		if id, ok := n.Group.Pick(hall, n.draw(hall)); ok {
-			n.send(id, n.probe(now))
+		if first := n.Group.First(hall, contacts); hall != n.self.Hall {
+			out = append(out, first[int(n.turn)%len(first)])
 		}
 	}
+	return out
 }
 
 // askSeeds asks up to two seeds, in turn, until a list of VMs is known.
@@ -380,13 +391,8 @@
 	for _, id := range n.Group.Fingers() {
 		n.send(id, n.heartbeat(now))
 	}
-	if rank := n.Group.Rank(); rank >= readers || rank < 0 {
-		return
-	}
-	for _, hall := range n.Group.Halls() {
-		if id, ok := n.Group.Pick(hall, n.draw(hall)); ok && hall != n.self.Hall {
-			n.send(id, n.heartbeat(now))
-		}
+	for _, id := range n.abroad() {
+		n.send(id, n.heartbeat(now))
 	}
 }
 
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -13,16 +13,15 @@
 	MaxItems = 256
 	// MaxPerOrganisation is how many of one organisation do.
 	MaxPerOrganisation = 64
-	// patience is the part of the time to its deadline that a request may
-	// spend waiting.
-	patience = 0.5
-	// floorRate is taken as the rate of a queue that has served nothing yet,
+	// floorRate is taken as the rate of a pool that has finished nothing yet,
 	// in requests a second.
 	floorRate = 1.0
-	// memory is the weight of the past in the measured rate.
+	// leastPart is the part of the rate that the lowest class is taken to get.
+	leastPart = 0.02
+	// memory is the weight of the past in what is measured.
 	memory = 0.8
-	// rateEvery is the time over which the rate is measured.
-	rateEvery = 250 * time.Millisecond
+	// measureEvery is the time over which rates are measured.
+	measureEvery = 250 * time.Millisecond
 	// retryFloor and retryCeiling bound when to come back.
 	retryFloor   = 100 * time.Millisecond
 	retryCeiling = 30 * time.Second
@@ -39,6 +38,7 @@
 	Normal
 	// Urgent requests go before all others.
 	Urgent
+	classes
 )
 
 // Item is one request that waits.
@@ -82,10 +82,7 @@
 	items []Item
 	// served counts the requests taken out by organisation, for their turns.
 	served map[string]int
-	// rate is the measured rate, in requests a second.
-	rate    float64
-	counted int
-	from    time.Time
+	meter  meter
 }
 
 // New returns an empty queue.
@@ -96,6 +93,7 @@
 
 // Push asks to wait.
 func (q *Queue) Push(it Item, now time.Time) Verdict {
+	q.meter.arrived(it.Class, now)
 	ahead, own := 0, 0
 	for _, other := range q.items {
 		if !it.before(other) {
@@ -105,8 +103,8 @@
 			own++
 		}
 	}
-	wait := q.wait(ahead + 1)
-	if own >= MaxPerOrganisation || wait.Seconds() > patience*it.Deadline.Sub(now).Seconds() {
+	wait := q.meter.wait(ahead+1, it.Class)
+	if own >= MaxPerOrganisation || wait+q.meter.service() > it.Deadline.Sub(now) {
 		return Refused{RetryAfter: bounded(wait)}
 	}
 	if len(q.items) < MaxItems {
@@ -115,11 +113,11 @@
 	}
 	last := q.last()
 	if !it.before(q.items[last]) {
-		return Refused{RetryAfter: bounded(q.wait(len(q.items)))}
+		return Refused{RetryAfter: bounded(wait)}
 	}
 	shed := q.items[last]
 	q.items[last] = it
-	return Waits{Shed: &shed, RetryAfter: bounded(q.wait(len(q.items)))}
+	return Waits{Shed: &shed, RetryAfter: bounded(q.meter.wait(len(q.items), shed.Class))}
 }
 
 // last is the index of the latest request of the lowest priority.
@@ -133,20 +131,32 @@
 	return last
 }
 
-// wait is how long n requests take to be served, as far as can be told.
-func (q *Queue) wait(n int) time.Duration {
-	return time.Duration(float64(n) / max(q.rate, floorRate) * float64(time.Second))
-}
-
 func bounded(d time.Duration) time.Duration { return min(max(d, retryFloor), retryCeiling) }
 
+// Late is a request that could no longer be answered in time.
+type Late struct {
+	Item       Item
+	RetryAfter time.Duration
+}
+
 // Pop takes out the request to be served next: of the highest priority, that
-// of the organisation served least, the one that has waited longest.
-func (q *Queue) Pop() (Item, bool) {
-	if len(q.items) == 0 {
-		q.served = map[string]int{}
-		return Item{}, false
+// of the organisation served least, the one that has waited longest. Those that
+// are too late on the way are taken out with it, to be refused at once.
+func (q *Queue) Pop(now time.Time) (next Item, late []Late, ok bool) {
+	for len(q.items) > 0 {
+		it := q.take(q.best())
+		if it.Deadline.Sub(now) >= q.meter.service() {
+			q.served[it.Organisation]++
+			return it, late, true
+		}
+		late = append(late, Late{Item: it, RetryAfter: bounded(q.meter.wait(len(q.items)+1, it.Class))})
 	}
+	q.served = map[string]int{}
+	return Item{}, late, false
+}
+
+// best is the index of the request to be served next.
+func (q *Queue) best() int {
 	best := 0
 	for i, it := range q.items {
 		b := q.items[best]
@@ -154,36 +164,24 @@
 			best = i
 		}
 	}
-	it := q.items[best]
-	q.items = append(q.items[:best], q.items[best+1:]...)
-	q.served[it.Organisation]++
-	return it, true
+	return best
 }
 
-// Served counts a request that the pool has finished, by which the queue tells
-// how long others will wait.
-func (q *Queue) Served(now time.Time) {
-	if q.from.IsZero() {
-		q.from = now
-	}
-	q.counted++
-	span := now.Sub(q.from)
-	if span < rateEvery {
-		return
-	}
-	latest := float64(q.counted) / span.Seconds()
-	if q.rate == 0 {
-		q.rate = latest
-	}
-	q.rate = memory*q.rate + (1-memory)*latest
-	q.counted, q.from = 0, now
+func (q *Queue) take(i int) Item {
+	it := q.items[i]
+	q.items = append(q.items[:i], q.items[i+1:]...)
+	return it
 }
 
+// Served counts a request that the pool has finished in a time, by which the
+// queue tells how long others will wait.
+func (q *Queue) Served(took time.Duration, now time.Time) { q.meter.finished(took, now) }
+
 // Remove takes out a request that no longer waits.
 func (q *Queue) Remove(id string) bool {
 	for i, it := range q.items {
 		if it.ID == id {
-			q.items = append(q.items[:i], q.items[i+1:]...)
+			q.take(i)
 			return true
 		}
 	}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -21,7 +21,7 @@
 func order(q *queue.Queue) []string {
 	var out []string
 	for {
-		it, ok := q.Pop()
+		it, _, ok := q.Pop(start)
 		if !ok {
 			return out
 		}
@@ -56,7 +56,7 @@
 func TestRefusedAtOnceWhenItCannotBeInTime(t *testing.T) {
 	q := queue.New()
 	for i := range 100 {
-		q.Served(start.Add(time.Duration(i) * 100 * time.Millisecond))
+		q.Served(100*time.Millisecond, start.Add(time.Duration(i)*100*time.Millisecond))
 	}
 	now := start.Add(10 * time.Second)
 	for i := range 20 {
@@ -74,6 +74,23 @@
 	}
 }
 
+func TestTooLateOnesAreRefusedNotServed(t *testing.T) {
+	q := queue.New()
+	q.Served(2*time.Second, start)
+	for _, id := range []string{"late", "in time"} {
+		it := item(id, queue.Normal)
+		it.Deadline = start.Add(10 * time.Second)
+		if id == "late" {
+			it.Deadline = start.Add(5 * time.Second)
+		}
+		q.Push(it, start)
+	}
+	it, late, ok := q.Pop(start.Add(4 * time.Second))
+	if !ok || it.ID != "in time" || len(late) != 1 || late[0].Item.ID != "late" || late[0].RetryAfter <= 0 {
+		t.Errorf("served %+v, refused %+v", it, late)
+	}
+}
+
 // TestQueueAgainstOracle pushes and pops anything: nothing is lost or served
 // twice, the bounds hold, and nobody waits while a lower class is served.
 func TestQueueAgainstOracle(t *testing.T) {
@@ -101,7 +118,7 @@
 				}
 			},
 			"pop": func(t *rapid.T) {
-				it, ok := q.Pop()
+				it, _, ok := q.Pop(start)
 				if !ok {
 					return
 				}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -15,6 +15,7 @@
 	"ladderridge.example/core/limit"
 	"ladderridge.example/core/member"
 	"ladderridge.example/core/node"
+	"ladderridge.example/core/quality"
 	"ladderridge.example/core/route"
 	"ladderridge.example/core/spread"
 	"ladderridge.example/core/table"
@@ -346,12 +347,12 @@
 }
 
 func (l *loop) changeQuality(doc spread.Document) error {
-	read, err := decodeQuality(doc.Data)
-	if err != nil {
-		return err
+	var read quality.Document
+	if err := json.Unmarshal(doc.Data, &read); err != nil {
+		return &Error{Op: "take quality", Kind: BadDocument, Err: err}
 	}
-	l.quality = read.estimates()
-	l.guard.badFor = read.badFor()
+	l.quality = read.Estimates()
+	l.guard.badFor = read.BadFor()
 	return nil
 }
 
--- a/daemon/control/control_io.go
+++ b/daemon/control/control_io.go
@@ -11,7 +11,10 @@
 
 	"ladderridge.example/core/bill"
 	"ladderridge.example/core/node"
+	"ladderridge.example/core/quality"
+	"ladderridge.example/core/route"
 	"ladderridge.example/core/spread"
+	"ladderridge.example/core/table"
 	"ladderridge.example/daemon/platform"
 	"ladderridge.example/daemon/wire"
 )
@@ -77,7 +80,15 @@
 	if err != nil || len(ratings) == 0 {
 		return have, nil, err
 	}
-	doc := foldRatings(held, ratings)
+	var doc quality.Document
+	if len(held) > 0 {
+		// A held document was read before it was accepted.
+		_ = json.Unmarshal(held, &doc)
+	}
+	for _, r := range ratings {
+		key := route.QualityKey{Organisation: r.Organisation, Ref: table.Ref{Model: r.Model, Version: r.Version}}
+		doc = doc.WithRating(key, r.Score)
+	}
 	data, err := json.Marshal(doc)
 	return ratings[len(ratings)-1].Seq, data, err
 }
--- a/daemon/front/send.go
+++ b/daemon/front/send.go
@@ -27,7 +27,11 @@
 
 // exchange sends one attempt and notes what became of it.
 func (j *job) exchange(x backend.Exchange, ref table.Ref) (*backend.Reply, error) {
-	x.Ended = func() { j.front.waiting.served(j.pool(ref), j.front.Control.Snapshot().View, time.Now()) }
+	begun := time.Now()
+	x.Ended = func() {
+		now := time.Now()
+		j.front.waiting.served(j.pool(ref), now.Sub(begun), j.front.Control.Snapshot().View, now)
+	}
 	s := route.Step{Kind: route.StepAttempt, Model: ref.Model, Version: ref.Version, Server: x.Server.ID, Text: x.Attempt.ID}
 	reply, err := j.front.Backend.Send(j.ctx, x)
 	if err != nil {
--- a/daemon/front/waiting.go
+++ b/daemon/front/waiting.go
@@ -82,15 +82,13 @@
 	delete(w.calls, id)
 }
 
-// served counts a request that a pool has finished, and calls the next one.
-func (w *waiting) served(p pool, v *route.View, now time.Time) {
+// served counts a request that a pool has finished in a time, and calls the
+// next one.
+func (w *waiting) served(p pool, took time.Duration, v *route.View, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	q := w.queues[p]
-	if q == nil {
-		return
-	}
-	q.Served(now)
+	q := w.queue(p)
+	q.Served(took, now)
 	w.call(p, q, v, now)
 }
 
@@ -108,11 +106,13 @@
 		return
 	}
 	for range route.Room(p.servers(v), q.Len(), now) {
-		it, ok := q.Pop()
-		if !ok {
-			return
+		next, late, ok := q.Pop(now)
+		for _, l := range late {
+			w.tell(l.Item.ID, l.RetryAfter)
+		}
+		if ok {
+			w.tell(next.ID, 0)
 		}
-		w.tell(it.ID, 0)
 	}
 }
 
