Choice by kind of request, cascades of several steps, bounded trying

Change: estimates by organisation and kind of request (a header); a cascade goes on step by step while time allows; 3% of the requests may try a cheaper version whose upper bound still reaches the target, only where somebody rates. The pooled test of bad answers tells 2% from 5% now, since the counts of all daemons come fast.

--- a/core/evidence/cusum.go
+++ b/core/evidence/cusum.go
@@ -23,6 +23,10 @@
 // than e^14 (1.2 million) answers of a good version.
 var Default = Test{Good: 0.02, Bad: 0.10, Threshold: 14}
 
+// Pooled tells 2% from 5% of bad answers in the counts of all daemons together,
+// which come fast enough for so fine a test, with the same rate of false alarms.
+var Pooled = Test{Good: 0.02, Bad: 0.05, Threshold: 14}
+
 // Ratings tells 10% from 40% of bad ratings, with a false alarm once in more
 // than e^9 (8,000) ratings of a good version.
 var Ratings = Test{Good: 0.10, Bad: 0.40, Threshold: 9}
--- a/core/quality/quality.go
+++ b/core/quality/quality.go
@@ -22,7 +22,7 @@
 	// minRatings is how many ratings an estimate needs before it replaces the
 	// operator's figure.
 	minRatings = 20
-	// zScore is the normal quantile of the one-sided 95% lower confidence bound.
+	// zScore is the normal quantile of a one-sided 95% confidence bound.
 	zScore = 1.645
 	// badScore is the score below which a rated answer counts as bad.
 	badScore = 0.4
@@ -30,13 +30,15 @@
 
 // Document is how the ratings of all versions stand.
 type Document struct {
-	// Rows are sorted by organisation, model and version.
+	// Rows are sorted by organisation, kind, model and version.
 	Rows []Row `json:"rows"`
 }
 
-// Row sums the ratings of one version by one organisation.
+// Row sums the ratings of one version by one organisation, for one kind of
+// request, or for all of them where the kind is empty.
 type Row struct {
 	Organisation string  `json:"organisation"`
+	Kind         string  `json:"kind,omitempty"`
 	Model        string  `json:"model"`
 	Version      string  `json:"version"`
 	Count        float64 `json:"count"`
@@ -47,11 +49,11 @@
 }
 
 func (r Row) key() route.QualityKey {
-	return route.QualityKey{Organisation: r.Organisation, Ref: table.Ref{Model: r.Model, Version: r.Version}}
+	return route.QualityKey{Organisation: r.Organisation, Kind: r.Kind, Ref: table.Ref{Model: r.Model, Version: r.Version}}
 }
 
 func compareRows(a, b Row) int {
-	return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
 }
 
 // withScore returns the row after one more rating.
@@ -77,20 +79,33 @@
 	return t
 }
 
-// bound is the lower confidence bound of the mean score, if there are enough
-// ratings.
-func (r Row) bound() (float64, bool) {
+// estimate bounds the mean score, if there are enough ratings. The variance is
+// that of the scores and one more of each extreme, so that a run of equal ones
+// is not taken for certainty.
+func (r Row) estimate() (route.Estimate, bool) {
 	if r.Count < minRatings {
-		return 0, false
+		return route.Estimate{}, false
 	}
 	mean := r.Sum / r.Count
-	variance := max(0, r.Squares/r.Count-mean*mean)
-	return max(0, mean-zScore*math.Sqrt(variance/r.Count)), true
+	n := r.Count + 2
+	smooth := (r.Sum + 1) / n
+	variance := max(0, (r.Squares+1)/n-smooth*smooth)
+	margin := zScore * math.Sqrt(variance/n)
+	return route.Estimate{Low: max(0, mean-margin), High: min(1, mean+margin)}, true
 }
 
-// WithRating returns the document after one more rating.
+// WithRating returns the document after one more rating, which counts for its
+// kind and for all kinds together.
 func (d Document) WithRating(key route.QualityKey, score float64) Document {
-	want := Row{Organisation: key.Organisation, Model: key.Ref.Model, Version: key.Ref.Version}
+	if key.Kind != "" {
+		d = d.withRow(key, score)
+		key.Kind = ""
+	}
+	return d.withRow(key, score)
+}
+
+func (d Document) withRow(key route.QualityKey, score float64) Document {
+	want := Row{Organisation: key.Organisation, Kind: key.Kind, Model: key.Ref.Model, Version: key.Ref.Version}
 	rows := slices.Clone(d.Rows)
 	i, found := slices.BinarySearchFunc(rows, want, compareRows)
 	if !found {
@@ -101,10 +116,10 @@
 }
 
 // Estimates are the bounds of the rows that have enough ratings.
-func (d Document) Estimates() map[route.QualityKey]float64 {
-	out := make(map[route.QualityKey]float64, len(d.Rows))
+func (d Document) Estimates() map[route.QualityKey]route.Estimate {
+	out := make(map[route.QualityKey]route.Estimate, len(d.Rows))
 	for _, r := range d.Rows {
-		if q, ok := r.bound(); ok {
+		if q, ok := r.estimate(); ok {
 			out[r.key()] = q
 		}
 	}
--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -22,6 +22,8 @@
 	Tenant *table.Tenant
 	// Model is a model's name, "model@version", or Auto.
 	Model string
+	// Kind is the caller's name for the kind of request, or empty.
+	Kind string
 	// Session is the caller's session, or empty.
 	Session string
 	// Pin is the version that the session keeps, or the zero Ref.
@@ -208,7 +210,7 @@
 		return StaleConfig
 	case !d.anyServer(c.Version.Ref):
 		return NoCapacity
-	case d.view.guarded(d.req.Tenant.Organisation.Name, c.Version.Ref):
+	case d.view.guarded(d.req.Tenant.Organisation.Name, d.req.Kind, c.Version.Ref):
 		return VersionGuarded
 	case d.req.Above > 0 && d.quality(c) <= d.req.Above:
 		return ModelNotAllowed
@@ -266,7 +268,7 @@
 		s := step(StepEligible, c.Version.Ref)
 		s.Value = q
 		d.steps = append(d.steps, s)
-		if d.reaches(c, q) && (!found || c.Version.Price < chosen.Version.Price) {
+		if (d.reaches(c, q) || d.explores(c, q)) && (!found || c.Version.Price < chosen.Version.Price) {
 			chosen, chosenQuality, found = c, q, true
 		}
 		if i == 0 || q > bestQuality {
@@ -308,6 +310,26 @@
 	return good
 }
 
+// exploreShare is the part of the requests that may try a cheaper version of
+// which too little is known.
+const exploreShare = 0.03
+
+// explores reports whether a request tries a version that does not reach its
+// target by what is known, but might: else no ratings of it would ever come.
+// Where nobody rates, nothing is tried.
+func (d *decider) explores(c table.Candidate, quality float64) bool {
+	if d.req.Model != Auto || len(d.view.Quality) == 0 || c.Status != table.Steady {
+		return false
+	}
+	if quality >= c.Target || d.estimate(c).High < c.Target || d.point("explore") >= exploreShare {
+		return false
+	}
+	s := step(StepExplore, c.Version.Ref)
+	s.Value = d.estimate(c).High
+	d.steps = append(d.steps, s)
+	return true
+}
+
 // reaches reports whether a version's answer will do, or can be tried first.
 func (d *decider) reaches(c table.Candidate, quality float64) bool {
 	return quality >= c.Target || (d.req.Cascade && c.Cascade > 0)
@@ -373,11 +395,11 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-func (d *decider) quality(c table.Candidate) float64 {
-	if q, ok := d.view.Quality[QualityKey{Organisation: d.req.Tenant.Organisation.Name, Ref: c.Version.Ref}]; ok {
-		return q
-	}
-	return c.Version.Quality
+// quality is the lower bound of how good a version's answers are.
+func (d *decider) quality(c table.Candidate) float64 { return d.estimate(c).Low }
+
+func (d *decider) estimate(c table.Candidate) Estimate {
+	return d.view.quality(d.req.Tenant.Organisation.Name, d.req.Kind, c)
 }
 
 // send picks the server for a chosen version.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -67,11 +67,11 @@
 	if got := sent(t, v, request(v, route.Auto, "r")); got != v1 {
 		t.Errorf("sent to %s, want the cheaper one that reaches the target", got)
 	}
-	v.Quality = map[route.QualityKey]float64{{Organisation: "o", Ref: v1}: 0.7}
+	v.Quality = map[route.QualityKey]route.Estimate{{Organisation: "o", Ref: v1}: {Low: 0.7, High: 0.75}}
 	if got := sent(t, v, request(v, route.Auto, "r")); got != big {
 		t.Errorf("rated below the target, sent to %s", got)
 	}
-	v.Quality[route.QualityKey{Organisation: "o", Ref: big}] = 0.75
+	v.Quality[route.QualityKey{Organisation: "o", Ref: big}] = route.Estimate{Low: 0.75, High: 0.78}
 	if got := sent(t, v, request(v, route.Auto, "r")); got != big {
 		t.Errorf("with none at the target, sent to %s, want the best", got)
 	}
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -53,7 +53,15 @@
 // QualityKey names what a quality estimate is about.
 type QualityKey struct {
 	Organisation string
-	Ref          table.Ref
+	// Kind is the kind of request; "" stands for all kinds together.
+	Kind string
+	Ref  table.Ref
+}
+
+// Estimate bounds how good a version's answers are, by their ratings.
+type Estimate struct {
+	Low  float64
+	High float64
 }
 
 // Ages are how old a daemon's knowledge of the table may be, by status, for it
@@ -82,17 +90,34 @@
 	Engines map[table.Ref][]*Server
 	// Services are the servers of plain services by the service's name.
 	Services map[string][]*Server
-	// Quality holds lower confidence bounds from ratings.
-	Quality map[QualityKey]float64
+	// Quality holds confidence bounds from ratings.
+	Quality map[QualityKey]Estimate
 	// Guarded versions have gone bad by pooled or local evidence.
 	Guarded map[table.Ref]string
 	// BadFor are versions that single organisations rate as bad.
 	BadFor map[QualityKey]bool
 }
 
-// guarded reports whether a version gets no new sessions of an organisation.
-func (v *View) guarded(organisation string, ref table.Ref) bool {
-	return v.Guarded[ref] != "" || v.BadFor[QualityKey{Organisation: organisation, Ref: ref}]
+// guarded reports whether a version gets no new sessions of an organisation,
+// for a kind of request.
+func (v *View) guarded(organisation, kind string, ref table.Ref) bool {
+	return v.Guarded[ref] != "" || v.BadFor[QualityKey{Organisation: organisation, Ref: ref}] ||
+		v.BadFor[QualityKey{Organisation: organisation, Kind: kind, Ref: ref}]
+}
+
+// quality is the estimate for a kind of request, or else the lower bound for
+// all kinds, or else the operator's figure. Only an estimate for just that kind
+// says how good a version is at most.
+func (v *View) quality(organisation, kind string, c table.Candidate) Estimate {
+	key := QualityKey{Organisation: organisation, Kind: kind, Ref: c.Version.Ref}
+	if q, ok := v.Quality[key]; ok {
+		return q
+	}
+	key.Kind = ""
+	if q, ok := v.Quality[key]; ok {
+		return Estimate{Low: q.Low, High: 1}
+	}
+	return Estimate{Low: c.Version.Quality, High: 1}
 }
 
 // Age is how old the view's knowledge of the newest generation is.
--- a/core/route/step.go
+++ b/core/route/step.go
@@ -18,6 +18,7 @@
 	StepSplit    StepKind = "split"
 	StepCheapest StepKind = "cheapest_at_target"
 	StepBest     StepKind = "best_below_target"
+	StepExplore  StepKind = "explore"
 	StepServer   StepKind = "server"
 	StepSpill    StepKind = "spill"
 	StepWait     StepKind = "wait"
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -74,8 +74,10 @@
 // Quality is an estimate of one version by one organisation.
 type Quality struct {
 	Organisation string  `json:"organisation"`
+	Kind         string  `json:"kind,omitempty"`
 	Version      string  `json:"version"`
-	Value        float64 `json:"value,omitempty"`
+	Low          float64 `json:"low,omitempty"`
+	High         float64 `json:"high,omitempty"`
 }
 
 // Request is one decision, with its stated outcome.
@@ -84,6 +86,7 @@
 	ID           string    `json:"id"`
 	Organisation string    `json:"organisation"`
 	Model        string    `json:"model"`
+	Kind         string    `json:"kind,omitempty"`
 	Session      string    `json:"session,omitempty"`
 	Pin          string    `json:"pin,omitempty"`
 	Prefix       uint64    `json:"prefix,omitempty"`
@@ -194,7 +197,7 @@
 	}
 	r.setLoads(v)
 	req := route.Request{
-		ID: r.ID, Tenant: tenant, Model: r.Model, Session: r.Session, Prefix: r.Prefix,
+		ID: r.ID, Tenant: tenant, Model: r.Model, Kind: r.Kind, Session: r.Session, Prefix: r.Prefix,
 		Seed: r.Seed, Avoid: r.Avoid, Cascade: r.Cascade, Above: r.Above,
 	}
 	if r.Pin != "" {
@@ -255,7 +258,7 @@
 		Generation: table.Generation{Number: v.Generation}, Table: t, Hall: v.Hall,
 		ConfirmedAt: v.ConfirmedAt, PublishedAt: v.PublishedAt, Doubt: v.Doubt,
 		Engines: map[table.Ref][]*route.Server{}, Services: map[string][]*route.Server{},
-		Quality: map[route.QualityKey]float64{}, Guarded: map[table.Ref]string{}, BadFor: map[route.QualityKey]bool{},
+		Quality: map[route.QualityKey]route.Estimate{}, Guarded: map[table.Ref]string{}, BadFor: map[route.QualityKey]bool{},
 	}
 	if out.Ages.Steady, err = parseAge(v.SteadyAge); err != nil {
 		return nil, err
@@ -276,7 +279,7 @@
 		}
 	}
 	for _, q := range v.Quality {
-		out.Quality[q.key()] = q.Value
+		out.Quality[q.key()] = route.Estimate{Low: q.Low, High: q.High}
 	}
 	for _, q := range v.BadFor {
 		out.BadFor[q.key()] = true
@@ -299,7 +302,7 @@
 }
 
 func (q Quality) key() route.QualityKey {
-	return route.QualityKey{Organisation: q.Organisation, Ref: parseRef(q.Version)}
+	return route.QualityKey{Organisation: q.Organisation, Kind: q.Kind, Ref: parseRef(q.Version)}
 }
 
 // ViewOf writes a view down.
@@ -327,10 +330,10 @@
 	}
 	slices.SortFunc(out.Servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	for key, q := range v.Quality {
-		out.Quality = append(out.Quality, Quality{Organisation: key.Organisation, Version: key.Ref.String(), Value: q})
+		out.Quality = append(out.Quality, Quality{Organisation: key.Organisation, Kind: key.Kind, Version: key.Ref.String(), Low: q.Low, High: q.High})
 	}
 	for key := range v.BadFor {
-		out.BadFor = append(out.BadFor, Quality{Organisation: key.Organisation, Version: key.Ref.String()})
+		out.BadFor = append(out.BadFor, Quality{Organisation: key.Organisation, Kind: key.Kind, Version: key.Ref.String()})
 	}
 	for ref := range v.Guarded {
 		out.Guarded = append(out.Guarded, ref.String())
@@ -355,7 +358,7 @@
 // since it was made: see Freeze.
 func RequestOf(v *route.View, r route.Request, at time.Time, d route.Decision) Request {
 	out := Request{
-		At: at, ID: r.ID, Organisation: r.Tenant.Organisation.Name, Model: r.Model, Session: r.Session,
+		At: at, ID: r.ID, Organisation: r.Tenant.Organisation.Name, Model: r.Model, Kind: r.Kind, Session: r.Session,
 		Prefix: r.Prefix, Seed: r.Seed, Avoid: r.Avoid, Cascade: r.Cascade, Above: r.Above,
 		Outcome: OutcomeOf(d.Outcome), Steps: d.Steps,
 	}
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -24,7 +24,7 @@
 	tab := table.Table{Organisations: []table.Organisation{{Name: "o"}}}
 	v := &route.View{
 		Generation: table.Generation{Number: 3}, Hall: "a", ConfirmedAt: now.Add(-time.Second),
-		Engines: map[table.Ref][]*route.Server{}, Quality: map[route.QualityKey]float64{}, Guarded: map[table.Ref]string{},
+		Engines: map[table.Ref][]*route.Server{}, Quality: map[route.QualityKey]route.Estimate{}, Guarded: map[table.Ref]string{},
 	}
 	for i := range rapid.IntRange(1, 4).Draw(t, "versions") {
 		ref := table.Ref{Model: fmt.Sprint("m", i%2), Version: fmt.Sprint("v", i)}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -152,7 +152,7 @@
 	table    *table.Table
 	gen      table.Generation
 	vms      platform.VMList
-	quality  map[route.QualityKey]float64
+	quality  map[route.QualityKey]route.Estimate
 	safe     map[string]chan struct{}
 	dirty    bool
 	pollers  *pollers
--- a/daemon/control/control_io.go
+++ b/daemon/control/control_io.go
@@ -86,7 +86,7 @@
 		_ = json.Unmarshal(held, &doc)
 	}
 	for _, r := range ratings {
-		key := route.QualityKey{Organisation: r.Organisation, Ref: table.Ref{Model: r.Model, Version: r.Version}}
+		key := route.QualityKey{Organisation: r.Organisation, Kind: r.Kind, Ref: table.Ref{Model: r.Model, Version: r.Version}}
 		doc = doc.WithRating(key, r.Score)
 	}
 	data, err := json.Marshal(doc)
--- a/daemon/control/guard.go
+++ b/daemon/control/guard.go
@@ -59,7 +59,7 @@
 func (g *guard) of(ref table.Ref) *watched {
 	w := g.versions[ref]
 	if w == nil {
-		w = &watched{local: evidence.Default, pooled: evidence.Default}
+		w = &watched{local: evidence.Default, pooled: evidence.Pooled}
 		g.versions[ref] = w
 	}
 	return w
--- a/daemon/front/cascade.go
+++ b/daemon/front/cascade.go
@@ -12,7 +12,7 @@
 // stream, whose first token is shown before anything is known of the answer;
 // not in a session, which keeps one version; not if it may run only once.
 func (c *chatJob) mayCascade() bool {
-	return c.above == 0 && !c.req.Stream && !c.once && c.session.name == "" && c.req.Model == route.Auto
+	return !c.req.Stream && !c.once && c.session.name == "" && c.req.Model == route.Auto
 }
 
 // escalationNeeds is how much of the time that the first answer took must be
@@ -29,24 +29,25 @@
 	return time.Until(deadline) > escalationNeeds*time.Since(c.begun)
 }
 
-// escalate has a better version answer. If none can, the first answer is kept:
-// it is whole, if not as good as was asked for.
-func (c *chatJob) escalate(first wire.ChatAnswer) wire.ChatAnswer {
+// escalate has a better version answer, which may itself be one whose signal
+// decides. If none can, the answer that is there is kept: it is whole, if not
+// as good as was asked for.
+func (c *chatJob) escalate(first wire.ChatAnswer) (wire.ChatAnswer, bool) {
 	kept := c.sent
 	c.step(route.Step{
 		Kind: route.StepEscalate, Model: kept.Ref.Model, Version: kept.Ref.Version, Value: first.Quality,
 		Text: "its own signal is too low to keep the answer",
 	})
-	c.rec.Spent = kept.Price * int64(first.Usage.CompletionTokens)
+	c.rec.Spent += kept.Price * int64(first.Usage.CompletionTokens)
 	c.above = max(kept.Quality, smallest)
 	if out := c.decide(); out == nil {
 		if better, ok := c.answerAgain(); ok {
-			return better
+			return better, true
 		}
 	}
-	c.step(route.Step{Kind: route.StepEscalate, Model: kept.Ref.Model, Version: kept.Ref.Version, Text: "no better answer: the first one is kept"})
+	c.step(route.Step{Kind: route.StepEscalate, Model: kept.Ref.Model, Version: kept.Ref.Version, Text: "no better answer: this one is kept"})
 	c.sent = kept
-	return first
+	return first, false
 }
 
 // smallest stands for a quality of zero, which would ask for nothing.
--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -86,7 +86,7 @@
 		return refuse(http.StatusUnauthorized, WrongKey, "the organisation is no longer in the table")
 	}
 	d := c.front.Tracer.Decide(view, route.Request{
-		ID: c.id, Tenant: tenant, Model: c.req.Model, Session: c.session.name, Pin: c.session.ref,
+		ID: c.id, Tenant: tenant, Model: c.req.Model, Kind: c.r.Header.Get(wire.HeaderKind), Session: c.session.name, Pin: c.session.ref,
 		Prefix: c.prefix, Seed: c.seed(), Avoid: c.avoid, Cascade: c.mayCascade(), Above: c.above,
 	}, time.Now())
 	c.steps(d.Steps)
@@ -182,8 +182,12 @@
 	if err != nil {
 		return err
 	}
-	if c.shouldEscalate(answer) {
-		answer = c.escalate(answer)
+	for c.shouldEscalate(answer) {
+		better, ok := c.escalate(answer)
+		if !ok {
+			break
+		}
+		answer = better
 	}
 	c.tokens = answer.Usage.CompletionTokens
 	answer.ID, answer.Model = c.id, c.sent.Ref.String()
--- a/daemon/front/read.go
+++ b/daemon/front/read.go
@@ -37,7 +37,7 @@
 
 // checkHeaders checks the headers that name a session or a key.
 func (j *job) checkHeaders() *refusal {
-	for _, name := range []string{wire.HeaderSession, wire.HeaderKey} {
+	for _, name := range []string{wire.HeaderSession, wire.HeaderKey, wire.HeaderKind} {
 		value := j.r.Header.Get(name)
 		if len(value) > maxName || !utf8.ValidString(value) {
 			return refuse(http.StatusBadRequest, BadRequest, name+" must have at most "+strconv.Itoa(maxName)+" bytes of UTF-8")
--- a/daemon/platform/types.go
+++ b/daemon/platform/types.go
@@ -86,6 +86,7 @@
 	Seq          uint64  `json:"seq"`
 	Request      string  `json:"request"`
 	Organisation string  `json:"organisation"`
+	Kind         string  `json:"kind,omitempty"`
 	Model        string  `json:"model"`
 	Version      string  `json:"version"`
 	Score        float64 `json:"score"`
--- a/daemon/policy/choice_test.go
+++ b/daemon/policy/choice_test.go
@@ -36,8 +36,34 @@
 	signalFloor = 0.5
 )
 
-// asked is one request: how hard it is, and so which models answer it well.
-type asked struct{ hard float64 }
+// asked is one request: how hard it is, and so which models answer it well. Its
+// kind says something of that.
+type asked struct {
+	kind string
+	hard float64
+}
+
+// kinds are the kinds of request: their shares, and how hard they are.
+var kinds = []struct {
+	name      string
+	share     float64
+	low, high float64
+}{
+	{"guidance", 0.4, 0, 0.7},
+	{"summary", 0.3, 0, 0.88},
+	{"roster draft", 0.3, 0.6, 1},
+}
+
+func ask(rng *rand.Rand) asked {
+	u := rng.Float64()
+	for _, k := range kinds {
+		if u < k.share {
+			return asked{kind: k.name, hard: k.low + rng.Float64()*(k.high-k.low)}
+		}
+		u -= k.share
+	}
+	return asked{}
+}
 
 func (a asked) good(model int) bool { return a.hard < ladder[model].good }
 
@@ -56,7 +82,7 @@
 	for _, m := range ladder {
 		t.Versions = append(t.Versions, table.Version{Ref: m.ref, Price: m.price, Quality: 0.9})
 		a := table.Allow{Organisation: "o", Ref: m.ref, Weight: 1, Target: choiceTarget}
-		if cascade && m.ref.Model == "small" {
+		if cascade && m.ref.Model != "large" {
 			a.Cascade = signalFloor
 		}
 		t.Allows = append(t.Allows, a)
@@ -88,13 +114,13 @@
 	score float64
 }
 
-func (r *rater) answered(n, model int, good bool) {
+func (r *rater) answered(n, model int, kind string, good bool) {
 	if r.rng.Float64() < ratedShare {
 		score := 0.1
 		if good {
 			score = 1
 		}
-		r.pending = append(r.pending, pendingRating{due: n + ratingLag, key: route.QualityKey{Organisation: "o", Ref: ladder[model].ref}, score: score})
+		r.pending = append(r.pending, pendingRating{due: n + ratingLag, key: route.QualityKey{Organisation: "o", Kind: kind, Ref: ladder[model].ref}, score: score})
 	}
 	for len(r.pending) > 0 && r.pending[0].due <= n {
 		r.doc = r.doc.WithRating(r.pending[0].key, r.pending[0].score)
@@ -113,23 +139,30 @@
 }
 
 // decided lets the real decision choose, with the ratings so far.
-func decided(rng *rand.Rand, cascade bool) chooser {
+func decided(rng *rand.Rand, cascade, byKind bool) chooser {
 	v := choiceView(cascade)
 	rate := &rater{rng: rng}
 	return func(n int, a asked) (int, int64) {
 		v.Quality = rate.doc.Estimates()
-		r := route.Request{ID: fmt.Sprint(n), Tenant: v.Table.Tenant("o"), Model: route.Auto, Seed: uint64(n), Cascade: cascade}
+		kind := ""
+		if byKind {
+			kind = a.kind
+		}
+		r := route.Request{Kind: kind, ID: fmt.Sprint(n), Tenant: v.Table.Tenant("o"), Model: route.Auto, Seed: uint64(n), Cascade: cascade}
 		sent := route.Decide(v, r, epoch).Outcome.(route.Send)
 		m := ladderIndex(sent.Ref)
 		cost := ladder[m].price
-		rate.answered(n, m, a.good(m))
-		if sent.Cascade > 0 && signal(rng, a.good(m)) < sent.Cascade {
-			r.Cascade, r.Above = false, max(sent.Quality, 1e-9)
-			if better, ok := route.Decide(v, r, epoch).Outcome.(route.Send); ok {
-				m = ladderIndex(better.Ref)
-				cost += ladder[m].price
-				rate.answered(n, m, a.good(m))
+		rate.answered(n, m, kind, a.good(m))
+		for sent.Cascade > 0 && signal(rng, a.good(m)) < sent.Cascade {
+			r.Above = max(sent.Quality, 1e-9)
+			better, ok := route.Decide(v, r, epoch).Outcome.(route.Send)
+			if !ok {
+				break
 			}
+			sent = better
+			m = ladderIndex(sent.Ref)
+			cost += ladder[m].price
+			rate.answered(n, m, kind, a.good(m))
 		}
 		return m, cost
 	}
@@ -151,15 +184,17 @@
 		rng := rand.New(rand.NewPCG(uint64(seed), 1))
 		requests := make([]asked, choiceRequests)
 		for i := range requests {
-			requests[i] = asked{hard: rng.Float64()}
+			requests[i] = ask(rng)
 		}
 		policies := []struct {
 			name string
 			f    chooser
 		}{
 			{"oracle of all answers", oracle},
-			{"cascade", decided(rng, true)},
-			{"cheapest by rating", decided(rng, false)},
+			{"cascade, by kind", decided(rng, true, true)},
+			{"cascade", decided(rng, true, false)},
+			{"cheapest by rating, by kind", decided(rng, false, true)},
+			{"cheapest by rating", decided(rng, false, false)},
 			{"cheapest only", single(func() int { return 0 })},
 			{"best only", single(func() int { return len(ladder) - 1 })},
 			{"random by weight", single(func() int { return rng.IntN(len(ladder)) })},
--- a/daemon/policy/guard_test.go
+++ b/daemon/policy/guard_test.go
@@ -55,7 +55,7 @@
 	for i := range local {
 		local[i] = evidence.Default
 	}
-	pooled := evidence.Default
+	pooled := evidence.Pooled
 	type counts struct{ answers, bad uint64 }
 	history := make([]counts, seconds)
 	stopAll := -1
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -24,6 +24,9 @@
 	HeaderDeadline = "Ladderridge-Deadline-Ms"
 )
 
+// HeaderKind names the kind of a request, as ratings do.
+const HeaderKind = "Ladderridge-Kind"
+
 // HeaderPriority orders a caller's own requests: high, normal or low.
 const (
 	HeaderPriority = "Ladderridge-Priority"
