Placement under fences, "not run" by key, and 100 daemons within budget

Orders to engines (cause: a roll-out had no way to get its version loaded): the root of a hall's tree loads versions up to the table's number of copies, one at a time, and unloads withdrawn ones, under fences from the table service. Engines that do not check fences are only told to load, which does no harm at any later time.

Found by TestChaos, and mended: a checkout ran through a daemon that was then killed; its repeat was refused as "not run" by a daemon that had not read the record under its key. With a key, "not run" now speaks of the key; until the record is read a 429 or 503 says "unknown".

Found by TestEnginesArePlaced, and mended: a busy engine was never asked for what it has loaded, since its answers kept it "heard of" (gave up after 60 s; now within 10 s).

Bytes among daemons (cause: the busiest of 100 daemons used 16.4 KB/s of 9): connections to random daemons of other halls were made and lost all the time, every member's first word travelled as news, and totals went down the tree hall by hall.

A daemon now says that it is ready only when it has asked each backend server of its data hall once, 128 a second at first.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -6,7 +6,7 @@
 LINT_VERSION := v2.15.0
 MODULES := core daemon
 
-.PHONY: all build test lint fmt demo clean
+.PHONY: all build test lint fmt demo bench capacity policy fuzz clean
 
 all: build
 
@@ -29,5 +29,17 @@
 demo: build
 	BIN=$(BIN) demo/demo.sh
 
+bench:
+	measure/bench.sh
+
+capacity:
+	measure/capacity.sh
+
+policy:
+	measure/policy.sh
+
+fuzz:
+	measure/fuzz.sh
+
 clean:
 	rm -rf $(BIN)
--- a/core/bill/bill.go
+++ b/core/bill/bill.go
@@ -31,6 +31,8 @@
 const (
 	// MaxPending is how many bills a daemon holds before it stops taking work.
 	MaxPending = 100_000
+	// MaxCopies is how many bills of other daemons it holds.
+	MaxCopies = 150_000
 	// MaxBatch is how many bills go into one transaction.
 	MaxBatch = 100
 	// FlushAfter is how long a bill waits for others to share its transaction.
@@ -171,7 +173,7 @@
 		c.from[origin] = held
 	}
 	for _, b := range bills {
-		if len(held) >= MaxPending {
+		if c.Held() >= MaxCopies {
 			return false
 		}
 		held[b.Key] = copied{bill: b, at: now}
--- a/core/limit/share.go
+++ b/core/limit/share.go
@@ -1,12 +1,9 @@
 package limit
 
-// HallDemand is one data hall's demand on a limit.
+// HallDemand is the demand of one or more data halls on a limit.
 type HallDemand struct {
-	// Fresh tells that the demand is known; otherwise the hall is taken to use
-	// its static share.
-	Fresh  bool
 	Demand float64
-	// Daemons is how many share the hall's part.
+	// Daemons is how many share it.
 	Daemons int
 }
 
@@ -18,10 +15,14 @@
 	Halls int
 	// Own is this daemon's demand.
 	Own float64
+	// Fresh tells that the own data hall's total is known.
+	Fresh bool
 	// Hall is the own data hall.
 	Hall HallDemand
-	// Others are the other data halls.
-	Others []HallDemand
+	// Others are the other data halls whose totals are known, FreshOthers of
+	// them; the rest are taken to use their static shares.
+	Others      HallDemand
+	FreshOthers int
 }
 
 // idlePart is the part of a limit that is shared out evenly whatever the
@@ -39,19 +40,12 @@
 	halls := float64(max(in.Halls, 1))
 	static := in.Limit / halls
 	daemons := float64(max(in.Hall.Daemons, 1))
-	if !in.Hall.Fresh {
+	if !in.Fresh {
 		return static / daemons
 	}
-	left, demand, sharing := in.Limit, in.Hall.Demand, daemons
-	for _, h := range in.Others {
-		if !h.Fresh {
-			left -= static
-			continue
-		}
-		demand += h.Demand
-		sharing += float64(max(h.Daemons, 1))
-	}
-	left = max(left, 0)
+	left := static * min(halls, float64(1+in.FreshOthers))
+	demand := in.Hall.Demand + in.Others.Demand
+	sharing := daemons + float64(in.Others.Daemons)
 	if demand <= 0 {
 		return left / sharing
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -3,7 +3,7 @@
 //
 // The list of VMs lags, so it only says who exists. Whether a member lives is
 // found by probes: the members of a data hall stand on a ring in the order of
-// the hash of their ids, and each one probes the two that follow it at every
+// the hash of their ids, and each one probes the one that follows it at every
 // tick and one further finger in turn, so that the work of a daemon does not
 // grow with the number of daemons. What it finds travels as updates on the
 // probes themselves. Incarnations, as in the SWIM protocol (Das, Gupta and
@@ -171,6 +171,9 @@
 func (g *Group) Heard(l Listed, incarnation uint64, now time.Time) {
 	m := g.members[l.ID]
 	if m == nil {
+		if l.Addr == "" {
+			return
+		}
 		m = g.add(l, now)
 		m.Incarnation = incarnation
 		g.rebuild()
@@ -183,6 +186,10 @@
 		m.Hall = l.Hall
 		g.rebuild()
 	}
+	if m.Incarnation == 0 {
+		// Its first word is no news for the others.
+		m.Incarnation = incarnation
+	}
 	if incarnation > m.Incarnation {
 		g.set(m, Update{ID: m.ID, Incarnation: incarnation, State: Alive}, now)
 	}
@@ -275,7 +282,7 @@
 }
 
 // nearProbes is how many of the following members are probed at every tick.
-const nearProbes = 2
+const nearProbes = 1
 
 func (g *Group) probes(now time.Time) []string {
 	fingers := g.Fingers()
--- a/core/node/message.go
+++ b/core/node/message.go
@@ -14,7 +14,7 @@
 type Heartbeat struct {
 	_           struct{} `cbor:",toarray"`
 	Incarnation uint64
-	// Hall and Addr let a member be known that no list names yet.
+	// Hall and Addr, on a probe, let a member be known that no list names yet.
 	Hall string
 	Addr string
 	// Ask wants an answer. Turn is then the asker's turn; the answer repeats
@@ -53,10 +53,16 @@
 	Sums tally.Sums
 }
 
-// TallyDown carries data halls' totals to children and other halls' roots.
+// TallyDown carries the totals of all data halls to children.
 type TallyDown struct {
-	_     struct{} `cbor:",toarray"`
-	Halls []tally.Hall
+	_      struct{} `cbor:",toarray"`
+	Totals tally.Totals
+}
+
+// TallyAcross carries a data hall's total to the roots of other halls.
+type TallyAcross struct {
+	_    struct{} `cbor:",toarray"`
+	Hall tally.Hall
 }
 
 // Copies asks another daemon to hold bills. With Adopt it is to write them
@@ -79,11 +85,12 @@
 	Keys []string
 }
 
-func (Heartbeat) message()  {}
-func (Fetch) message()      {}
-func (Deliver) message()    {}
-func (TallyUp) message()    {}
-func (TallyDown) message()  {}
-func (Copies) message()     {}
-func (CopiesHeld) message() {}
-func (Release) message()    {}
+func (Heartbeat) message()   {}
+func (Fetch) message()       {}
+func (Deliver) message()     {}
+func (TallyUp) message()     {}
+func (TallyDown) message()   {}
+func (TallyAcross) message() {}
+func (Copies) message()      {}
+func (CopiesHeld) message()  {}
+func (Release) message()     {}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -187,6 +187,7 @@
 func (n *Node) probe(now time.Time) Heartbeat {
 	m := n.heartbeat(now)
 	m.Ask, m.Turn = true, n.turn
+	m.Hall, m.Addr = n.self.Hall, n.self.Addr
 	return m
 }
 
@@ -195,8 +196,6 @@
 	self := n.Group.Self()
 	return Heartbeat{
 		Incarnation: self.Incarnation,
-		Hall:        n.self.Hall,
-		Addr:        n.self.Addr,
 		Offers:      n.Store.Offers(now),
 		Updates:     n.Group.Updates(updatesPerMessage),
 		Leaving:     n.leavingNews(now),
@@ -276,34 +275,26 @@
 		n.send(parent, TallyUp{Sums: total})
 		return
 	}
-	n.Tree.Root(tally.Hall{
-		Name: n.self.Hall, Members: uint32(n.Group.Size()), Down: uint32(n.Group.Missing()),
-		Complete: total.Set == n.Group.Set(), Sums: total,
-	}, now)
+	made := n.Tree.Root(tally.Hall{Sums: total, Status: tally.Status{
+		Name: n.self.Hall, Members: uint32(n.Group.Size()), Daemons: total.Daemons, Down: uint32(n.Group.Missing()),
+		Complete: total.Set == n.Group.Set(), Oldest: total.Oldest,
+	}}, now)
 	n.tellTotals(now)
 	for _, hall := range n.Group.Halls() {
 		if hall == n.self.Hall {
 			continue
 		}
-		for _, id := range n.Group.First(hall, readers) {
-			n.send(id, TallyDown{Halls: n.ownHall(now)})
+		// In turn to the two that lead the hall, should one of them be gone.
+		if first := n.Group.First(hall, readers); len(first) > 0 {
+			n.send(first[int(n.turn)%len(first)], TallyAcross{Hall: made})
 		}
 	}
 }
 
-func (n *Node) ownHall(now time.Time) []tally.Hall {
-	halls := n.Tree.Halls(now)
-	i := slices.IndexFunc(halls, func(h tally.Hall) bool { return h.Name == n.self.Hall })
-	if i < 0 {
-		return nil
-	}
-	return halls[i : i+1]
-}
-
 func (n *Node) tellTotals(now time.Time) {
-	halls := n.Tree.Halls(now)
+	totals, _ := n.Tree.Totals(now)
 	for _, id := range n.Group.Children() {
-		n.send(id, TallyDown{Halls: halls})
+		n.send(id, TallyDown{Totals: totals})
 	}
 }
 
@@ -320,6 +311,8 @@
 		n.Tree.Child(r.From, m.Sums, now)
 	case TallyDown:
 		n.totalsFrom(r.From, m, now)
+	case TallyAcross:
+		n.Tree.Learn(m.Hall, now)
 	case Copies:
 		n.copiesFrom(r.From, m, now)
 	case CopiesHeld:
@@ -397,10 +390,8 @@
 }
 
 func (n *Node) totalsFrom(from string, m TallyDown, now time.Time) {
-	for _, h := range m.Halls {
-		n.Tree.Learn(h, now)
-	}
 	if parent, ok := n.Group.Parent(); ok && parent == from {
+		n.Tree.FromParent(m.Totals, now)
 		n.tellTotals(now)
 	}
 }
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -59,6 +59,9 @@
 	Stages []float64
 	// Stage is the current index in Stages.
 	Stage int
+	// Copies is how many engines of each data hall are to have it loaded; 0
+	// leaves that to operators.
+	Copies int
 	// StepAfter is how long a stage lasts at least before the daemons go on to
 	// the next one; 0 leaves the steps to operators.
 	StepAfter time.Duration
--- a/core/table/table_csv.go
+++ b/core/table/table_csv.go
@@ -29,6 +29,7 @@
 	colMaxAge
 	colStages
 	colStage
+	colCopies
 	colStepAfter
 	colStepAnswers
 	colCascade
@@ -46,7 +47,7 @@
 
 var columnNames = []string{
 	"kind", "organisation", "model", "version", "status", "weight", "target", "price", "quality",
-	"max_age", "stages", "stage", "step_after", "step_answers", "cascade", "requests_per_s", "tokens_per_s", "concurrency", "priority",
+	"max_age", "stages", "stage", "copies", "step_after", "step_answers", "cascade", "requests_per_s", "tokens_per_s", "concurrency", "priority",
 	"key_sha256", "service", "method", "path", "repeat",
 }
 
@@ -213,6 +214,7 @@
 		Quality: p.number(colQuality, 1),
 		MaxAge:  p.duration(colMaxAge),
 		Stage:   int(p.integer(colStage, 100)),
+		Copies:  int(p.integer(colCopies, 10_000)),
 
 		StepAfter:   p.duration(colStepAfter),
 		StepAnswers: int(p.integer(colStepAnswers, 1e9)),
@@ -437,6 +439,7 @@
 	r.cells[colPrice] = formatInteger(v.Price)
 	r.cells[colQuality] = formatNumber(v.Quality)
 	r.cells[colMaxAge] = formatDuration(v.MaxAge)
+	r.cells[colCopies] = formatInteger(int64(v.Copies))
 	r.cells[colStepAfter] = formatDuration(v.StepAfter)
 	r.cells[colStepAnswers] = formatInteger(int64(v.StepAnswers))
 	stages := make([]string, 0, len(v.Stages))
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -33,9 +33,10 @@
 type Demand struct {
 	_   struct{} `cbor:",toarray"`
 	Key Key
-	// Requests and Tokens are asked for a second, refused ones included.
-	Requests float32
-	Tokens   float32
+	// Requests, in tenths, and Tokens are asked for a second, refused ones
+	// included. Whole numbers are short on the wire.
+	Requests uint32
+	Tokens   uint32
 	// InFlight is how many requests are under way.
 	InFlight uint32
 }
@@ -119,26 +120,55 @@
 	return append(out, b[j:]...)
 }
 
-// Hall is the total of one data hall.
-type Hall struct {
+// Status is how one data hall stands, without its figures.
+type Status struct {
 	_    struct{} `cbor:",toarray"`
 	Name string
-	// Members is how many daemons its root counts on; Sums.Daemons of them
-	// have reported.
+	// Members is how many daemons its root counts on; Daemons of them have
+	// reported.
 	Members uint32
+	Daemons uint32
 	// Down is how many listed daemons the root does not count on.
 	Down uint32
 	// Complete tells that just the members have reported, each once.
 	Complete bool
+	// Oldest is the lowest table generation in force on those that reported.
+	Oldest uint64
 	// Round grows with every total that the hall's roots make.
 	Round uint64
 	// AgeMS is how old the total is, in milliseconds.
 	AgeMS uint64
-	Sums  Sums
 }
 
-// Stale is the age from which a total or a child's sum no longer counts.
-const Stale = 5 * time.Second
+// Stale reports whether the status is too old to count.
+func (s Status) Stale() bool { return s.AgeMS > uint64(StaleAfter.Milliseconds()) }
+
+// Hall is the total of one data hall, as its root tells the roots of others.
+type Hall struct {
+	_      struct{} `cbor:",toarray"`
+	Status Status
+	Sums   Sums
+}
+
+// Totals are what a daemon learns from its parent: its own data hall's total,
+// that of all others whose total is fresh, and how every hall stands.
+type Totals struct {
+	_ struct{} `cbor:",toarray"`
+	// Own and Others have no evidence: it is all in Seen.
+	Own    Sums
+	Others Sums
+	// FreshOthers is how many data halls Others adds up.
+	FreshOthers uint32
+	// Seen is the evidence of all daemons that are heard of.
+	Seen  []Evidence
+	Halls []Status
+}
+
+// Evidence is what all daemons that are heard of saw of a version.
+func (t Totals) Evidence(key Key) Evidence { return Sums{Evidence: t.Seen}.EvidenceOf(key) }
+
+// StaleAfter is the age from which a total or a child's sum no longer counts.
+const StaleAfter = 5 * time.Second
 
 // reported is a sum from a child with the time at which it came.
 type reported struct {
@@ -155,7 +185,11 @@
 // Tree is what one daemon holds. It is owned by one goroutine.
 type Tree struct {
 	children map[string]reported
-	halls    map[string]known
+	// halls are the totals that a root knows.
+	halls map[string]known
+	// totals are the latest, made here or by the parent, and at is when.
+	totals Totals
+	at     time.Time
 }
 
 // NewTree returns an empty tree.
@@ -171,7 +205,7 @@
 // Sum is the daemon's own figures and those of its present children.
 func (t *Tree) Sum(own Sums, children []string, now time.Time) Sums {
 	for id, r := range t.children {
-		if now.Sub(r.at) > Stale || !slices.Contains(children, id) {
+		if now.Sub(r.at) > StaleAfter || !slices.Contains(children, id) {
 			delete(t.children, id)
 		}
 	}
@@ -182,40 +216,55 @@
 	return total
 }
 
-// Root notes the total of the own data hall, made here because this daemon is
-// the root of its tree.
-func (t *Tree) Root(h Hall, now time.Time) {
+// Root makes the total of the own data hall, because this daemon is the root
+// of its tree, and returns it for the roots of other halls.
+func (t *Tree) Root(h Hall, now time.Time) Hall {
+	name := h.Status.Name
 	// Roots change: a new one goes on above the rounds of the old one.
-	h.Round = max(t.halls[h.Name].hall.Round+1, uint64(now.UnixMilli()))
-	t.halls[h.Name] = known{hall: h, at: now}
+	h.Status.Round = max(t.halls[name].hall.Status.Round+1, uint64(now.UnixMilli()))
+	t.halls[name] = known{hall: h, at: now}
+	t.totals, t.at = t.compose(name, now), now
+	return h
 }
 
-// Learn takes a data hall's total from another daemon.
-func (t *Tree) Learn(h Hall, now time.Time) {
-	at := now.Add(-time.Duration(h.AgeMS) * time.Millisecond)
-	if was, ok := t.halls[h.Name]; ok && h.Round <= was.hall.Round {
-		return
+// compose makes the totals from what a root knows.
+func (t *Tree) compose(own string, now time.Time) Totals {
+	out := Totals{Own: t.halls[own].hall.Sums}
+	for name, k := range t.halls {
+		status := k.hall.Status
+		status.AgeMS = uint64(max(0, now.Sub(k.at).Milliseconds()))
+		out.Halls = append(out.Halls, status)
+		if name != own && !status.Stale() {
+			out.Others = out.Others.Add(k.hall.Sums)
+			out.FreshOthers++
+		}
 	}
-	t.halls[h.Name] = known{hall: h, at: at}
+	slices.SortFunc(out.Halls, func(a, b Status) int { return cmp.Compare(a.Name, b.Name) })
+	out.Seen = out.Own.Add(out.Others).Evidence
+	out.Own.Evidence, out.Others.Evidence = nil, nil
+	return out
 }
 
-// Halls returns every known total with its age, in order of name.
-func (t *Tree) Halls(now time.Time) []Hall {
-	out := make([]Hall, 0, len(t.halls))
-	for _, k := range t.halls {
-		h := k.hall
-		h.AgeMS = uint64(max(0, now.Sub(k.at).Milliseconds()))
-		out = append(out, h)
+// Learn takes a data hall's total from its root.
+func (t *Tree) Learn(h Hall, now time.Time) {
+	name := h.Status.Name
+	if was, ok := t.halls[name]; ok && h.Status.Round <= was.hall.Status.Round {
+		return
 	}
-	slices.SortFunc(out, func(a, b Hall) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	t.halls[name] = known{hall: h, at: now.Add(-time.Duration(h.Status.AgeMS) * time.Millisecond)}
 }
 
-// Fresh returns the total of a data hall if it is not stale.
-func (t *Tree) Fresh(name string, now time.Time) (Hall, bool) {
-	k, ok := t.halls[name]
-	if !ok || now.Sub(k.at) > Stale {
-		return Hall{}, false
+// FromParent takes the totals from the parent.
+func (t *Tree) FromParent(totals Totals, now time.Time) { t.totals, t.at = totals, now }
+
+// Totals returns the latest totals, with the halls' ages as of now, and whether
+// they are fresh.
+func (t *Tree) Totals(now time.Time) (Totals, bool) {
+	since := now.Sub(t.at)
+	out := t.totals
+	out.Halls = slices.Clone(out.Halls)
+	for i := range out.Halls {
+		out.Halls[i].AgeMS += uint64(max(0, since.Milliseconds()))
 	}
-	return k.hall, true
+	return out, since <= StaleAfter
 }
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -42,6 +42,9 @@
 type Snapshot struct {
 	View   *route.View
 	Shares map[string]Share
+	// Acquainted tells that each backend server of the own data hall has been
+	// asked once.
+	Acquainted bool
 	// BillsFull stops new work: the platform has been away for too long.
 	BillsFull bool
 }
@@ -95,8 +98,12 @@
 // Snapshot returns the newest snapshot.
 func (c *Control) Snapshot() *Snapshot { return c.snapshot.Load() }
 
-// Ready reports whether the daemon has a table and knows the VMs.
-func (c *Control) Ready() bool { return c.Snapshot().View.Generation.Number > 0 }
+// Ready reports whether the daemon has a table and has asked each backend
+// server of its data hall once.
+func (c *Control) Ready() bool {
+	s := c.Snapshot()
+	return s.View.Generation.Number > 0 && s.Acquainted
+}
 
 // Tell hands over a fact without waiting.
 func (c *Control) Tell(f Fact) {
@@ -149,13 +156,15 @@
 	guard   *guard
 	// rollouts are driven by the root of the data hall's tree.
 	rollouts *rollouts
-	table    *table.Table
-	gen      table.Generation
-	vms      platform.VMList
-	quality  map[route.QualityKey]route.Estimate
-	safe     map[string]chan struct{}
-	dirty    bool
-	pollers  *pollers
+	// placer gives engines orders, on that same daemon.
+	placer  *placer
+	table   *table.Table
+	gen     table.Generation
+	vms     platform.VMList
+	quality map[route.QualityKey]route.Estimate
+	safe    map[string]chan struct{}
+	dirty   bool
+	pollers *pollers
 	// ticked is when the last tick was.
 	ticked time.Time
 }
@@ -173,6 +182,7 @@
 		servers:  newServers(c.Settings.Hall),
 		guard:    newGuard(),
 		rollouts: newRollouts(),
+		placer:   newPlacer(c.Platform, c.Settings.ID),
 		table:    table.New(table.Table{}),
 		safe:     map[string]chan struct{}{},
 		pollers:  newPollers(c.post),
@@ -215,7 +225,7 @@
 			}
 		case <-poll.C:
 			begun = time.Now()
-			if b := l.servers.duePoll(begun); b != nil {
+			for _, b := range l.servers.duePolls(begun) {
 				l.pollers.poll(l.ctx, b)
 			}
 		case <-publish.C:
@@ -241,6 +251,8 @@
 		l.feed(node.BillAdded{Bill: e.bill}, now)
 	case reportEvent:
 		l.reported(e, now)
+	case orderEvent:
+		l.placer.ordered(e.engine, now)
 	case stepEvent:
 		l.rollouts.busy = false
 	case askEvent:
@@ -251,7 +263,7 @@
 
 func (l *loop) reported(e reportEvent, now time.Time) {
 	if e.err != nil {
-		l.servers.failed(e.server, now)
+		l.servers.unanswered(e.server, now)
 		l.dirty = true
 		return
 	}
@@ -294,18 +306,14 @@
 	l.feed(node.Tick{Own: own}, now)
 	l.guard.pool(l.pooled(now), now)
 	l.driveRollouts(now)
+	l.drivePlacement(now)
 	l.publish(now)
 }
 
-// pooled returns the sum of a version's evidence over all fresh data halls.
+// pooled returns a version's evidence of all daemons that are heard of.
 func (l *loop) pooled(now time.Time) func(tally.Key) tally.Evidence {
-	var total tally.Sums
-	for _, h := range l.node.Tree.Halls(now) {
-		if fresh, ok := l.node.Tree.Fresh(h.Name, now); ok {
-			total = total.Add(fresh.Sums)
-		}
-	}
-	return total.EvidenceOf
+	totals, _ := l.node.Tree.Totals(now)
+	return totals.Evidence
 }
 
 // feed gives the node an event and carries out its orders.
@@ -402,7 +410,7 @@
 		BadFor:      l.guard.badFor,
 	}
 	l.servers.view(v, l.node.Leaving)
-	l.snapshot.Store(&Snapshot{View: v, Shares: l.shares(now), BillsFull: l.node.Ledger.Full()})
+	l.snapshot.Store(&Snapshot{View: v, Shares: l.shares(now), Acquainted: l.servers.acquainted(), BillsFull: l.node.Ledger.Full()})
 	if l.Published != nil {
 		l.Published()
 	}
@@ -426,34 +434,36 @@
 // lastDemands is this daemon's demand as the tally last took it.
 func (l *loop) lastDemands() []tally.Demand { return l.node.OwnSums().Demands }
 
+// figure picks one figure of a demand.
+type figure func(tally.Demand) float64
+
+func requestsOf(d tally.Demand) float64 { return float64(d.Requests) }
+func tokensOf(d tally.Demand) float64   { return float64(d.Tokens) }
+func inFlightOf(d tally.Demand) float64 { return float64(d.InFlight) }
+
 func (l *loop) share(org table.Organisation, own tally.Demand, now time.Time) Share {
+	totals, fresh := l.node.Tree.Totals(now)
 	key := tally.KeyOf(org.Name)
-	in := limit.ShareInput{Halls: l.node.Halls()}
-	hallDemand := func(name string, pick func(tally.Demand) float64) limit.HallDemand {
-		h, fresh := l.node.Tree.Fresh(name, now)
-		if !fresh {
-			return limit.HallDemand{Daemons: l.node.Group.Size()}
-		}
-		return limit.HallDemand{Fresh: true, Demand: pick(h.Sums.Demand(key)), Daemons: int(h.Sums.Daemons)}
-	}
-	of := func(whole float64, pick func(tally.Demand) float64) float64 {
+	hall, others := totals.Own.Demand(key), totals.Others.Demand(key)
+	of := func(whole float64, pick figure) float64 {
 		if whole <= 0 {
 			return 0
 		}
-		in.Limit, in.Own = whole, pick(own)
-		in.Hall = hallDemand(l.Settings.Hall, pick)
-		in.Others = in.Others[:0]
-		for _, name := range l.otherHalls() {
-			in.Others = append(in.Others, hallDemand(name, pick))
+		in := limit.ShareInput{
+			Limit: whole, Halls: l.node.Halls(), Own: pick(own), Fresh: fresh,
+			Hall:        limit.HallDemand{Demand: pick(hall), Daemons: int(totals.Own.Daemons)},
+			Others:      limit.HallDemand{Demand: pick(others), Daemons: int(totals.Others.Daemons)},
+			FreshOthers: int(totals.FreshOthers),
+		}
+		if !fresh {
+			in.Hall.Daemons = l.node.Group.Size()
 		}
 		return limit.Share(in)
 	}
 	return Share{
-		Requests: of(org.Limits.RequestsPerSecond, func(d tally.Demand) float64 { return float64(d.Requests) }),
-		Tokens:   of(org.Limits.TokensPerSecond, func(d tally.Demand) float64 { return float64(d.Tokens) }),
-		Concurrency: atLeastOne(of(float64(org.Limits.Concurrency), func(d tally.Demand) float64 {
-			return float64(d.InFlight)
-		})),
+		Requests:    of(org.Limits.RequestsPerSecond, requestsOf),
+		Tokens:      of(org.Limits.TokensPerSecond, tokensOf),
+		Concurrency: atLeastOne(of(float64(org.Limits.Concurrency), inFlightOf)),
 	}
 }
 
--- a/daemon/control/dump.go
+++ b/daemon/control/dump.go
@@ -6,7 +6,6 @@
 	"ladderridge.example/core/member"
 	"ladderridge.example/core/spread"
 	"ladderridge.example/core/table"
-	"ladderridge.example/core/tally"
 )
 
 // MemberDump is one daemon as another one sees it.
@@ -144,11 +143,12 @@
 func (l *loop) dumpHalls(now time.Time) []HallDump {
 	var out []HallDump
 	seen := map[string]bool{}
-	for _, h := range l.node.Tree.Halls(now) {
+	totals, _ := l.node.Tree.Totals(now)
+	for _, h := range totals.Halls {
 		seen[h.Name] = true
 		out = append(out, HallDump{
-			Name: h.Name, Members: h.Members, Down: h.Down, Daemons: h.Sums.Daemons, Complete: h.Complete, Oldest: h.Sums.Oldest, AgeMS: h.AgeMS,
-			Stale: h.AgeMS > uint64(tally.Stale.Milliseconds()),
+			Name: h.Name, Members: h.Members, Down: h.Down, Daemons: h.Daemons, Complete: h.Complete,
+			Oldest: h.Oldest, AgeMS: h.AgeMS, Stale: h.Stale(),
 		})
 	}
 	for _, name := range append(l.otherHalls(), l.Settings.Hall) {
--- a/daemon/control/event.go
+++ b/daemon/control/event.go
@@ -67,6 +67,10 @@
 // stepEvent says that a roll-out's step is stored, or not.
 type stepEvent struct{}
 
+// orderEvent says that an engine was given an order, or not.
+type orderEvent struct{ engine string }
+
+func (orderEvent) event()  {}
 func (stepEvent) event()   {}
 func (nodeEvent) event()   {}
 func (billEvent) event()   {}
--- a/daemon/control/servers.go
+++ b/daemon/control/servers.go
@@ -20,6 +20,9 @@
 	// of the own and of another data hall, if it has not been heard from.
 	pollOwn   = 2 * time.Second
 	pollOther = 10 * time.Second
+	// pollBusy is that of a server whose answers bring its load, but not what
+	// it has loaded.
+	pollBusy = 10 * time.Second
 	// ejectAfter is how many failures in a row eject a server.
 	ejectAfter = 3
 	ejectFloor = time.Second
@@ -32,16 +35,22 @@
 	vm       platform.VM
 	load     *route.Load
 	loaded   []table.Ref
+	loading  []table.Ref
+	slots    int
 	reported int
 	capacity int
 	at       time.Time
 	own      int
 	// leaving is what the server itself said last.
-	leaving  bool
-	heard    time.Time
-	polled   time.Time
-	failures int
-	ejected  time.Time
+	leaving bool
+	heard   time.Time
+	// answered is when a poll of it last ended, well or not.
+	answered time.Time
+	// reportedAt is when its last whole report came.
+	reportedAt time.Time
+	polled     time.Time
+	failures   int
+	ejected    time.Time
 }
 
 // servers are the backend servers of all data halls. They are owned by the
@@ -76,8 +85,41 @@
 	}
 }
 
-// duePoll returns the server whose poll is most overdue, or nil.
-func (s *servers) duePoll(now time.Time) *backend {
+// firstPolls is how many servers that were never asked are polled at once.
+const firstPolls = 16
+
+// duePolls returns the servers to poll now: those that were never asked, or
+// else the one whose poll is most overdue.
+func (s *servers) duePolls(now time.Time) []*backend {
+	var due []*backend
+	for _, b := range s.byID {
+		if b.polled.IsZero() && len(due) < firstPolls {
+			b.polled = now
+			due = append(due, b)
+		}
+	}
+	if len(due) > 0 {
+		return due
+	}
+	if b := s.mostOverdue(now); b != nil {
+		b.polled = now
+		due = append(due, b)
+	}
+	return due
+}
+
+// acquainted reports whether each server of the own data hall has been asked.
+func (s *servers) acquainted() bool {
+	for _, b := range s.byID {
+		if b.vm.Hall == s.hall && b.answered.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// mostOverdue returns the server whose poll is most overdue, or nil.
+func (s *servers) mostOverdue(now time.Time) *backend {
 	var due *backend
 	var most time.Duration
 	for _, b := range s.byID {
@@ -85,15 +127,11 @@
 		if b.vm.Hall == s.hall {
 			every = pollOwn
 		}
-		// A server that was never heard from comes before all others.
-		overdue := now.Sub(latest(b.heard, b.polled)) - every
+		overdue := max(now.Sub(latest(b.heard, b.polled))-every, now.Sub(b.polled)-pollBusy)
 		if overdue >= 0 && (due == nil || overdue > most) {
 			due, most = b, overdue
 		}
 	}
-	if due != nil {
-		due.polled = now
-	}
 	return due
 }
 
@@ -113,10 +151,16 @@
 	}
 	b.reported, b.capacity, b.at, b.own = r.InFlight, r.Capacity, now, own
 	b.leaving, b.heard, b.failures, b.ejected = r.Leaving, now, 0, time.Time{}
-	b.loaded = b.loaded[:0:0]
-	for _, l := range r.Loaded {
-		b.loaded = append(b.loaded, table.Ref{Model: l.Model, Version: l.Version})
+	b.reportedAt, b.answered = now, now
+	b.loaded, b.loading, b.slots = refs(r.Loaded), refs(r.Loading), r.Slots
+}
+
+func refs(loaded []wire.Loaded) []table.Ref {
+	out := make([]table.Ref, 0, len(loaded))
+	for _, l := range loaded {
+		out = append(out, table.Ref{Model: l.Model, Version: l.Version})
 	}
+	return out
 }
 
 // answered takes the load that came with an answer.
@@ -131,6 +175,14 @@
 	}
 }
 
+// unanswered notes a poll that failed.
+func (s *servers) unanswered(id string, now time.Time) {
+	if b := s.byID[id]; b != nil {
+		b.answered = now
+	}
+	s.failed(id, now)
+}
+
 // failed counts a failure and ejects a server that fails repeatedly.
 func (s *servers) failed(id string, now time.Time) {
 	b := s.byID[id]
--- a/daemon/front/claim.go
+++ b/daemon/front/claim.go
@@ -38,6 +38,7 @@
 		return nil, refuse(http.StatusServiceUnavailable, ClaimUnavailable,
 			"a request that may not be repeated needs the platform, which does not answer").withRetry(claimRetry)
 	}
+	j.keyRead = true
 	if held != nil {
 		j.step(route.Step{Kind: route.StepClaim, Text: "claimed"})
 		return &claimed{store: j.front.Claims, held: held}, nil
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -149,6 +149,8 @@
 	answered bool
 	// mayHaveRun tells that an attempt ended with an unknown outcome.
 	mayHaveRun bool
+	// keyRead tells that the record under the caller's key has been read.
+	keyRead bool
 }
 
 // handle wraps a handler with what all requests have in common.
@@ -193,6 +195,7 @@
 		out.allowed = method
 		return out
 	}
+	j.key = j.r.Header.Get(wire.HeaderKey)
 	snap := j.front.Control.Snapshot()
 	if snap.View.Generation.Number == 0 {
 		return refuse(http.StatusServiceUnavailable, NotReady, "this daemon has no table yet").withRetry(time.Second)
@@ -200,7 +203,6 @@
 	if out := j.authenticate(snap.View.Table); out != nil {
 		return out
 	}
-	j.key = j.r.Header.Get(wire.HeaderKey)
 	j.rec.Key = j.key
 	j.rec.Generation = snap.View.Generation.Number
 	j.share = snap.Shares[j.tenant.Organisation.Name]
@@ -266,8 +268,20 @@
 
 func (j *job) steps(ss []route.Step) { j.rec.Steps = append(j.rec.Steps, ss...) }
 
+// speakOfKey keeps "not run" true for a request that was sent before: with a
+// key, an earlier one may have run, and only the record under the key can tell.
+// What is wrong with the request itself was wrong then too.
+func (j *job) speakOfKey(out *refusal) {
+	passing := out.status == http.StatusTooManyRequests || out.status == http.StatusServiceUnavailable
+	if j.key != "" && !j.keyRead && passing && out.run == attempt.NotRun {
+		out.run = attempt.Unknown
+		out.text += " (this request was not run; whether an earlier one with its key was, is not known here)"
+	}
+}
+
 // refused answers with a refusal and records it.
 func (j *job) refused(out *refusal) {
+	j.speakOfKey(out)
 	j.rec.Status, j.rec.Run, j.rec.Code = out.status, string(out.run), out.code
 	j.step(route.Step{Kind: route.StepRefused, Reason: route.Code(out.code), Value: out.retry.Seconds(), Text: out.text})
 	if !j.answered {
--- a/daemon/front/limiter.go
+++ b/daemon/front/limiter.go
@@ -108,12 +108,15 @@
 			continue
 		}
 		out = append(out, tally.Demand{
-			Key: tally.KeyOf(name), Requests: float32(u.requestRate), Tokens: float32(u.tokenRate), InFlight: uint32(u.inFlight),
+			Key: tally.KeyOf(name), Requests: uint32(u.requestRate*tenths + 0.5), Tokens: uint32(u.tokenRate + 0.5), InFlight: uint32(u.inFlight),
 		})
 	}
 	slices.SortFunc(out, func(a, b tally.Demand) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
 
+// tenths is the unit of requests a second in a tally.
+const tenths = 10
+
 // idleRate is the demand, in requests a second, below which it counts as none.
 const idleRate = 0.01
--- a/daemon/peer/codec.go
+++ b/daemon/peer/codec.go
@@ -21,6 +21,7 @@
 	tagCopies
 	tagCopiesHeld
 	tagRelease
+	tagTallyAcross
 )
 
 // MaxMessage bounds a message, in bytes.
@@ -49,6 +50,8 @@
 		t = tagTallyUp
 	case node.TallyDown:
 		t = tagTallyDown
+	case node.TallyAcross:
+		t = tagTallyAcross
 	case node.Copies:
 		t = tagCopies
 	case node.CopiesHeld:
@@ -80,6 +83,8 @@
 		return decode[node.TallyUp](body)
 	case tagTallyDown:
 		return decode[node.TallyDown](body)
+	case tagTallyAcross:
+		return decode[node.TallyAcross](body)
 	case tagCopies:
 		return decode[node.Copies](body)
 	case tagCopiesHeld:
--- a/daemon/platform/types.go
+++ b/daemon/platform/types.go
@@ -70,6 +70,8 @@
 	Admin string `json:"admin,omitempty"`
 	// Service is the plain service's name; only service VMs have one.
 	Service string `json:"service,omitempty"`
+	// ChecksFence tells that an engine refuses orders with an old fence.
+	ChecksFence bool `json:"checks_fence,omitempty"`
 	// Leaving VMs will be gone soon.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,13 +42,21 @@
 	Batch int
 	// Quality in [0,1] is written into answers for raters to find.
 	Quality float64
+	// Slots is how many versions fit, and LoadTime how long one takes to load.
+	Slots    int
+	LoadTime time.Duration
+	// ChecksFence refuses orders with an old fence.
+	ChecksFence bool
 	// Rating, if set, is called with every answer given.
 	Rating func(request string, quality float64)
 
 	mu       sync.Mutex
 	fault    EngineFault
 	released chan struct{}
-	prefixes map[string]bool
+	loaded   []wire.Loaded
+	loading  []wire.Loaded
+	fence    uint64
+	orders   int
 	inFlight atomic.Int64
 	ran      map[string]int
 	runs     atomic.Int64
@@ -57,11 +66,12 @@
 // Handler serves the engine's HTTP interface and the admin calls.
 func (e *Engine) Handler() http.Handler {
 	e.ran = map[string]int{}
-	e.prefixes = map[string]bool{}
+	e.loaded = []wire.Loaded{{Model: e.Model, Version: e.Version}}
 	e.released = make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathChat, e.chat)
 	mux.HandleFunc("GET "+wire.PathLoad, e.load)
+	mux.HandleFunc("POST "+wire.PathOrders, e.order)
 	mux.HandleFunc("POST "+PathFaults, e.postFaults)
 	mux.HandleFunc("GET "+PathStats, e.getStats)
 	return mux
@@ -101,7 +111,7 @@
 	defer e.mu.Unlock()
 	return wire.LoadReport{
 		ID: e.ID, InFlight: int(e.inFlight.Load()), Capacity: e.Batch, Leaving: e.fault.Leaving,
-		Loaded: []wire.Loaded{{Model: e.Model, Version: e.Version}},
+		Loaded: slices.Clone(e.loaded), Loading: slices.Clone(e.loading), Slots: e.Slots,
 	}
 }
 
@@ -109,6 +119,53 @@
 	write(w, answer{status: http.StatusOK, body: e.report()})
 }
 
+// order obeys an order to load or unload a version.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o wire.EngineOrder
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksFence && o.Fence < e.fence {
+		http.Error(w, "a later fence is known", http.StatusConflict)
+		return
+	}
+	if o.Fence > e.fence || !e.ChecksFence {
+		e.fence = max(e.fence, o.Fence)
+		e.orders++
+		e.obey(o)
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *Engine) obey(o wire.EngineOrder) {
+	what := wire.Loaded{Model: o.Model, Version: o.Version}
+	is := func(l wire.Loaded) bool { return l == what }
+	if o.Action != "load" {
+		e.loaded = slices.DeleteFunc(e.loaded, is)
+		return
+	}
+	if slices.ContainsFunc(e.loaded, is) || slices.ContainsFunc(e.loading, is) {
+		return
+	}
+	e.loading = append(e.loading, what)
+	time.AfterFunc(e.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.loading = slices.DeleteFunc(e.loading, is)
+		e.loaded = append(e.loaded, what)
+	})
+}
+
+// Orders is how many orders the engine has obeyed.
+func (e *Engine) Orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
 // admit decides whether a request may run; it returns the fault in force.
 func (e *Engine) admit(w http.ResponseWriter, r *http.Request) (EngineFault, bool) {
 	e.mu.Lock()
@@ -146,6 +203,10 @@
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
+	if !e.hasLoaded(e.asked(req)) {
+		e.decline(w, wire.DeclinedNotLoaded)
+		return
+	}
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	f, ok := e.admit(w, r)
@@ -196,19 +257,35 @@
 	return id
 }
 
+// asked is the version that a request names; one that names none gets the
+// engine's first.
+func (e *Engine) asked(req wire.ChatRequest) wire.Loaded {
+	if model, version, ok := strings.Cut(req.Model, "@"); ok {
+		return wire.Loaded{Model: model, Version: version}
+	}
+	return wire.Loaded{Model: e.Model, Version: e.Version}
+}
+
+func (e *Engine) hasLoaded(l wire.Loaded) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.loaded, l)
+}
+
 // defaultTokens is how long an answer is when the caller sets no maximum.
 const defaultTokens = 16
 
 // tokensFor makes the answer: it depends on the request and version alone, so
 // that a resumed stream goes on where the broken one stopped.
 func (e *Engine) tokensFor(req wire.ChatRequest, id string) []string {
+	what := e.asked(req)
 	n := req.MaxTokens
 	if n <= 0 {
 		n = defaultTokens
 	}
 	out := make([]string, n)
 	for i := range out {
-		out[i] = fmt.Sprintf("%s-%s-%s-%d ", e.Model, e.Version, id, i)
+		out[i] = fmt.Sprintf("%s-%s-%s-%d ", what.Model, what.Version, id, i)
 	}
 	return out
 }
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -8,6 +8,7 @@
 	PathModels  = "/v1/models"
 	PathService = "/services/"
 	PathLoad    = "/load"
+	PathOrders  = "/orders"
 )
 
 // Headers from callers.
@@ -65,11 +66,12 @@
 	HeaderLoad = "Ladderridge-Load"
 )
 
-// What HeaderDeclined says: the server takes no new work at all, or has no
-// place now.
+// What HeaderDeclined says: the server takes no new work at all, has no place
+// now, or has not loaded the version.
 const (
-	DeclinedLeaving = "leaving"
-	DeclinedFull    = "full"
+	DeclinedLeaving   = "leaving"
+	DeclinedFull      = "full"
+	DeclinedNotLoaded = "not_loaded"
 )
 
 // Terminator is the data of the event that ends a complete stream.
@@ -172,6 +174,20 @@
 	Capacity int      `json:"capacity"`
 	Leaving  bool     `json:"leaving"`
 	Loaded   []Loaded `json:"loaded,omitempty"`
+	// Loading are the versions whose weights are being read.
+	Loading []Loaded `json:"loading,omitempty"`
+	// Slots is how many versions fit; 0 is unknown.
+	Slots int `json:"slots,omitempty"`
+}
+
+// EngineOrder tells an engine to load or unload a version. An engine that
+// checks fences answers 409 to a number below the highest it has seen, and
+// obeys each number once.
+type EngineOrder struct {
+	Fence   uint64 `json:"fence"`
+	Action  string `json:"action"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
 }
 
 // Loaded is a version that an engine has loaded.
--- /dev/null
+++ b/measure/bench.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Prints the figures of a single daemon and of the decisions as
+# `name: value unit`.
+set -eu
+cd "$(dirname "$0")/.."
+(cd core && go test ./route -run '^$' -bench Decide -benchmem) |
+	awk '/^BenchmarkDecide/ {sub(/^BenchmarkDecide/, "", $1); sub(/Rows.*/, "", $1)
+		printf "decision with %s rows: %s ns\ndecision with %s rows: %s allocations\n", $1, $3, $1, $7}'
+(cd daemon && go test -tags measure ./scenario -run Bench -count=1 -v -timeout 20m) | grep -E '^[a-z].*: [0-9.e+-]+ |^---.*FAIL|^ +[a-z_]+_test.go'
--- /dev/null
+++ b/measure/capacity.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Measures what daemons use for control and rewrites the table of slopes in
+# docs/CAPACITY.md. Takes about six minutes; nothing else should run.
+set -eu
+cd "$(dirname "$0")/../daemon"
+out=$(mktemp)
+trap 'rm -f "$out"' EXIT
+go test -tags measure ./peer -run Capacity -count=1 -v -timeout 20m | grep -E '^[a-z0-9].*: [0-9.e+-]+ ' | tee -a "$out"
+go test -tags measure ./scenario -run Capacity -count=1 -v -timeout 30m | grep -E '^[a-z0-9].*: [0-9.e+-]+ ' | tee -a "$out"
+page=../docs/CAPACITY.md
+{
+	sed '/^<!-- slopes -->$/q' "$page"
+	echo
+	echo '| figure | value |'
+	echo '| --- | --- |'
+	sed 's/^\(.*\): \(.*\)$/| \1 | \2 |/' "$out"
+	echo
+	sed -n '/^<!-- end of slopes -->$/,$p' "$page"
+} >"$page.new"
+mv "$page.new" "$page"
--- /dev/null
+++ b/measure/fuzz.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Long runs with random seeds: the property tests, and each fuzz target.
+# FUZZTIME (default 1m) is how long each target runs, CHECKS how many cases.
+set -eu
+cd "$(dirname "$0")/.."
+seed=$(od -An -N6 -tu8 /dev/urandom | tr -d ' ')
+echo "seed $seed"
+for package in core/attempt core/bill core/limit core/pin core/queue core/route core/table core/tally core/trace daemon/peer; do
+	(cd "$package" && go test . -count=1 -timeout 60m -rapid.seed="$seed" -rapid.checks="${CHECKS:-2000}")
+done
+for target in core/table:FuzzParse daemon/settings:FuzzParse daemon/peer:FuzzDecode daemon/backend:FuzzStream; do
+	(cd "${target%%:*}" && go test . -run '^$' -fuzz "${target##*:}" -fuzztime "${FUZZTIME:-1m}")
+done
--- /dev/null
+++ b/measure/policy.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Measures the decisions against baselines, in modelled time; writes CSV files
+# and plots to docs/policy.
+set -eu
+cd "$(dirname "$0")/../daemon"
+mkdir -p ../docs/policy
+go test -tags policy ./policy -count=1 -v -args -out "$(cd ../docs/policy && pwd)" | grep -E ': [0-9.e+-]+ |FAIL'
