Broken streams count against a version; answers are passed on whole

Cause 1: a version whose streams broke off was never found bad. Nobody told the control state of a broken stream; and when they did, the pooled test took the first counts for its baseline, so that a version that local guards stopped within a second was swallowed whole. Ruled out first: the test's engine (its requests did end whole, by resuming). Before: TestVersionThatBreaksStreamsIsWithdrawn gave up after 60 s, with the telling alone too; after both changes it passes in 4 s.

Found by reading; TestModelsAndServices failed on the state before, and passes.

--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -283,13 +283,11 @@
 	case Answered:
 		l.servers.answered(f.Server, f.InFlight, now)
 		l.dirty = true
-		if f.Ref != (table.Ref{}) && l.guard.answered(f.Ref, f.Bad, now) {
-			l.Log.Warn().Str("version", f.Ref.String()).Msg("control: a version is guarded")
-			l.publish(now)
-		}
+		l.seen(f.Ref, f.Bad, now)
 	case Failed:
 		l.servers.failed(f.Server, now)
 		l.dirty = true
+		l.seen(f.Ref, true, now)
 	case Declined:
 		l.servers.declined(f.Server, f.Leaving, now)
 		l.dirty = true
@@ -300,6 +298,14 @@
 	}
 }
 
+// seen counts an answer of a version, and guards it if that is once too often.
+func (l *loop) seen(ref table.Ref, bad bool, now time.Time) {
+	if ref != (table.Ref{}) && l.guard.answered(ref, bad, now) {
+		l.Log.Warn().Str("version", ref.String()).Msg("control: a version is guarded")
+		l.publish(now)
+	}
+}
+
 func (l *loop) tick(now time.Time) {
 	l.ticked = now
 	own := tally.Sums{Evidence: l.guard.own()}
--- a/daemon/control/event.go
+++ b/daemon/control/event.go
@@ -24,7 +24,11 @@
 }
 
 // Failed is a server that could not be reached or broke an answer off.
-type Failed struct{ Server string }
+type Failed struct {
+	Server string
+	// Ref is the version whose answer broke off; it is zero if none had begun.
+	Ref table.Ref
+}
 
 // Declined is a server that took a request not on.
 type Declined struct {
--- a/daemon/control/guard.go
+++ b/daemon/control/guard.go
@@ -56,6 +56,8 @@
 	return ""
 }
 
+// of returns the evidence on a version; asked for one, the guard watches it by
+// the counts of all daemons, also if this one never sees an answer of it.
 func (g *guard) of(ref table.Ref) *watched {
 	w := g.versions[ref]
 	if w == nil {
@@ -84,7 +86,7 @@
 	changed := false
 	for ref, w := range g.versions {
 		total := counts(tally.KeyOfRef(ref))
-		if total.Answers > w.seen.Answers && total.Bad >= w.seen.Bad && w.seen.Answers > 0 {
+		if total.Answers > w.seen.Answers && total.Bad >= w.seen.Bad {
 			w.pooled = w.pooled.WithCounts(total.Answers-w.seen.Answers, total.Bad-w.seen.Bad)
 		}
 		w.seen = total
--- a/daemon/control/rollouts.go
+++ b/daemon/control/rollouts.go
@@ -48,6 +48,7 @@
 			delete(l.rollouts.stages, v.Ref)
 			continue
 		}
+		l.guard.of(v.Ref)
 		facts := l.rollouts.facts(v, pooled(tally.KeyOfRef(v.Ref)), l.guard.alarm(v.Ref), now)
 		changed, note, ok := rollout.Apply(v, rollout.Next(facts, now))
 		if ok && l.node.Group.Rank() == 0 && !l.rollouts.busy {
--- a/daemon/front/cascade.go
+++ b/daemon/front/cascade.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"ladderridge.example/core/route"
-	"ladderridge.example/daemon/wire"
 )
 
 // mayCascade reports whether a cheaper version may be tried first. Not for a
@@ -21,7 +20,7 @@
 
 // shouldEscalate reports whether an answer's own signal of its quality is too
 // low to keep it, and there is time for a better one.
-func (c *chatJob) shouldEscalate(answer wire.ChatAnswer) bool {
+func (c *chatJob) shouldEscalate(answer wholeAnswer) bool {
 	if c.sent.Cascade == 0 || answer.Quality >= c.sent.Cascade {
 		return false
 	}
@@ -32,7 +31,7 @@
 // escalate has a better version answer, which may itself be one whose signal
 // decides. If none can, the answer that is there is kept: it is whole, if not
 // as good as was asked for.
-func (c *chatJob) escalate(first wire.ChatAnswer) (wire.ChatAnswer, bool) {
+func (c *chatJob) escalate(first wholeAnswer) (wholeAnswer, bool) {
 	kept := c.sent
 	c.step(route.Step{
 		Kind: route.StepEscalate, Model: kept.Ref.Model, Version: kept.Ref.Version, Value: first.Quality,
@@ -53,19 +52,19 @@
 // smallest stands for a quality of zero, which would ask for nothing.
 const smallest = 1e-9
 
-func (c *chatJob) answerAgain() (wire.ChatAnswer, bool) {
-	body, err := withModel(c.body, c.sent.Ref.String())
+func (c *chatJob) answerAgain() (wholeAnswer, bool) {
+	body, err := withFields(c.body, field{"model", c.sent.Ref.String()})
 	if err != nil {
-		return wire.ChatAnswer{}, false
+		return wholeAnswer{}, false
 	}
 	reply, err := c.exchange(c.newExchange(c.newAttempt(), body, 0), c.sent.Ref)
 	if err != nil {
-		return wire.ChatAnswer{}, false
+		return wholeAnswer{}, false
 	}
 	if reply.Status != http.StatusOK {
 		c.tellAnswer(reply, true)
 		_ = reply.Lose(&statusError{status: reply.Status})
-		return wire.ChatAnswer{}, false
+		return wholeAnswer{}, false
 	}
 	answer, err := c.readAnswer(reply)
 	return answer, err == nil
--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -127,7 +127,7 @@
 
 // try makes one attempt. An error leaves the request unanswered.
 func (c *chatJob) try(a *attempt.Attempt) (*refusal, error) {
-	body, err := withModel(c.body, c.sent.Ref.String())
+	body, err := withFields(c.body, field{"model", c.sent.Ref.String()})
 	if err != nil {
 		return nil, err
 	}
@@ -190,8 +190,7 @@
 		answer = better
 	}
 	c.tokens = answer.Usage.CompletionTokens
-	answer.ID, answer.Model = c.id, c.sent.Ref.String()
-	out, err := json.Marshal(answer)
+	out, err := withFields(answer.raw, field{"id", c.id}, field{"model", c.sent.Ref.String()})
 	if err != nil {
 		return err
 	}
@@ -203,14 +202,23 @@
 	return nil
 }
 
+// wholeAnswer is an engine's answer with its body as it came: fields that
+// ladderridge does not know are passed on.
+type wholeAnswer struct {
+	wire.ChatAnswer
+	raw []byte
+}
+
 // readAnswer reads a whole answer that is not streamed.
-func (c *chatJob) readAnswer(reply *backend.Reply) (wire.ChatAnswer, error) {
-	var answer wire.ChatAnswer
+func (c *chatJob) readAnswer(reply *backend.Reply) (wholeAnswer, error) {
+	var answer wholeAnswer
 	data, err := reply.ReadAll(maxAnswer)
 	if err != nil {
+		c.brokeOff()
 		return answer, err
 	}
-	err = json.Unmarshal(data, &answer)
+	answer.raw = data
+	err = json.Unmarshal(data, &answer.ChatAnswer)
 	c.tellAnswer(reply, err != nil)
 	return answer, err
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -95,7 +95,8 @@
 // Demands returns what organisations ask of this daemon.
 func (f *Front) Demands() []tally.Demand { return f.limiter.demands(time.Now()) }
 
-// Run serves callers until ctx ends, and then until Stop has been called.
+// Run serves callers until Stop is called. When ctx ends it breaks off what is
+// still under way.
 func (f *Front) Run(ctx context.Context) error {
 	l := f.Listener
 	f.Listener = nil
@@ -105,6 +106,7 @@
 			return err
 		}
 	}
+	defer context.AfterFunc(ctx, func() { _ = f.server.Close() })()
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/daemon/front/read.go
+++ b/daemon/front/read.go
@@ -100,19 +100,24 @@
 	return h.Sum64()
 }
 
-// withModel returns the chat body with the model field replaced: engines are
-// told the model and version that was chosen.
-func withModel(body []byte, model string) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
+// field is a text field of a JSON object.
+type field struct{ name, value string }
+
+// withFields returns a JSON object with some fields replaced. All others stay
+// as they came: engines and callers may use ones that ladderridge does not know.
+func withFields(body []byte, fields ...field) ([]byte, error) {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(body, &object); err != nil {
 		return nil, err
 	}
-	name, err := json.Marshal(model)
-	if err != nil {
-		return nil, err
+	for _, f := range fields {
+		value, err := json.Marshal(f.value)
+		if err != nil {
+			return nil, err
+		}
+		object[f.name] = value
 	}
-	fields["model"] = name
-	return json.Marshal(fields)
+	return json.Marshal(object)
 }
 
 // passedHeaders returns the caller's headers that a plain service is sent.
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -11,6 +12,7 @@
 	"ladderridge.example/core/route"
 	"ladderridge.example/core/table"
 	"ladderridge.example/daemon/backend"
+	"ladderridge.example/daemon/control"
 	"ladderridge.example/daemon/wire"
 )
 
@@ -23,6 +25,7 @@
 	for {
 		data, last, err := events.Next()
 		if err != nil {
+			c.brokeOff()
 			return reply.Lose(err)
 		}
 		if last {
@@ -30,6 +33,7 @@
 		}
 		var chunk wire.ChatChunk
 		if err := json.Unmarshal(data, &chunk); err != nil {
+			c.brokeOff()
 			return reply.Lose(merry.Wrap(err))
 		}
 		if chunk.Usage != nil {
@@ -40,6 +44,7 @@
 			continue
 		}
 		if chunk.Index > c.tokens {
+			c.brokeOff()
 			return reply.Lose(merry.Errorf("token %d came where %d was due", chunk.Index, c.tokens))
 		}
 		if !c.answered {
@@ -53,6 +58,14 @@
 	}
 }
 
+// brokeOff lets the control state know of an answer that broke off, unless the
+// caller or the deadline ended it.
+func (c *chatJob) brokeOff() {
+	if c.ctx.Err() == nil {
+		c.front.Control.Tell(control.Failed{Server: c.sent.Server.ID, Ref: c.sent.Ref})
+	}
+}
+
 // callerGone is a caller that no longer reads.
 type callerGone struct{ cause error }
 
@@ -88,7 +101,8 @@
 func (c *chatJob) resume(a *attempt.Attempt, cause error) *refusal {
 	keep := c.sent.Ref
 	for {
-		if c.r.Context().Err() != nil {
+		var gone *callerGone
+		if errors.As(cause, &gone) || c.r.Context().Err() != nil {
 			return c.abandoned(cause)
 		}
 		if !c.mayRetry(a.Outcome(), c.once) {
@@ -115,7 +129,7 @@
 }
 
 func (c *chatJob) tryFrom(a *attempt.Attempt, offset int) error {
-	body, err := withModel(c.body, c.sent.Ref.String())
+	body, err := withFields(c.body, field{"model", c.sent.Ref.String()})
 	if err != nil {
 		return err
 	}
--- a/daemon/scenario/input_test.go
+++ b/daemon/scenario/input_test.go
@@ -86,6 +86,9 @@
 	if strings.Contains(a.body, "v2") || !strings.Contains(a.body, v1.String()) {
 		t.Errorf("the licence desk may use %s", a.body)
 	}
+	if a := c.chat("entry-0", v1.String()); !strings.Contains(a.body, "system_fingerprint") || !strings.Contains(a.body, a.header.Get(wire.HeaderRequest)) {
+		t.Errorf("a field that only the engine knows is lost: %s", a.body)
+	}
 	for _, method := range []string{"GET", "PUT", "DELETE", "PATCH"} {
 		a := c.do("entry-0", method, wire.PathService+"broker/seats/7?all=1", "body")
 		if a.status != http.StatusOK || a.body != method+" /seats/7 body" || a.run() != "done" {
--- a/daemon/scenario/policy_test.go
+++ b/daemon/scenario/policy_test.go
@@ -86,6 +86,26 @@
 	t.Logf("withdrawn after %d requests, of which %d were refused", i, refused)
 }
 
+// TestVersionThatBreaksStreamsIsWithdrawn has a version break its streams off:
+// that counts against it like a failure.
+func TestVersionThatBreaksStreamsIsWithdrawn(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.apply(rollingOut(0))
+	c.inForce("entry-0", "entry-1")
+	for _, id := range []string{"engine-2", "engine-3"} {
+		c.engines[id].SetFault(standin.EngineFault{CutAfter: 2})
+	}
+	i := 0
+	c.await("the version is withdrawn", func() bool {
+		i++
+		c.do(fmt.Sprintf("entry-%d", i%2), http.MethodPost, wire.PathChat, chatBody("roster", true, 6))
+		table, _ := c.newest()
+		v, _ := table.Version(v2)
+		return isWithdrawn(v)
+	})
+}
+
 func isWithdrawn(v table.Version) bool { return v.Status == table.Withdrawn }
 
 // TestRatingsCountAgainstAVersion rates one organisation's answers of a version
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -313,17 +313,25 @@
 	_, _ = fmt.Fprintf(w, "data: %s\n\ndata: %s\n\n", usage, wire.Terminator)
 }
 
+// engineAnswer has a field that ladderridge does not know.
+type engineAnswer struct {
+	wire.ChatAnswer
+	Fingerprint string `json:"system_fingerprint"`
+}
+
+const fingerprint = "standin"
+
 func (e *Engine) whole(w http.ResponseWriter, r *http.Request, tokens []string) {
 	if e.TokenPace > 0 {
 		pause(r, e.TokenPace*time.Duration(len(tokens)))
 	}
 	e.tokens.Add(int64(len(tokens)))
-	write(w, answer{status: http.StatusOK, body: wire.ChatAnswer{
+	write(w, answer{status: http.StatusOK, body: engineAnswer{Fingerprint: fingerprint, ChatAnswer: wire.ChatAnswer{
 		Object:  "chat.completion",
 		Choices: []wire.Choice{{Message: wire.Message{Role: "assistant", Content: strings.Join(tokens, "")}, FinishReason: "stop"}},
 		Usage:   wire.Usage{CompletionTokens: len(tokens)},
 		Quality: e.quality(),
-	}})
+	}}})
 }
 
 func (e *Engine) postFaults(w http.ResponseWriter, r *http.Request) {
