--- a/daemon/scenario/policy_test.go
+++ b/daemon/scenario/policy_test.go
@@ -16,10 +16,10 @@
 	"ladderridge.example/daemon/wire"
 )
 
-// rollingOut is the base table with v2 at a stage.
-func rollingOut(stage int) *table.Table {
+// rollingOut is the base table with v2 at its first stage.
+func rollingOut() *table.Table {
 	v, _ := baseTable().Version(v2)
-	v.Status, v.Stages, v.Stage, v.StepAfter, v.StepAnswers = table.RollingOut, []float64{50, 100}, stage, time.Second, 10
+	v.Status, v.Stages, v.StepAfter, v.StepAnswers = table.RollingOut, []float64{50, 100}, time.Second, 10
 	return baseTable().WithVersion(v)
 }
 
@@ -37,7 +37,7 @@
 func TestRollOutIsDrivenAndResumed(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 4)
-	c.apply(rollingOut(0))
+	c.apply(rollingOut())
 	c.inForce("entry-0", "entry-1", "entry-2", "entry-3")
 	for id := range c.daemons {
 		if d, err := c.dump(id); err == nil && d.Control.Rank == 0 && d.Control.Hall == "hall-0" {
@@ -65,7 +65,7 @@
 func TestBadVersionIsWithdrawn(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 3)
-	c.apply(rollingOut(0))
+	c.apply(rollingOut())
 	c.inForce("entry-0", "entry-1", "entry-2")
 	for _, id := range []string{"engine-2", "engine-3"} {
 		c.engines[id].SetFault(standin.EngineFault{ErrorRate: 0.6})
@@ -91,7 +91,7 @@
 func TestVersionThatBreaksStreamsIsWithdrawn(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 2)
-	c.apply(rollingOut(0))
+	c.apply(rollingOut())
 	c.inForce("entry-0", "entry-1")
 	for _, id := range []string{"engine-2", "engine-3"} {
 		c.engines[id].SetFault(standin.EngineFault{CutAfter: 2})
@@ -113,7 +113,7 @@
 func TestRatingsCountAgainstAVersion(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 2)
-	c.apply(rollingOut(0))
+	c.apply(rollingOut())
 	for range 40 {
 		c.platform.Rate(platform.Rating{Organisation: "voluntas", Model: v2.Model, Version: v2.Version, Score: 0.1})
 	}
