The engine stand-in has a prefix cache and a lagged load; HTTP/2 tested

Also, found by reading: looking for bills whose copy is lost sorted every bill held, once a second. The ledger is walked in its own order now, and the walk ends at 100 bills to send. Not measured.

--- a/core/bill/bill.go
+++ b/core/bill/bill.go
@@ -146,13 +146,22 @@
 	l.due = now.Add(max(after, l.pause))
 }
 
-// Bills returns every bill held, in order of key, for a hand-over.
+// Each calls f with the bills held, the oldest first, until f returns false.
+func (l *Ledger) Each(f func(Bill) bool) {
+	for _, key := range l.order {
+		if !f(l.pending[key]) {
+			return
+		}
+	}
+}
+
+// Bills returns every bill held, the oldest first, for a hand-over.
 func (l *Ledger) Bills() []Bill {
 	out := make([]Bill, 0, len(l.pending))
-	for _, b := range l.pending {
+	l.Each(func(b Bill) bool {
 		out = append(out, b)
-	}
-	sortBills(out)
+		return true
+	})
 	return out
 }
 
--- a/core/node/node_bills.go
+++ b/core/node/node_bills.go
@@ -84,17 +84,15 @@
 		return
 	}
 	var again []bill.Bill
-	for _, b := range n.Ledger.Bills() {
+	n.Ledger.Each(func(b bill.Bill) bool {
 		h := n.holders[b.Key]
 		held := n.Group.Usable(h.id) && (h.has || now.Sub(h.sent) < recopyAfter)
-		if held || h.id == n.self.ID {
-			continue
+		if !held && h.id != n.self.ID {
+			n.holders[b.Key] = holder{id: buddy, sent: now}
+			again = append(again, b)
 		}
-		n.holders[b.Key] = holder{id: buddy, sent: now}
-		if again = append(again, b); len(again) == recopiesPerTick {
-			break
-		}
-	}
+		return len(again) < recopiesPerTick
+	})
 	if len(again) > 0 {
 		n.send(buddy, Copies{Bills: again})
 	}
--- a/daemon/cmd/ladderridge/cmd_standin.go
+++ b/daemon/cmd/ladderridge/cmd_standin.go
@@ -89,6 +89,12 @@
 	cmd.Flags().StringVar(&e.Model, "model", "roster", "the model")
 	cmd.Flags().StringVar(&e.Version, "model-version", "v1", "the version")
 	cmd.Flags().DurationVar(&e.TokenPace, "pace", 5*time.Millisecond, "time between two tokens")
+	cmd.Flags().DurationVar(&e.Prefill, "prefill", 0, "time to the first token of a prompt that is not cached")
+	cmd.Flags().IntVar(&e.Prefixes, "prefixes", 0, "how many prompts' beginnings the prefix cache holds")
+	cmd.Flags().DurationVar(&e.ReportLag, "report-lag", 0, "how old the load in a report may be")
+	cmd.Flags().IntVar(&e.Slots, "slots", 0, "how many versions fit; 0 is unknown")
+	cmd.Flags().DurationVar(&e.LoadTime, "load-time", 0, "how long a version takes to load")
+	cmd.Flags().BoolVar(&e.ChecksFence, "checks-fence", false, "refuse orders with an old fence")
 	cmd.Flags().IntVar(&e.Batch, "batch", 0, "requests at once; 0 is no limit")
 	cmd.Flags().Float64Var(&e.Quality, "quality", 0.9, "quality of its answers, from 0 to 1")
 	return cmd
--- a/daemon/scenario/input_test.go
+++ b/daemon/scenario/input_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -77,6 +78,29 @@
 	return line
 }
 
+// TestHTTP2 sends a request over HTTP/2 without TLS, as balancers do.
+func TestHTTP2(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	r, err := http.NewRequest(http.MethodPost, "http://"+c.daemons["entry-0"].callers+wire.PathChat, strings.NewReader(chatBody("roster", true, 3)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+orgKey)
+	resp, err := client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || resp.ProtoMajor != 2 || !strings.Contains(string(data), wire.Terminator) {
+		t.Errorf("HTTP/%d: %s %v", resp.ProtoMajor, data, err)
+	}
+}
+
 // TestModelsAndServices looks at what an organisation may use and passes calls
 // of every method through.
 func TestModelsAndServices(t *testing.T) {
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -42,6 +42,12 @@
 	Batch int
 	// Quality in [0,1] is written into answers for raters to find.
 	Quality float64
+	// Prefill is the time to the first token of a prompt whose beginning is not
+	// in the prefix cache, which holds Prefixes of them (0: none).
+	Prefill  time.Duration
+	Prefixes int
+	// ReportLag is how old the load in a report may be.
+	ReportLag time.Duration
 	// Slots is how many versions fit, and LoadTime how long one takes to load.
 	Slots    int
 	LoadTime time.Duration
@@ -53,6 +59,9 @@
 	mu       sync.Mutex
 	fault    EngineFault
 	released chan struct{}
+	prefixes []string
+	reported int
+	reportAt time.Time
 	loaded   []wire.Loaded
 	loading  []wire.Loaded
 	fence    uint64
@@ -109,8 +118,11 @@
 func (e *Engine) report() wire.LoadReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now := time.Now(); now.Sub(e.reportAt) >= e.ReportLag {
+		e.reported, e.reportAt = int(e.inFlight.Load()), now
+	}
 	return wire.LoadReport{
-		ID: e.ID, InFlight: int(e.inFlight.Load()), Capacity: e.Batch, Leaving: e.fault.Leaving,
+		ID: e.ID, InFlight: e.reported, Capacity: e.Batch, Leaving: e.fault.Leaving,
 		Loaded: slices.Clone(e.loaded), Loading: slices.Clone(e.loading), Slots: e.Slots,
 	}
 }
@@ -221,6 +233,9 @@
 		http.Error(w, "engine error", http.StatusInternalServerError)
 		return
 	}
+	if !e.cached(req) && e.Prefill > 0 {
+		pause(r, e.Prefill)
+	}
 	offset, _ := strconv.Atoi(r.Header.Get(wire.HeaderOffset))
 	tokens := e.tokensFor(req, id)
 	if req.Stream {
@@ -239,6 +254,31 @@
 	return e.Quality
 }
 
+// prefixBytes is how much of a prompt the prefix cache goes by.
+const prefixBytes = 1024
+
+// cached reports whether the prompt's beginning is in the prefix cache, and
+// puts it there in place of the one used longest ago.
+func (e *Engine) cached(req wire.ChatRequest) bool {
+	if e.Prefixes == 0 {
+		return false
+	}
+	prefix := ""
+	for _, m := range req.Messages {
+		prefix += m.Role + m.Content
+	}
+	prefix = prefix[:min(len(prefix), prefixBytes)]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := slices.Index(e.prefixes, prefix)
+	if i >= 0 {
+		e.prefixes = slices.Delete(e.prefixes, i, i+1)
+	}
+	e.prefixes = append(e.prefixes, prefix)
+	e.prefixes = e.prefixes[max(0, len(e.prefixes)-e.Prefixes):]
+	return i >= 0
+}
+
 func (e *Engine) count(id string) {
 	e.runs.Add(1)
 	e.mu.Lock()
--- /dev/null
+++ b/daemon/standin/engine_test.go
@@ -0,0 +1,43 @@
+package standin_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ladderridge.example/daemon/standin"
+	"ladderridge.example/daemon/wire"
+)
+
+const prompt = `{"model":"m@v","max_tokens":1,"messages":[{"role":"user","content":"the same beginning"}]}`
+
+// serve runs one request by the handler and returns how long it took.
+func serve(t *testing.T, h http.Handler) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, wire.PathChat, strings.NewReader(prompt))
+	h.ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		t.Fatalf("%d %s", w.Code, w.Body)
+	}
+	return time.Since(begun)
+}
+
+// TestPrefixCacheShortensTheFirstToken asks twice, with the clock of a bubble.
+func TestPrefixCacheShortensTheFirstToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &standin.Engine{Model: "m", Version: "v", Prefill: time.Second, Prefixes: 1, TokenPace: time.Millisecond}
+		h := e.Handler()
+		if took := serve(t, h); took != time.Second+time.Millisecond {
+			t.Errorf("a new prompt took %v", took)
+		}
+		if took := serve(t, h); took != time.Millisecond {
+			t.Errorf("a cached prompt took %v", took)
+		}
+	})
+}
