Read once more: one way to open an attempt, one list of servers, dead code out

Polls still go by the map's random order, so that daemons that start together do not all ask the same servers first: that order is now said to be meant.

Not measured: what the sorting cost.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -100,11 +100,10 @@
 	hall    string
 	members map[string]*Member
 	// ring has the usable members of the own data hall by hash, self included.
-	ring    []*Member
-	halls   map[string][]*Member
-	queue   []queued
-	turn    int
-	changes uint64
+	ring  []*Member
+	halls map[string][]*Member
+	queue []queued
+	turn  int
 }
 
 // New starts a group that knows only itself. The incarnation must be greater
@@ -126,7 +125,6 @@
 
 // rebuild derives the rings from the members.
 func (g *Group) rebuild() {
-	g.changes++
 	g.halls = map[string][]*Member{}
 	for _, m := range g.members {
 		if m.usable() {
@@ -421,9 +419,6 @@
 	return m != nil && m.usable()
 }
 
-// Known reports whether a member is known at all.
-func (g *Group) Known(id string) bool { return g.members[id] != nil }
-
 // Addr is where a member is reached, or "".
 func (g *Group) Addr(id string) string {
 	if m := g.members[id]; m != nil {
@@ -452,6 +447,3 @@
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
-
-// Changes counts the changes of the rings, for those who derive from them.
-func (g *Group) Changes() uint64 { return g.changes }
--- a/daemon/control/dump.go
+++ b/daemon/control/dump.go
@@ -114,8 +114,8 @@
 	for _, m := range l.node.Group.Members() {
 		d.Members = append(d.Members, dumpMember(m))
 	}
-	for _, b := range l.servers.sorted() {
-		d.Servers = append(d.Servers, b.dump(now, l.node.Leaving(b.vm.ID)))
+	for _, b := range l.servers.sorted {
+		d.Servers = append(d.Servers, b.dump(now, l.node.Leaving))
 	}
 	for ref, why := range l.guard.guarded() {
 		d.Guarded[ref.String()] = why
@@ -127,9 +127,9 @@
 	return MemberDump{ID: m.ID, Hall: m.Hall, State: m.State.String(), Incarnation: m.Incarnation, Leaving: m.Leaving}
 }
 
-func (b *backend) dump(now time.Time, told bool) ServerDump {
+func (b *backend) dump(now time.Time, told func(id string) bool) ServerDump {
 	d := ServerDump{
-		ID: b.vm.ID, Hall: b.vm.Hall, Role: string(b.vm.Role), Leaving: b.vm.Leaving || b.leaving || told,
+		ID: b.vm.ID, Hall: b.vm.Hall, Role: string(b.vm.Role), Leaving: b.goes(told),
 		InFlight: b.load.InFlight.Load(), Reported: b.reported, Failures: b.failures,
 		Ejected: now.Before(b.ejected), HeardMS: now.Sub(b.heard).Milliseconds(),
 	}
--- a/daemon/control/placer.go
+++ b/daemon/control/placer.go
@@ -69,13 +69,13 @@
 // engines are the model engines of the own data hall that have reported.
 func (s *servers) engines(told func(id string) bool, now time.Time) []placement.Engine {
 	var out []placement.Engine
-	for _, b := range s.sorted() {
+	for _, b := range s.sorted {
 		if b.vm.Role != platform.RoleEngine || b.vm.Hall != s.hall || b.reportedAt.IsZero() {
 			continue
 		}
 		out = append(out, placement.Engine{
 			ID: b.vm.ID, Checks: b.vm.ChecksFence, Slots: b.slots, Loaded: b.loaded, Loading: b.loading, InFlight: b.reported,
-			Leaving: b.vm.Leaving || b.leaving || told(b.vm.ID) || now.Before(b.ejected),
+			Leaving: b.goes(told) || now.Before(b.ejected),
 		})
 	}
 	return out
--- a/daemon/control/servers.go
+++ b/daemon/control/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -58,6 +59,8 @@
 type servers struct {
 	hall string
 	byID map[string]*backend
+	// sorted are all of them in the order of their ids.
+	sorted []*backend
 }
 
 func newServers(hall string) *servers {
@@ -83,13 +86,21 @@
 			delete(s.byID, id)
 		}
 	}
+	s.sorted = slices.SortedFunc(maps.Values(s.byID), func(a, b *backend) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
+}
+
+// goes reports whether a server is leaving by anybody's word: the list's, its
+// own, or other daemons'.
+func (b *backend) goes(told func(id string) bool) bool {
+	return b.vm.Leaving || b.leaving || told(b.vm.ID)
 }
 
 // firstPolls is how many servers that were never asked are polled at once.
 const firstPolls = 16
 
 // duePolls returns the servers to poll now: those that were never asked, or
-// else the one whose poll is most overdue.
+// else the one whose poll is most overdue. Among equals the map's random order
+// decides, so that daemons that start together do not all ask the same ones.
 func (s *servers) duePolls(now time.Time) []*backend {
 	var due []*backend
 	for _, b := range s.byID {
@@ -110,7 +121,7 @@
 
 // acquainted reports whether each server of the own data hall has been asked.
 func (s *servers) acquainted() bool {
-	for _, b := range s.byID {
+	for _, b := range s.sorted {
 		if b.vm.Hall == s.hall && b.answered.IsZero() {
 			return false
 		}
@@ -213,10 +224,10 @@
 func (s *servers) view(v *route.View, told func(id string) bool) {
 	v.Engines = map[table.Ref][]*route.Server{}
 	v.Services = map[string][]*route.Server{}
-	for _, b := range s.sorted() {
+	for _, b := range s.sorted {
 		server := &route.Server{
 			ID: b.vm.ID, Addr: b.vm.Addr, Hall: b.vm.Hall,
-			Leaving:  b.vm.Leaving || b.leaving || told(b.vm.ID),
+			Leaving:  b.goes(told),
 			Reported: b.reported, Capacity: b.capacity, ReportedAt: b.at, OwnAtReport: b.own,
 			EjectedUntil: b.ejected, Load: b.load,
 		}
@@ -228,12 +239,3 @@
 		}
 	}
 }
-
-func (s *servers) sorted() []*backend {
-	out := make([]*backend, 0, len(s.byID))
-	for _, b := range s.byID {
-		out = append(out, b)
-	}
-	slices.SortFunc(out, func(a, b *backend) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
-	return out
-}
--- a/daemon/control/shares.go
+++ b/daemon/control/shares.go
@@ -11,22 +11,14 @@
 
 // shares works out what this daemon may use of each organisation's limits.
 func (l *loop) shares(now time.Time) map[string]Share {
-	own := map[tally.Key]tally.Demand{}
-	if l.Demands != nil {
-		for _, d := range l.lastDemands() {
-			own[d.Key] = d
-		}
-	}
+	totals, fresh := l.node.Tree.Totals(now)
 	out := make(map[string]Share, len(l.table.Organisations))
 	for _, org := range l.table.Organisations {
-		out[org.Name] = l.share(org, own[tally.KeyOf(org.Name)], now)
+		out[org.Name] = l.share(org, totals, fresh)
 	}
 	return out
 }
 
-// lastDemands is this daemon's demand as the tally last took it.
-func (l *loop) lastDemands() []tally.Demand { return l.node.OwnSums().Demands }
-
 // figure picks one figure of a demand.
 type figure func(tally.Demand) float64
 
@@ -34,9 +26,9 @@
 func tokensOf(d tally.Demand) float64   { return float64(d.Tokens) }
 func inFlightOf(d tally.Demand) float64 { return float64(d.InFlight) }
 
-func (l *loop) share(org table.Organisation, own tally.Demand, now time.Time) Share {
-	totals, fresh := l.node.Tree.Totals(now)
+func (l *loop) share(org table.Organisation, totals tally.Totals, fresh bool) Share {
 	key := tally.KeyOf(org.Name)
+	own := l.node.OwnSums().Demand(key)
 	hall, others := totals.Own.Demand(key), totals.Others.Demand(key)
 	of := func(whole float64, pick figure) float64 {
 		if whole <= 0 {
--- a/daemon/front/cascade.go
+++ b/daemon/front/cascade.go
@@ -53,11 +53,7 @@
 const smallest = 1e-9
 
 func (c *chatJob) answerAgain() (wholeAnswer, bool) {
-	body, err := withFields(c.body, field{"model", c.sent.Ref.String()})
-	if err != nil {
-		return wholeAnswer{}, false
-	}
-	reply, err := c.exchange(c.newExchange(c.newAttempt(), body, 0), c.sent.Ref)
+	reply, err := c.open(c.newAttempt(), 0)
 	if err != nil {
 		return wholeAnswer{}, false
 	}
--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -125,20 +125,31 @@
 	}
 }
 
-// try makes one attempt. An error leaves the request unanswered.
-func (c *chatJob) try(a *attempt.Attempt) (*refusal, error) {
+// open sends an attempt that asks for the tokens from offset on. An engine that
+// says that it failed has not answered.
+func (c *chatJob) open(a *attempt.Attempt, offset int) (*backend.Reply, error) {
 	body, err := withFields(c.body, field{"model", c.sent.Ref.String()})
 	if err != nil {
 		return nil, err
 	}
-	reply, err := c.exchange(c.newExchange(a, body, 0), c.sent.Ref)
+	reply, err := c.exchange(c.newExchange(a, body, offset), c.sent.Ref)
 	if err != nil {
 		return nil, err
 	}
-	switch {
-	case reply.Status >= http.StatusInternalServerError:
+	if reply.Status >= http.StatusInternalServerError {
 		c.tellAnswer(reply, true)
 		return nil, reply.Lose(&statusError{status: reply.Status})
+	}
+	return reply, nil
+}
+
+// try makes one attempt. An error leaves the request unanswered.
+func (c *chatJob) try(a *attempt.Attempt) (*refusal, error) {
+	reply, err := c.open(a, 0)
+	if err != nil {
+		return nil, err
+	}
+	switch {
 	case reply.Status >= http.StatusBadRequest:
 		return c.engineRefused(reply)
 	case c.req.Stream:
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -129,16 +129,12 @@
 }
 
 func (c *chatJob) tryFrom(a *attempt.Attempt, offset int) error {
-	body, err := withFields(c.body, field{"model", c.sent.Ref.String()})
-	if err != nil {
-		return err
-	}
-	reply, err := c.exchange(c.newExchange(a, body, offset), c.sent.Ref)
+	reply, err := c.open(a, offset)
 	if err != nil {
 		return err
 	}
 	if reply.Status != http.StatusOK {
-		c.tellAnswer(reply, reply.Status >= http.StatusInternalServerError)
+		c.tellAnswer(reply, false)
 		return reply.Lose(&statusError{status: reply.Status})
 	}
 	return c.stream(reply)
