--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,175 @@
+// Package fleet chooses a backend server for a request from those that the
+// platform lists, by what this daemon's own requests have seen of them. Health
+// that somebody else reports is not asked for: only answers count.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Server is one backend server as the platform lists it. It is never changed;
+// what requests have seen of it is in Load, which later lists share.
+type Server struct {
+	// ID is new with every start of the server.
+	ID      string
+	Service string
+	Addr    string
+	Hall    string
+	// Version is that of its software.
+	Version string
+	// Slots is how many requests it works on; 0 is unknown.
+	Slots int
+	// Leaving servers take no new work.
+	Leaving bool
+	// Models are those that it has in memory; none means that it has no models.
+	Models []string
+	Load   *Load
+}
+
+// Usable reports whether the server may get new work.
+func (s *Server) Usable() bool { return !s.Leaving }
+
+// List is the servers of all services. It is never changed.
+type List struct {
+	byService map[string][]*Server
+}
+
+// NewList makes a list.
+func NewList(servers []*Server) *List {
+	l := &List{byService: map[string][]*Server{}}
+	for _, s := range servers {
+		l.byService[s.Service] = append(l.byService[s.Service], s)
+	}
+	for _, of := range l.byService {
+		slices.SortFunc(of, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return l
+}
+
+// Service returns the servers of a service.
+func (l *List) Service(name string) []*Server { return l.byService[name] }
+
+// Find returns the server of that id.
+func (l *List) Find(service, id string) (*Server, bool) {
+	for _, s := range l.byService[service] {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+// Versions returns the versions of a service's usable servers.
+func (l *List) Versions(service string) []string {
+	var out []string
+	for _, s := range l.byService[service] {
+		if s.Usable() && !slices.Contains(out, s.Version) {
+			out = append(out, s.Version)
+		}
+	}
+	return out
+}
+
+// Want is what a request wants of its server.
+type Want struct {
+	Service string
+	// Allowed reports whether a version may be used; nil allows all.
+	Allowed func(version string) bool
+	// Affinity is a hash of what the request shares with earlier ones, such as
+	// a session's prompt; 0 is nothing.
+	Affinity uint64
+	// Hall is preferred while its servers are not much busier than others.
+	Hall string
+	// Avoid are servers that the request has been to.
+	Avoid []string
+}
+
+// The bounds of the choice.
+const (
+	// affinitySlack is how much more than the mean, as a factor, the preferred
+	// server of a request may be loaded (consistent hashing with bounded
+	// loads; Mirrokni, Thorup and Zadimoghaddam, 2018).
+	affinitySlack = 1.25
+	// affinityExtra is added to that bound, in requests: with few requests the
+	// mean says little.
+	affinityExtra = 3
+	// awayCost is what a server of another hall must be less loaded by, in
+	// requests, to be preferred: bytes between halls are paid for.
+	awayCost = 2
+)
+
+// Choose returns the server for a request, or false if none may be used. Servers
+// that have just failed are taken only if there is no other.
+func (l *List) Choose(w Want, now time.Time) (*Server, bool) {
+	var fit, last []*Server
+	for _, s := range l.byService[w.Service] {
+		if !s.Usable() || slices.Contains(w.Avoid, s.ID) || (w.Allowed != nil && !w.Allowed(s.Version)) {
+			continue
+		}
+		if s.Load.Resting(now) {
+			last = append(last, s)
+			continue
+		}
+		fit = append(fit, s)
+	}
+	if len(fit) == 0 {
+		fit = last
+	}
+	if len(fit) == 0 {
+		return nil, false
+	}
+	if w.Affinity != 0 {
+		if s := preferred(fit, w.Affinity); withinBound(fit, s) {
+			return s, true
+		}
+	}
+	return slices.MinFunc(fit, func(a, b *Server) int {
+		return cmp.Or(cmp.Compare(cost(a, w.Hall), cost(b, w.Hall)), cmp.Compare(score(a, w.Affinity), score(b, w.Affinity)))
+	}), true
+}
+
+// cost is the work that a request would wait behind, weighed by how slow the
+// server is.
+func cost(s *Server, hall string) float64 {
+	c := float64(s.Load.InFlight()+1) * s.Load.Slowness()
+	if s.Hall != hall {
+		c += awayCost
+	}
+	return c
+}
+
+// score is a server's draw for a hash (rendezvous hashing): the highest wins,
+// and all daemons find the same one.
+func score(s *Server, hash uint64) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(hash)
+	_, _ = d.WriteString(s.ID)
+	return d.Sum64()
+}
+
+func preferred(fit []*Server, hash uint64) *Server {
+	return slices.MaxFunc(fit, func(a, b *Server) int { return cmp.Compare(score(a, hash), score(b, hash)) })
+}
+
+// withinBound reports whether a server is not much busier than the mean.
+func withinBound(fit []*Server, s *Server) bool {
+	total := 0.0
+	for _, f := range fit {
+		total += float64(f.Load.InFlight())
+	}
+	mean := total / float64(len(fit))
+	return float64(s.Load.InFlight())*s.Load.Slowness() <= affinitySlack*mean+affinityExtra
+}
+
+// All returns the servers of all services.
+func (l *List) All() []*Server {
+	var out []*Server
+	for _, of := range l.byService {
+		out = append(out, of...)
+	}
+	return out
+}
--- /dev/null
+++ b/core/fleet/load.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// Load is what this daemon's requests have seen of a server. It is safe for
+// concurrent use.
+type Load struct {
+	mu       sync.Mutex
+	inFlight int
+	// failures counts failures in a row; resting is until when the server gets
+	// no work if others are there.
+	failures int
+	resting  time.Time
+	// failing is the recent share of failures.
+	failing float64
+	// slowness is the recent time of answers relative to what other servers
+	// took for the like, 1 when alike.
+	slowness float64
+}
+
+// The pauses of a server that fails.
+const (
+	// restAfter is how many failures in a row make a server rest.
+	restAfter = 2
+	// restFloor and restCeiling bound the rest, which doubles with each
+	// further failure: a server that restarts is back in seconds.
+	restFloor   = 500 * time.Millisecond
+	restCeiling = 4 * time.Second
+	// smoothing is the weight of the newest answer in the recent shares.
+	smoothing = 0.1
+	// slowest bounds how slow a server may be taken for, so that it still gets
+	// a request now and then that can show that it has recovered.
+	slowest = 20
+	// failingCost weighs the share of failures as slowness: a server that fails
+	// half of its requests counts as busy as one of three times its load.
+	failingCost = 4
+)
+
+// NewLoad returns the load of a server that has served nothing yet.
+func NewLoad() *Load { return &Load{slowness: 1} }
+
+// InFlight is the number of this daemon's requests under way there.
+func (l *Load) InFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight
+}
+
+// Begin counts a request that is sent.
+func (l *Load) Begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight++
+}
+
+// End counts a request that has ended.
+func (l *Load) End() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+}
+
+// Slowness is how much longer than others the server takes, failures included.
+func (l *Load) Slowness() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.slowness * (1 + failingCost*l.failing)
+}
+
+// Resting reports whether the server has failed so lately that others go first.
+func (l *Load) Resting(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.resting)
+}
+
+// Answered notes a good answer; relative is the time it took in terms of what
+// the like takes, or 0 if that is unknown.
+func (l *Load) Answered(relative float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = 0
+	l.failing *= 1 - smoothing
+	if relative > 0 {
+		l.slowness = min(slowest, max(1/slowest, l.slowness*(1-smoothing)+relative*smoothing))
+	}
+}
+
+// Failed notes an answer that says that the server failed.
+func (l *Load) Failed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = l.failing*(1-smoothing) + smoothing
+}
+
+// Broke notes a server that did not answer or could not be reached: it rests
+// when that happens again.
+func (l *Load) Broke(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures++
+	l.failing = l.failing*(1-smoothing) + smoothing
+	if l.failures < restAfter {
+		return
+	}
+	rest := restFloor << min(l.failures-restAfter, 4)
+	l.resting = now.Add(min(rest, restCeiling))
+}
+
+// Unreachable notes a server to which no connection comes about: it rests at
+// once.
+func (l *Load) Unreachable(now time.Time) {
+	l.mu.Lock()
+	l.failures = max(l.failures, restAfter-1)
+	l.mu.Unlock()
+	l.Broke(now)
+}
--- /dev/null
+++ b/core/relay/relay.go
@@ -0,0 +1,109 @@
+// Package relay is what daemons tell each other about what the platform's
+// store holds: rows by topic, how old the knowledge of them is, and what each
+// daemon has seen of a version that is being rolled out.
+package relay
+
+import "github.com/cespare/xxhash/v2"
+
+// Topic names a set of rows of the store.
+type Topic string
+
+// The topics.
+const (
+	// Operator has the configuration and the orders for roll-outs.
+	Operator Topic = "operator"
+	// Servers has an entry for each backend server.
+	Servers Topic = "servers"
+	// Progress has the state of roll-outs.
+	Progress Topic = "progress"
+	// Members has an entry for each daemon, with its address and public key.
+	Members Topic = "members"
+)
+
+// Row is one row of the store.
+type Row struct {
+	_    struct{} `cbor:",toarray"`
+	Key  string
+	Data []byte
+	// Version rises with every change of the store.
+	Version uint64
+}
+
+// Have is what an asker knows of a topic.
+type Have struct {
+	_     struct{} `cbor:",toarray"`
+	Topic Topic
+	// Version is that of the store when the rows were read.
+	Version uint64
+	// Sum is a hash of the rows' keys and versions. The store's version rises
+	// with every write to any topic; the sum only with one to this.
+	Sum uint64
+}
+
+// Ask asks a daemon what it knows.
+type Ask struct {
+	_ struct{} `cbor:",toarray"`
+	// Nonce is repeated in the answer, so that one from before a pause of the
+	// asker is told apart.
+	Nonce uint64
+	Have  []Have
+}
+
+// Known is what the answerer knows of a topic.
+type Known struct {
+	_       struct{} `cbor:",toarray"`
+	Topic   Topic
+	Version uint64
+	// AgeMS is how long ago the store confirmed it, in milliseconds.
+	AgeMS uint64
+	// Sum is a hash of the rows' keys and versions.
+	Sum uint64
+	// Rows are all rows of the topic, unless the asker has the same.
+	Rows []Row
+}
+
+// Sum returns the hash of a topic's rows, whatever their order.
+func Sum(rows []Row) uint64 {
+	var sum uint64
+	for _, row := range rows {
+		var d xxhash.Digest
+		d.ResetWithSeed(row.Version)
+		_, _ = d.WriteString(row.Key)
+		sum += d.Sum64()
+	}
+	return sum
+}
+
+// Tell answers Ask.
+type Tell struct {
+	_     struct{} `cbor:",toarray"`
+	Nonce uint64
+	Known []Known
+}
+
+// Count is what one daemon has seen of a version's answers on one route since
+// the order of the roll-out.
+type Count struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Version string
+	// Route names the route and the model that answered.
+	Route   string
+	Answers uint64
+	Failed  uint64
+	Slow    uint64
+}
+
+// Evidence is all that a daemon has seen of roll-outs. It replaces what the
+// same daemon said before, if its Sequence is higher.
+type Evidence struct {
+	_        struct{} `cbor:",toarray"`
+	Start    uint64
+	Sequence uint64
+	Counts   []Count
+	// OldInFlight are requests under way on the version that is replaced, by
+	// service.
+	OldInFlight map[string]int
+	// Withdrawn are versions that this daemon no longer uses: SERVICE@VERSION.
+	Withdrawn []string
+}
--- /dev/null
+++ b/daemon/channel/error.go
@@ -0,0 +1,30 @@
+package channel
+
+import "ladderridge.example/core/fault"
+
+// Kind says what sort of error the package met, and with that whether the
+// request may have run.
+type Kind string
+
+// The kinds of error.
+const (
+	// Unreachable is a server to which no connection came about.
+	Unreachable Kind = "server unreachable"
+	// Unsent is a request of which no byte left this process.
+	Unsent Kind = "nothing was sent"
+	// Broken is an answer that broke off or never came: the request may have
+	// run.
+	Broken Kind = "answer broken"
+	// Crossed is an answer to another request.
+	Crossed Kind = "answer to another request"
+)
+
+// String names the kind.
+func (k Kind) String() string { return string(k) }
+
+// NotRun reports whether an error of that kind proves that the server has not
+// run the request.
+func (k Kind) NotRun() bool { return k == Unreachable || k == Unsent }
+
+// Error is the error type of this package.
+type Error = fault.Of[Kind]
--- /dev/null
+++ b/daemon/cmd/ladderridged/cmd_gateway.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ladderridge.example/daemon/gateway"
+	"ladderridge.example/daemon/settings"
+	"ladderridge.example/platform"
+)
+
+// gatewayCommand serves routed services on the users' platform.
+func gatewayCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "gateway",
+		Short: "Serve the routed services of a platform that hands out the configuration",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return serveGateway(cmd.Context(), path) },
+	}
+	standard := platform.SettingsFile()
+	if standard == "" {
+		standard = "/etc/ladderridge/gateway.ini"
+	}
+	cmd.PersistentFlags().StringVarP(&path, "config", "c", standard, "settings file")
+	cmd.AddCommand(&cobra.Command{
+		Use:   "check-config",
+		Short: "Check a gateway's settings file and list all of its faults",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := settings.LoadGateway(path); err != nil {
+				return err
+			}
+			cmd.Println(path + " is right")
+			return nil
+		},
+	})
+	return cmd
+}
+
+// serveGateway runs the daemon. SIGUSR1 writes its state to the log.
+func serveGateway(ctx context.Context, path string) error {
+	s, err := settings.LoadGateway(path)
+	if err != nil {
+		return err
+	}
+	g := &gateway.Gateway{Settings: s, Start: uint64(time.Now().UnixNano()), Platform: gateway.Platform{
+		Store: platform.NewStore(s.StoreURL), Decoder: platform.Rows{}, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
+		Door: func(p gateway.Port) http.Handler {
+			return &platform.Door{Engine: p.Engine, BodyLimit: p.BodyLimit, Closing: p.Closing}
+		},
+	}}
+	dumps := make(chan os.Signal, 1)
+	signal.Notify(dumps, syscall.SIGUSR1)
+	defer signal.Stop(dumps)
+	go func() {
+		for range dumps {
+			g.LogDump()
+		}
+	}()
+	return g.Run(ctx)
+}
--- a/daemon/cmd/ladderridged/main.go
+++ b/daemon/cmd/ladderridged/main.go
@@ -57,7 +57,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), path) },
 	}
 	root.PersistentFlags().StringVarP(&path, "config", "c", "/etc/ladderridge/ladderridged.ini", "settings file")
-	root.AddCommand(&cobra.Command{
+	root.AddCommand(gatewayCommand(), &cobra.Command{
 		Use:   "check-config",
 		Short: "Check the settings file and list all of its faults",
 		Args:  cobra.NoArgs,
--- /dev/null
+++ b/daemon/exchange/attempt.go
@@ -0,0 +1,227 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"ladderridge.example/core/fault"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/daemon/channel"
+	"ladderridge.example/daemon/knowledge"
+)
+
+// verdict is what came of an attempt.
+type verdict int
+
+// The verdicts.
+const (
+	// answered is a head that says that the server took the request on.
+	answered verdict = iota
+	// declined is a server that has not run the request and will not.
+	declined
+	// lost is an attempt that may have run.
+	lost
+)
+
+// attempt is one request to one server.
+type attempt struct {
+	server  *fleet.Server
+	model   string
+	reply   *channel.Reply
+	head    Head
+	verdict verdict
+	err     error
+	sent    time.Time
+	// cancel ends the attempt at the server.
+	cancel context.CancelFunc
+	ended  bool
+	kind   string
+}
+
+// choose finds a server for the next attempt.
+func (j *job) choose(now time.Time) (*fleet.Server, bool) {
+	j.look()
+	want := fleet.Want{Service: j.service, Affinity: j.request.affinity(), Hall: j.engine.Hall, Avoid: j.avoid}
+	if j.version != "" {
+		want.Allowed = func(v string) bool { return v == j.version }
+		if s, ok := j.view.Servers.Choose(want, now); ok {
+			return s, true
+		}
+	}
+	first, second := j.view.Versions(j.service, j.request.session(), now)
+	want.Allowed = first
+	if s, ok := j.view.Servers.Choose(want, now); ok {
+		return s, true
+	}
+	want.Allowed = second
+	return j.view.Servers.Choose(want, now)
+}
+
+// allowed is the last check before an attempt leaves: whether the newest
+// configuration still lets the request reach the service.
+func (j *job) allowed(now time.Time) Outcome {
+	route, ok := j.view.Map.Match(j.request.Host, j.request.Path)
+	if !ok {
+		return Refused{Reason: NoRoute}
+	}
+	if !route.Serves(j.service) {
+		j.service = route.Pick(j.request.session())
+		j.report.Service = j.service
+	}
+	j.route = route
+	return j.authenticate(now)
+}
+
+// model is the model of the present step, or "" if the caller has named one.
+func (j *job) model() string {
+	if len(j.route.Ladder) == 0 {
+		return ""
+	}
+	return j.route.Ladder[min(j.step.Index, len(j.route.Ladder)-1)]
+}
+
+// open sends the request to a server and reads the head of the answer. It gives
+// up after patience, if that is set.
+func (j *job) open(ctx context.Context, s *fleet.Server, patience time.Duration) *attempt {
+	a := &attempt{server: s, model: j.model(), sent: time.Now()}
+	a.kind = j.route.Name + "/" + a.model
+	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
+	ctx, a.cancel = context.WithCancel(ctx)
+	var timer *time.Timer
+	if patience > 0 {
+		timer = time.AfterFunc(patience, a.cancel)
+	}
+	s.Load.Begin()
+	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
+	if timer != nil && !timer.Stop() && a.err == nil {
+		a.reply.Close()
+		a.err = &channel.Error{Op: "wait for server", Kind: channel.Broken, Err: context.DeadlineExceeded}
+	}
+	j.judge(a)
+	if a.verdict != answered {
+		j.finish(a)
+	}
+	return a
+}
+
+// compose makes the request for a server.
+func (j *job) compose(a *attempt) channel.Request {
+	r := j.request
+	attempt := Attempt{Request: r, Server: a.server, Model: a.model, Urgency: j.urgency(), After: j.after}
+	if j.holder != nil {
+		attempt.Organisation = j.holder.Name
+	}
+	if !j.end.IsZero() {
+		attempt.Left = max(time.Millisecond, time.Until(j.end))
+	}
+	x := channel.Request{
+		Addr: a.server.Addr, Method: r.Method, Target: r.Target, Host: r.Host, Header: j.engine.Dialect.Compose(attempt),
+		Body: r.Body, Sized: r.Sized, Belongs: func(h http.Header) bool { return j.engine.Dialect.Belongs(r.ID, h) },
+	}
+	if !j.route.MayRepeat() {
+		x.RestAtMost = onceRest
+	}
+	return x
+}
+
+// onceRest is how long a connection may have rested that carries a request that
+// may not be repeated: on one that rests longer, the server's close is likelier
+// to be on its way, and whether the request ran would then not be known.
+const onceRest = 2 * time.Second
+
+// urgency is the rank of the request, from 0 to 9.
+func (j *job) urgency() int { return min(9, max(0, j.route.RankFor(j.holder))) }
+
+// judge works out what came of an attempt.
+func (j *job) judge(a *attempt) {
+	now := time.Now()
+	if a.err != nil {
+		j.judgeError(a, now)
+		return
+	}
+	a.head = j.engine.Dialect.Read(a.reply.Status, a.reply.Header)
+	j.sent++
+	if a.head.NotRun {
+		a.verdict = declined
+		j.avoid = append(j.avoid, a.server.ID)
+		if a.head.WrongServer {
+			a.server.Load.Unreachable(now)
+		}
+		return
+	}
+	a.verdict = answered
+	j.attempts++
+	j.mayHaveRun = true
+}
+
+func (j *job) judgeError(a *attempt, now time.Time) {
+	a.verdict = lost
+	j.avoid = append(j.avoid, a.server.ID)
+	var e *channel.Error
+	if errors.As(a.err, &e) && e.Kind.NotRun() {
+		a.verdict = declined
+		if fault.Is(a.err, channel.Unreachable) && j.live() {
+			a.server.Load.Unreachable(now)
+		}
+		return
+	}
+	j.sent++
+	j.attempts++
+	j.mayHaveRun = true
+	if j.live() {
+		a.server.Load.Broke(now)
+		j.observe(a, true, false)
+	}
+}
+
+// live reports whether the request's time is not over: else a failure says
+// nothing about the server.
+func (j *job) live() bool { return j.end.IsZero() || time.Now().Before(j.end) }
+
+// observe tells what an answer says about the version that gave it.
+func (j *job) observe(a *attempt, failed, slow bool) {
+	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: a.kind, Failed: failed, Slow: slow})
+}
+
+// finish ends an attempt: the server has its place back.
+func (j *job) finish(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.reply != nil {
+		a.reply.Close()
+	}
+	a.cancel()
+	a.server.Load.End()
+}
+
+// note puts an attempt into the report.
+func (j *job) note(a *attempt, result string) {
+	j.report.Tries = append(j.report.Tries, Try{Server: a.server.ID, Model: a.model, Result: result, Took: time.Since(a.sent)})
+}
+
+// mostDeclined bounds the servers that may decline a request before it is
+// refused: when several have no place, the next one hardly has.
+const mostDeclined = 3
+
+// mayTryAgain reports whether another server may be sent the request. It takes
+// the repeat from the budget.
+func (j *job) mayTryAgain(ctx context.Context) bool {
+	if ctx.Err() != nil || !j.live() {
+		return false
+	}
+	if j.mayHaveRun && !j.route.MayRepeat() {
+		return false
+	}
+	if j.attempts >= max(1, j.route.Attempts) || j.sent-j.attempts >= mostDeclined {
+		return false
+	}
+	if j.sent == 0 || j.paid {
+		j.paid = false
+		return true
+	}
+	return j.engine.Budget.Spend(j.service, j.view.Daemons, time.Now())
+}
--- /dev/null
+++ b/daemon/exchange/budget.go
@@ -0,0 +1,103 @@
+package exchange
+
+import (
+	"sync"
+	"time"
+)
+
+// Budget bounds the repeats that all daemons together send to a service, without
+// a word among them: each keeps its own repeats below a share of its own
+// requests, so that the sum keeps it too. What is allowed beside the share is
+// divided by a number of daemons that is never too small.
+type Budget struct {
+	// Ratio is how many repeats may come on a request, within Window.
+	Ratio  float64
+	Window time.Duration
+	// Slack is what all daemons together may send beyond that.
+	Slack float64
+
+	mu       sync.Mutex
+	first    time.Time
+	services map[string]*budgetWindow
+}
+
+// budgetWindow counts by slots of a tenth of the window.
+type budgetWindow struct {
+	slots [budgetSlots]budgetSlot
+}
+
+type budgetSlot struct {
+	number   int64
+	requests int
+	repeats  int
+}
+
+// budgetSlots is how many slots a window has. One more is counted, so that any
+// span of a window's length is covered.
+const budgetSlots = 12
+
+// budgetMargin is the part of the ratio that is used: arrivals are counted by
+// when they reach a server, not by when they leave.
+const budgetMargin = 0.92
+
+func (b *Budget) window(service string) *budgetWindow {
+	if b.services == nil {
+		b.services = map[string]*budgetWindow{}
+	}
+	w := b.services[service]
+	if w == nil {
+		w = &budgetWindow{}
+		b.services[service] = w
+	}
+	return w
+}
+
+// number is the slot of a time, by the steady clock. The first one is 1.
+func (b *Budget) number(now time.Time) int64 {
+	if b.first.IsZero() {
+		b.first = now
+	}
+	return 1 + int64(now.Sub(b.first)/(b.Window/(budgetSlots-2)))
+}
+
+func (w *budgetWindow) slot(number int64) *budgetSlot {
+	s := &w.slots[number%budgetSlots]
+	if s.number != number {
+		*s = budgetSlot{number: number}
+	}
+	return s
+}
+
+// Request counts a request for a service.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(service).slot(b.number(now)).requests++
+}
+
+// Spend takes a repeat from the budget if it has one left.
+func (b *Budget) Spend(service string, daemons int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	n := b.number(now)
+	requests, repeats := 0, 0
+	for _, s := range w.slots {
+		if n-s.number < budgetSlots-1 {
+			repeats += s.repeats
+			// The oldest slot may lie outside of the rule's window.
+			if n-s.number < budgetSlots-2 {
+				requests += s.requests
+			}
+		}
+	}
+	if float64(repeats+1) > budgetMargin*b.Ratio*float64(requests)+b.Slack/float64(max(daemons, fewestDaemons)) {
+		return false
+	}
+	w.slot(n).repeats++
+	return true
+}
+
+// fewestDaemons is the least number of daemons that the slack is divided by: a
+// daemon that has just started knows no others.
+const fewestDaemons = 8
--- /dev/null
+++ b/daemon/exchange/engine.go
@@ -0,0 +1,215 @@
+package exchange
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ladderridge.example/core/ladder"
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/daemon/channel"
+	"ladderridge.example/daemon/knowledge"
+)
+
+// Knowledge is what the engine needs to know.
+type Knowledge interface {
+	View() *knowledge.View
+	Observe(f knowledge.Fact)
+}
+
+// Engine serves requests. Set the exported fields, then Serve.
+type Engine struct {
+	Knowledge Knowledge
+	Channels  *channel.Pool
+	Dialect   Dialect
+	Budget    *Budget
+	// Hall is this daemon's data hall.
+	Hall string
+	// KeyAge is how old the configuration may be for a key to pass.
+	KeyAge time.Duration
+	// Observer is told of each request that has ended; nil is nobody.
+	Observer func(Report)
+
+	// Open counts requests under way.
+	Open atomic.Int64
+
+	pace *pace
+}
+
+// New returns an engine that has served nothing yet.
+func New() *Engine { return &Engine{pace: newPace()} }
+
+// Report is what became of a request and why, for logs and metrics.
+type Report struct {
+	Request *Request
+	// Route, Service, Version, Model and Server are the last ones chosen.
+	Route   string
+	Service string
+	Version string
+	Model   string
+	Server  string
+	// Organisation holds the key.
+	Organisation string
+	// Config is the number of the configuration, ConfigAge how old it was.
+	Config    uint64
+	ConfigAge time.Duration
+	// Tries are the attempts with their outcomes, in order.
+	Tries []Try
+	// Escalated tells that a smaller model's answer was dropped.
+	Escalated bool
+	Outcome   Outcome
+	Took      time.Duration
+	// First is the time to the first part of the answer.
+	First time.Duration
+}
+
+// Try is one attempt at a server.
+type Try struct {
+	Server string
+	Model  string
+	// Result says what came of it, in a word or an error's text.
+	Result string
+	Took   time.Duration
+}
+
+// Serve serves one request and returns how it ended. The sink gets an answer
+// only as a part of Answered or Broken.
+func (e *Engine) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
+	e.Open.Add(1)
+	defer e.Open.Add(-1)
+	j := &job{engine: e, request: r, sink: sink, after: r.After, report: Report{Request: r}}
+	out := j.serve(ctx)
+	if ctx.Err() != nil && !j.begun {
+		out = Gone{}
+	}
+	if e.Observer != nil {
+		j.report.Outcome, j.report.Took = out, time.Since(r.Arrived)
+		e.Observer(j.report)
+	}
+	return out
+}
+
+// job is a request under way.
+type job struct {
+	engine  *Engine
+	request *Request
+	sink    Sink
+	report  Report
+
+	view    *knowledge.View
+	route   *routemap.Route
+	holder  *routemap.Organisation
+	service string
+	// end is when the request is given up, zero for never.
+	end   time.Time
+	step  ladder.Step
+	avoid []string
+	// attempts counts the servers that may have run the request.
+	attempts int
+	// sent counts the requests that have reached servers.
+	sent int
+	// paid tells that the next attempt has been taken from the budget.
+	paid bool
+	// mayHaveRun tells that a server has run it or may have.
+	mayHaveRun bool
+	// begun tells that the caller has a part of an answer.
+	begun bool
+	// after is the last event that the caller has.
+	after int64
+	// version is the one that the answer under way comes from, "" for any.
+	version string
+	// kept is a failed answer to pass on if there is no better one.
+	kept *whole
+}
+
+// serve checks a request and has it answered.
+func (j *job) serve(ctx context.Context) Outcome {
+	now := time.Now()
+	if out := j.prepare(now); out != nil {
+		return out
+	}
+	j.engine.Budget.Request(j.service, now)
+	if !j.end.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, j.end)
+		defer cancel()
+	}
+	return j.run(ctx)
+}
+
+// prepare finds the route, the key's holder and the service.
+func (j *job) prepare(now time.Time) Outcome {
+	j.look()
+	if !j.view.Ready() {
+		return Refused{Reason: NotReady, RetryAfter: notReadyRetry}
+	}
+	j.report.Config, j.report.ConfigAge = j.view.Map.Number, j.view.ConfigAge(now)
+	route, ok := j.view.Map.Match(j.request.Host, j.request.Path)
+	if !ok {
+		return Refused{Reason: NoRoute}
+	}
+	j.route, j.report.Route = route, route.Name
+	if out := j.authenticate(now); out != nil {
+		return out
+	}
+	if len(route.Ladder) > 0 {
+		if j.request.Model != AnyModel {
+			return Refused{Reason: WrongModel}
+		}
+		j.step = ladder.Start(len(route.Ladder))
+	}
+	j.service = route.Pick(xxhash.Sum64String(j.request.ID))
+	j.report.Service = j.service
+	j.end = j.deadline()
+	return nil
+}
+
+// look takes the newest knowledge.
+func (j *job) look() { j.view = j.engine.Knowledge.View() }
+
+// authenticate finds the holder of the key. A key passes only if the
+// configuration that allows it was in force a moment ago.
+func (j *job) authenticate(now time.Time) Outcome {
+	if j.route.Anonymous || !j.view.Map.NeedsKeys() {
+		return nil
+	}
+	if j.request.Key == "" {
+		return Refused{Reason: NoKey}
+	}
+	if j.view.ConfigAge(now) > j.engine.KeyAge {
+		return Refused{Reason: Stale, RetryAfter: staleRetry}
+	}
+	holder, ok := j.view.Map.Organisation(j.request.Key)
+	if !ok {
+		return Refused{Reason: WrongKey}
+	}
+	j.holder, j.report.Organisation = holder, holder.Name
+	return nil
+}
+
+// deadline is when the request is given up: when its caller does or its route
+// says.
+func (j *job) deadline() time.Time {
+	wait := j.request.Wait
+	if limit := j.route.Limit; limit > 0 && (wait == 0 || limit < wait) {
+		wait = limit
+	}
+	if wait == 0 {
+		return time.Time{}
+	}
+	return j.request.Arrived.Add(wait)
+}
+
+// The times after which a refused request may come back.
+const (
+	// notReadyRetry: a daemon that starts reads the store at once.
+	notReadyRetry = 500 * time.Millisecond
+	// staleRetry: other daemons that reach the store are asked several times
+	// a second.
+	staleRetry = 500 * time.Millisecond
+	// noServerRetry: a server that starts or returns is listed within about a
+	// second.
+	noServerRetry = time.Second
+)
--- /dev/null
+++ b/daemon/exchange/outcome.go
@@ -0,0 +1,60 @@
+package exchange
+
+import (
+	"time"
+)
+
+// Reason says why a request was not answered by a server.
+type Reason string
+
+// The reasons.
+const (
+	// NoRoute is a host and path that no route has.
+	NoRoute Reason = "no such route"
+	// NoKey is a request without the key that its route wants.
+	NoKey Reason = "key missing"
+	// WrongKey is a key that no organisation has.
+	WrongKey Reason = "key unknown"
+	// WrongModel is a model that the route does not let callers choose.
+	WrongModel Reason = "model not offered"
+	// NotReady is a daemon that knows no configuration yet.
+	NotReady Reason = "no configuration yet"
+	// Stale is a daemon whose configuration is too old to let keys pass.
+	Stale Reason = "configuration too old"
+	// NoServer is a service without a server that may be used.
+	NoServer Reason = "no server"
+	// Full is a service whose servers declined.
+	Full Reason = "servers full"
+	// Late is a request whose time is over.
+	Late Reason = "deadline passed"
+	// Failed is a server that did not answer, or broke off.
+	Failed Reason = "server failed"
+)
+
+// Outcome is how a request ended: Answered, Refused, Failure, Broken or Gone.
+type Outcome interface{ outcome() }
+
+// Answered is a whole answer of a server that the caller was sent.
+type Answered struct{ Status int }
+
+// Refused is a request that has not run and never will.
+type Refused struct {
+	Reason Reason
+	// RetryAfter is when another attempt may succeed; 0 is never.
+	RetryAfter time.Duration
+}
+
+// Failure is a request that may have run and has no answer.
+type Failure struct{ Reason Reason }
+
+// Broken is an answer of which the caller has a part and will not get the rest.
+type Broken struct{ Reason Reason }
+
+// Gone is a caller that left.
+type Gone struct{}
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+func (Failure) outcome()  {}
+func (Broken) outcome()   {}
+func (Gone) outcome()     {}
--- /dev/null
+++ b/daemon/exchange/request.go
@@ -0,0 +1,118 @@
+// Package exchange serves requests of the routed services: it decides on the
+// service, version, model and server, sends, tries again where that is allowed,
+// asks a larger model where a smaller one was not sure, takes broken streams up
+// and settles what the caller is told. It knows no protocol: a door turns bytes
+// into a Request and an Outcome into bytes.
+package exchange
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ladderridge.example/core/fleet"
+)
+
+// Part is a part of a prompt, which other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is a caller's request as a door has read it. It is never changed.
+type Request struct {
+	// ID is the caller's own name for this attempt of its.
+	ID     string
+	Method string
+	Host   string
+	Path   string
+	// Target is the path with its query, as it came.
+	Target string
+	// Header has what is passed on.
+	Header http.Header
+	Body   []byte
+	// Sized tells that the request has a body, be it empty.
+	Sized bool
+	// Key is the key that the caller shows, or "".
+	Key     string
+	Arrived time.Time
+	// Wait is how long the caller will wait; 0 if it does not say.
+	Wait time.Duration
+	// Model is the model that the caller asks for: AnyModel leaves it to the
+	// route's ladder.
+	Model  string
+	Prompt []Part
+	// After is the last event of a stream that the caller has, or -1.
+	After int64
+}
+
+// AnyModel as a request's model leaves the choice to the route's ladder.
+const AnyModel = "*"
+
+// session is a hash of what makes a session: the last part of the prompt, which
+// is the session's own. Requests without a prompt are sessions of their own.
+func (r *Request) session() uint64 {
+	if n := len(r.Prompt); n > 0 {
+		return xxhash.Sum64String(r.Prompt[n-1].ID)
+	}
+	return xxhash.Sum64String(r.ID)
+}
+
+// affinity is a hash of the prompt that a server may have in its memory, or 0.
+func (r *Request) affinity() uint64 {
+	if len(r.Prompt) == 0 {
+		return 0
+	}
+	return r.session()
+}
+
+// Attempt is one request to one server, for a dialect to put into headers.
+type Attempt struct {
+	Request *Request
+	Server  *fleet.Server
+	// Organisation holds the caller's key, or "".
+	Organisation string
+	// Model is the model to run, if the router chooses it.
+	Model string
+	// Left is the time until the caller's deadline; 0 if there is none.
+	Left time.Duration
+	// Urgency is the request's rank, 0 first.
+	Urgency int
+	// After is the last event that need not be sent again, or -1.
+	After int64
+}
+
+// Head is what the head of a server's answer says.
+type Head struct {
+	// NotRun says that the server has not run the request and will not.
+	NotRun bool
+	// WrongServer says, besides, that the address belongs to another one now.
+	WrongServer bool
+	// Confidence is the model's own opinion of its answer, from 0 to 100, if
+	// Confident is set.
+	Confidence int
+	Confident  bool
+}
+
+// Dialect turns attempts into headers, and heads of answers into what they say.
+type Dialect interface {
+	// Compose returns the headers for a server.
+	Compose(a Attempt) http.Header
+	// Belongs reports whether an answer is one to the request of that id.
+	Belongs(id string, h http.Header) bool
+	// Read reads the head of an answer.
+	Read(status int, h http.Header) Head
+	// Passed returns the headers of an answer that the caller gets.
+	Passed(h http.Header) http.Header
+}
+
+// Sink takes an answer for the caller.
+type Sink interface {
+	// Begin sends the head; a length of -1 is not known.
+	Begin(status int, h http.Header, length int64)
+	// Write sends a part of the body.
+	Write(p []byte) (int, error)
+	// Flush sends what is held back.
+	Flush() error
+}
--- /dev/null
+++ b/daemon/exchange/run.go
@@ -0,0 +1,118 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+// run makes attempts until one has answered or no more may be made.
+func (j *job) run(ctx context.Context) Outcome {
+	reason := NoServer
+	for {
+		s, ok := j.choose(time.Now())
+		if !ok {
+			return j.giveUp(ctx, reason)
+		}
+		if out := j.allowed(time.Now()); out != nil {
+			return j.truthful(out)
+		}
+		a := j.open(ctx, s, j.patience())
+		var out Outcome
+		if out, reason = j.take(ctx, a); out != nil {
+			return out
+		}
+		if !j.mayTryAgain(ctx) {
+			return j.giveUp(ctx, reason)
+		}
+	}
+}
+
+// take uses an attempt's answer. Without an outcome the request goes on, for
+// the reason that it returns.
+func (j *job) take(ctx context.Context, a *attempt) (Outcome, Reason) {
+	switch {
+	case a.verdict == declined:
+		if a.err != nil {
+			j.note(a, a.err.Error())
+			return nil, NoServer
+		}
+		j.note(a, "declined")
+		return nil, Full
+	case a.verdict == lost:
+		j.note(a, a.err.Error())
+		return nil, Failed
+	case j.route.Streaming && a.reply.Status < http.StatusMultipleChoices:
+		return j.stream(ctx, a)
+	default:
+		return j.passWhole(ctx, a)
+	}
+}
+
+// giveUp ends a request without another attempt: with the last answer of a
+// server if there is one, and otherwise with what is true of it.
+func (j *job) giveUp(ctx context.Context, reason Reason) Outcome {
+	if j.begun {
+		return Broken{Reason: reason}
+	}
+	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		reason = Late
+	}
+	if j.kept != nil {
+		return j.sendWhole(j.kept)
+	}
+	return j.truthful(Refused{Reason: reason, RetryAfter: j.comeBack(reason)})
+}
+
+// truthful turns a refusal into a failure if the request may have run.
+func (j *job) truthful(out Outcome) Outcome {
+	refused, ok := out.(Refused)
+	if ok && j.mayHaveRun {
+		return Failure{Reason: refused.Reason}
+	}
+	return out
+}
+
+// comeBack is when a request that has not run may succeed.
+func (j *job) comeBack(reason Reason) time.Duration {
+	switch reason {
+	case Full:
+		// A place is free when a request ends; with all places taken that is
+		// after what one takes divided by their number, but others wait too.
+		return max(fullRetryFloor, min(fullRetryCeiling, j.engine.pace.usual(j.route.Name+"/"+j.model())))
+	case Late:
+		return 0
+	default:
+		return noServerRetry
+	}
+}
+
+// The bounds of the time after which a request that found all places taken may
+// come back.
+const (
+	fullRetryFloor   = 50 * time.Millisecond
+	fullRetryCeiling = 2 * time.Second
+)
+
+// The patience with a server that does not answer at all.
+const (
+	// patienceFactor is how many times the usual an answer may take before
+	// another server is asked.
+	patienceFactor = 6
+	// patienceShare is the part of the objective that is always waited, and
+	// patienceLeft the part of the time left that never is.
+	patienceShare = 0.75
+	patienceLeft  = 0.6
+)
+
+// patience is how long an attempt may take to the head of its answer; 0 is as
+// long as the request has. Only requests that may run again are cut short.
+func (j *job) patience() time.Duration {
+	if !j.route.MayRepeat() || j.attempts+1 >= j.route.Attempts || j.end.IsZero() {
+		return 0
+	}
+	usual := j.engine.pace.usual(j.route.Name + "/" + j.model())
+	wait := max(patienceFactor*usual, time.Duration(patienceShare*float64(j.route.Objective)))
+	return min(wait, time.Duration(patienceLeft*float64(time.Until(j.end))))
+}
--- /dev/null
+++ b/daemon/exchange/whole.go
@@ -0,0 +1,93 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// maxWhole bounds an answer that is held until it is whole, in bytes. A longer
+// one is passed on as it comes.
+const maxWhole = 1 << 20
+
+// whole is a server's whole answer.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// passWhole reads an answer to its end and passes it on, or returns why the
+// request goes on.
+func (j *job) passWhole(ctx context.Context, a *attempt) (Outcome, Reason) {
+	defer j.finish(a)
+	body, err := io.ReadAll(io.LimitReader(a.reply, maxWhole+1))
+	if err != nil {
+		return j.brokeOff(a, err)
+	}
+	if len(body) > maxWhole {
+		return j.passLong(a, body)
+	}
+	took := time.Since(a.sent)
+	w := &whole{status: a.reply.Status, header: a.reply.Header, body: body}
+	if w.status >= http.StatusInternalServerError {
+		a.server.Load.Failed()
+		j.observe(a, true, false)
+		j.note(a, fmt.Sprintf("status %d", w.status))
+		j.kept = w
+		if ctx.Err() != nil {
+			return j.sendWhole(w), ""
+		}
+		return nil, Failed
+	}
+	j.wentWell(a, took)
+	j.note(a, fmt.Sprintf("status %d", w.status))
+	return j.sendWhole(w), ""
+}
+
+// brokeOff notes an answer that broke off before its end.
+func (j *job) brokeOff(a *attempt, err error) (Outcome, Reason) {
+	j.note(a, err.Error())
+	j.avoid = append(j.avoid, a.server.ID)
+	if j.live() {
+		a.server.Load.Broke(time.Now())
+		j.observe(a, true, false)
+	}
+	return nil, Failed
+}
+
+// wentWell notes a good answer and how long it took.
+func (j *job) wentWell(a *attempt, took time.Duration) {
+	relative := j.engine.pace.relative(a.kind, took)
+	a.server.Load.Answered(relative)
+	j.engine.pace.learn(a.kind, took)
+	j.observe(a, false, relative >= slowFactor)
+	j.report.First = time.Since(j.request.Arrived)
+}
+
+// sendWhole sends a whole answer to the caller.
+func (j *job) sendWhole(w *whole) Outcome {
+	j.begun = true
+	j.sink.Begin(w.status, j.engine.Dialect.Passed(w.header), int64(len(w.body)))
+	if _, err := j.sink.Write(w.body); err != nil {
+		return Gone{}
+	}
+	return Answered{Status: w.status}
+}
+
+// passLong passes on an answer that is too long to hold.
+func (j *job) passLong(a *attempt, begun []byte) (Outcome, Reason) {
+	j.begun = true
+	j.sink.Begin(a.reply.Status, j.engine.Dialect.Passed(a.reply.Header), a.reply.Length)
+	if _, err := j.sink.Write(begun); err != nil {
+		return Gone{}, ""
+	}
+	if _, err := io.Copy(j.sink, a.reply); err != nil {
+		j.note(a, err.Error())
+		return Broken{Reason: Failed}, ""
+	}
+	j.wentWell(a, time.Since(a.sent))
+	return Answered{Status: a.reply.Status}, ""
+}
--- /dev/null
+++ b/daemon/gateway/dump.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"ladderridge.example/daemon/peer"
+)
+
+// Dump is the state of the whole process.
+type Dump struct {
+	Config      uint64       `json:"config"`
+	ConfigAgeMS int64        `json:"config_age_ms"`
+	Daemons     int          `json:"daemons"`
+	Stopping    bool         `json:"stopping"`
+	Open        int64        `json:"open"`
+	Connections int          `json:"idle_connections"`
+	Peers       peer.Usage   `json:"peers"`
+	Servers     []ServerDump `json:"servers"`
+}
+
+// ServerDump is what is known of one server.
+type ServerDump struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Hall     string  `json:"hall"`
+	Version  string  `json:"version"`
+	Leaving  bool    `json:"leaving"`
+	InFlight int     `json:"in_flight"`
+	Slowness float64 `json:"slowness"`
+	Resting  bool    `json:"resting"`
+}
+
+// Dump returns the state of the whole process.
+func (g *Gateway) Dump() Dump {
+	v := g.keeper.View()
+	now := time.Now()
+	d := Dump{
+		ConfigAgeMS: v.ConfigAge(now).Milliseconds(), Daemons: v.Daemons, Stopping: g.phase.stopping.Load(),
+		Open: g.engine.Open.Load(), Connections: g.channels.Idle(), Peers: g.peers.Usage(),
+	}
+	if v.Map != nil {
+		d.Config = v.Map.Number
+	}
+	if v.Servers == nil {
+		return d
+	}
+	for _, s := range v.Servers.All() {
+		d.Servers = append(d.Servers, ServerDump{
+			ID: s.ID, Service: s.Service, Hall: s.Hall, Version: s.Version, Leaving: s.Leaving,
+			InFlight: s.Load.InFlight(), Slowness: s.Load.Slowness(), Resting: s.Load.Resting(now),
+		})
+	}
+	return d
+}
+
+// LogDump writes the state of the whole process to the log.
+func (g *Gateway) LogDump() {
+	data, err := json.Marshal(g.Dump())
+	if err != nil {
+		g.log.Error().Err(err).Msg("gateway: the dump failed")
+		return
+	}
+	g.log.Info().RawJSON("state", data).Msg("gateway: dump")
+}
--- /dev/null
+++ b/daemon/gateway/gateway.go
@@ -0,0 +1,243 @@
+// Package gateway is a daemon that serves routed services on a platform: its
+// parts put together as a supervisor tree, from start to a planned stop. The
+// platform is an adapter that the program hands in.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/thejerf/suture/v4"
+
+	"ladderridge.example/daemon/channel"
+	"ladderridge.example/daemon/exchange"
+	"ladderridge.example/daemon/knowledge"
+	"ladderridge.example/daemon/peer"
+	"ladderridge.example/daemon/settings"
+)
+
+// Engine serves the requests that a door has read.
+type Engine interface {
+	Serve(ctx context.Context, r *exchange.Request, sink exchange.Sink) exchange.Outcome
+}
+
+// Port is what a door is given.
+type Port struct {
+	Engine Engine
+	// BodyLimit is the longest body that callers may send now, in bytes; 0 is
+	// no limit.
+	BodyLimit func() int64
+	// Closing reports whether connections are to be closed after their answer.
+	Closing func() bool
+}
+
+// Platform is an adapter to what the daemon runs on.
+type Platform struct {
+	Store   knowledge.Store
+	Decoder knowledge.Decoder
+	Dialect exchange.Dialect
+	// Door makes the handler of callers' requests.
+	Door func(Port) http.Handler
+	// ReadyPath is where the balancer asks whether the daemon is ready.
+	ReadyPath string
+}
+
+// Gateway is one daemon. Set the exported fields, then Run.
+type Gateway struct {
+	Settings *settings.Gateway
+	Platform Platform
+	// Start tells the processes of one daemon apart; it is any number that
+	// differs.
+	Start uint64
+
+	log       log.Logger
+	logWriter *log.AsyncWriter
+	keeper    *knowledge.Keeper
+	peers     *peer.Transport
+	channels  *channel.Pool
+	engine    *exchange.Engine
+	reporter  *reporter
+	registry  *prometheus.Registry
+	callers   *server
+	readiness *server
+	admin     *server
+	phase     phase
+}
+
+// part adapts a part's Run to the supervisor.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve runs the part. One that ends without an error has done its work.
+func (p part) Serve(ctx context.Context) error {
+	if err := p.run(ctx); err != nil {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
+
+// String names the part in the supervisor's messages.
+func (p part) String() string { return p.name }
+
+// Run runs the daemon until ctx ends, and then stops it as planned.
+func (g *Gateway) Run(ctx context.Context) error {
+	if err := g.build(); err != nil {
+		return err
+	}
+	defer func() { _ = g.logWriter.Close() }()
+	for _, s := range []*server{g.callers, g.readiness, g.admin} {
+		if err := s.listen(ctx); err != nil {
+			return err
+		}
+	}
+	// Parts outlive ctx until the planned stop is through.
+	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := g.tree().ServeBackground(parts)
+	g.log.Info().Str("id", g.Settings.ID).Str("hall", g.Settings.Hall).Str("callers", g.Settings.Callers).Str("store", g.Settings.StoreURL).Dur("key_age", g.Settings.KeyAge).Msg("gateway: started")
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	g.stop()
+	cancel()
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// build puts the parts together.
+func (g *Gateway) build() error {
+	s := g.Settings
+	g.log, g.logWriter = newLogger(s.LogLevel)
+	keys, err := peer.NewOwnKeys(s.ID)
+	if err != nil {
+		return err
+	}
+	g.keeper = knowledge.New()
+	keys.Trusted = g.keeper.PublicKey
+	g.peers = &peer.Transport{Addr: s.Peers, Keys: keys, Log: g.log, Deliver: func(in peer.Incoming) {
+		g.keeper.Received(in.From, in.Message)
+	}}
+	g.keeper.Store, g.keeper.Decoder, g.keeper.Peers, g.keeper.Log = g.Platform.Store, g.Platform.Decoder, sender{g.peers}, g.log
+	g.keeper.Self = knowledge.Member{ID: s.ID, Hall: s.Hall, Addr: s.Peers, Public: keys.Public(), Start: g.Start}
+	g.channels = channel.NewPool()
+	g.reporter = newReporter(g.log)
+	g.engine = exchange.New()
+	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
+	g.engine.Hall, g.engine.KeyAge, g.engine.Observer = s.Hall, s.KeyAge, g.reporter.report
+	g.engine.Budget = &exchange.Budget{Ratio: s.RepeatRatio, Window: s.RepeatWindow, Slack: s.RepeatSlack}
+	g.registry = g.metrics()
+	g.callers = newServer(s.Callers, g.Platform.Door(Port{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing}))
+	g.readiness = newServer(s.Readiness, g.readyHandler())
+	g.admin = newServer(s.Admin, g.adminHandler())
+	return nil
+}
+
+// sender carries the keeper's messages to other daemons.
+type sender struct{ peers *peer.Transport }
+
+// Send implements knowledge.Sender.
+func (s sender) Send(id, addr string, m any) { s.peers.Send(id, addr, m) }
+
+// bodyLimit is the longest body that callers may send now.
+func (g *Gateway) bodyLimit() int64 {
+	if v := g.keeper.View(); v.Map != nil {
+		return v.Map.Limits.BodyBytes
+	}
+	return 0
+}
+
+// tree is the supervisor tree: what serves callers apart from what keeps the
+// knowledge, so that the one can be restarted without the other.
+func (g *Gateway) tree() *suture.Supervisor {
+	spec := suture.Spec{EventHook: func(e suture.Event) {
+		g.log.Error().Str("event", e.String()).Msg("gateway: a part ended")
+	}}
+	root := suture.New("gateway", spec)
+	coordination := suture.New("coordination", spec)
+	coordination.Add(part{"knowledge", g.keeper.Run})
+	coordination.Add(part{"peers", g.peers.Run})
+	serving := suture.New("serving", spec)
+	serving.Add(part{"callers", g.callers.run})
+	serving.Add(part{"readiness", g.readiness.run})
+	serving.Add(part{"admin", g.admin.run})
+	serving.Add(part{"channels", g.sweep})
+	serving.Add(part{"reports", g.reporter.run})
+	root.Add(coordination)
+	root.Add(serving)
+	return root
+}
+
+// sweepEvery is the time between two looks at connections that rest.
+const sweepEvery = 2 * time.Second
+
+// sweep closes connections that have rested too long or lead to servers that
+// are gone.
+func (g *Gateway) sweep(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			g.channels.Sweep(g.listed())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// listed reports of an address whether a server is listed there.
+func (g *Gateway) listed() func(addr string) bool {
+	addrs := map[string]bool{}
+	if v := g.keeper.View(); v.Servers != nil {
+		for _, s := range v.Servers.All() {
+			addrs[s.Addr] = true
+		}
+	}
+	return func(addr string) bool { return addrs[addr] }
+}
+
+// server is an HTTP server at one address.
+type server struct {
+	addr     string
+	http     *http.Server
+	listener net.Listener
+}
+
+// The bounds of callers' connections. The configuration's own limits are those
+// of well-behaved callers; these only bound what others cost.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = time.Minute
+	maxHeader     = 64 << 10
+)
+
+func newServer(addr string, h http.Handler) *server {
+	return &server{addr: addr, http: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}}
+}
+
+// listen takes the address, so that one in use ends the daemon at once with an
+// error.
+func (s *server) listen(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr)
+	s.listener = l
+	return err
+}
+
+func (s *server) run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { _ = s.http.Close() })()
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/gateway/metrics.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// namespace is the prefix of every metric.
+const namespace = "ladderridge"
+
+// Paths of the operators' interface.
+const (
+	PathMetrics = "/metrics"
+	PathDump    = "/dump"
+)
+
+// metrics registers what the daemon counts.
+func (g *Gateway) metrics() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), g.reporter.requests, g.reporter.duration, g.reporter.first, g.reporter.tries)
+	counter := func(name, help string, get func() float64) {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, get))
+	}
+	gauge := func(name, help string, get func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, get))
+	}
+	counter("store_calls_total", "Calls to the platform's store.", func() float64 { return float64(g.keeper.Calls.Load()) })
+	counter("store_lost_total", "Times that the store stopped answering.", func() float64 { return float64(g.keeper.Lost.Load()) })
+	counter("store_regained_total", "Times that the store answered again.", func() float64 { return float64(g.keeper.Regained.Load()) })
+	counter("connections_opened_total", "Connections opened to servers.", func() float64 { return float64(g.channels.Opened.Load()) })
+	counter("connections_reused_total", "Requests sent on kept connections.", func() float64 { return float64(g.channels.Reused.Load()) })
+	counter("surplus_answers_total", "Answers of servers that belonged to no request.", func() float64 { return float64(g.channels.Surplus.Load()) })
+	counter("peer_sent_bytes_total", "Bytes sent to other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().SentBytes) })
+	counter("peer_received_bytes_total", "Bytes received from other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().ReceivedBytes) })
+	gauge("requests_open", "Requests under way.", func() float64 { return float64(g.engine.Open.Load()) })
+	gauge("config_age_seconds", "How long ago the configuration was confirmed.", func() float64 { return g.keeper.View().ConfigAge(time.Now()).Seconds() })
+	gauge("config_number", "The configuration in force.", func() float64 {
+		if v := g.keeper.View(); v.Map != nil {
+			return float64(v.Map.Number)
+		}
+		return 0
+	})
+	return r
+}
+
+// adminHandler serves operators.
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+PathMetrics, promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET "+PathDump, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g.Dump())
+	})
+	return mux
+}
+
+// readyHandler answers the balancer.
+func (g *Gateway) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+g.Platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if why := g.notReady(time.Now()); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
+
+// notReady is why the daemon should get no new connections, or "".
+func (g *Gateway) notReady(now time.Time) string {
+	v := g.keeper.View()
+	switch {
+	case g.phase.stopping.Load():
+		return "stopping"
+	case !v.Ready():
+		return "no configuration yet"
+	case v.ConfigAge(now) > g.Settings.KeyAge:
+		return "the configuration is too old"
+	}
+	return ""
+}
--- /dev/null
+++ b/daemon/gateway/report.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ladderridge.example/daemon/exchange"
+)
+
+// reporter logs and counts requests that have ended. Requests that went wrong
+// are logged first; of the others, and beyond a number of lines a second, only
+// the count of what is left out is.
+type reporter struct {
+	log      log.Logger
+	requests *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+	tries    *prometheus.CounterVec
+
+	fine    quota
+	wrong   quota
+	leftOut atomic.Int64
+}
+
+// The bounds of the log, in lines a second.
+const (
+	fineLines  = 20
+	wrongLines = 100
+)
+
+// quota bounds lines by the second.
+type quota struct {
+	perSecond int64
+	second    atomic.Int64
+	used      atomic.Int64
+}
+
+// take reports whether another line may be written in this second, which is
+// counted from the start of the process.
+func (q *quota) take(second int64) bool {
+	if was := q.second.Load(); was != second && q.second.CompareAndSwap(was, second) {
+		q.used.Store(0)
+	}
+	return q.used.Add(1) <= q.perSecond
+}
+
+var started = time.Now()
+
+func newReporter(l log.Logger) *reporter {
+	buckets := prometheus.ExponentialBuckets(0.002, 2, 15)
+	return &reporter{
+		log: l,
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "requests_total", Help: "Requests by route, outcome and reason."},
+			[]string{"route", "outcome", "reason"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "request_seconds", Help: "How long requests took, by outcome.", Buckets: buckets},
+			[]string{"outcome"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "first_part_seconds", Help: "Time to the first part of an answer, by route.", Buckets: buckets},
+			[]string{"route"}),
+		tries: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Attempts at servers, by service and version."},
+			[]string{"service", "version"}),
+		fine: quota{perSecond: fineLines}, wrong: quota{perSecond: wrongLines},
+	}
+}
+
+// outcomeNames are an outcome's name and reason.
+func outcomeNames(out exchange.Outcome) (name, reason string) {
+	switch out := out.(type) {
+	case exchange.Answered:
+		if out.Status >= 400 {
+			return "passed_failure", strconv.Itoa(out.Status)
+		}
+		return "answered", ""
+	case exchange.Refused:
+		return "refused", string(out.Reason)
+	case exchange.Failure:
+		return "failed", string(out.Reason)
+	case exchange.Broken:
+		return "broken", string(out.Reason)
+	default:
+		return "caller_gone", ""
+	}
+}
+
+// report takes a request that has ended.
+func (r *reporter) report(rep exchange.Report) {
+	name, reason := outcomeNames(rep.Outcome)
+	r.requests.WithLabelValues(rep.Route, name, reason).Inc()
+	r.duration.WithLabelValues(name).Observe(rep.Took.Seconds())
+	if rep.First > 0 {
+		r.first.WithLabelValues(rep.Route).Observe(rep.First.Seconds())
+	}
+	r.tries.WithLabelValues(rep.Service, rep.Version).Add(float64(len(rep.Tries)))
+	second := int64(time.Since(started) / time.Second)
+	plain := name == "answered" && len(rep.Tries) <= 1
+	if (plain && !r.fine.take(second)) || (!plain && !r.wrong.take(second)) {
+		r.leftOut.Add(1)
+		return
+	}
+	r.line(rep, name, reason)
+}
+
+// line writes a request's line.
+func (r *reporter) line(rep exchange.Report, name, reason string) {
+	e := r.log.Info()
+	if name != "answered" && name != "caller_gone" {
+		e = r.log.Warn()
+	}
+	e = e.Str("request", rep.Request.ID).Str("outcome", name).Str("reason", reason).
+		Str("route", rep.Route).Str("organisation", rep.Organisation).Str("service", rep.Service).
+		Str("version", rep.Version).Str("model", rep.Model).Str("server", rep.Server).
+		Uint64("config", rep.Config).Int64("config_age_ms", rep.ConfigAge.Milliseconds()).
+		Bool("escalated", rep.Escalated).Int64("took_ms", rep.Took.Milliseconds()).Int64("first_ms", rep.First.Milliseconds())
+	if len(rep.Tries) > 0 {
+		e = e.Str("tries", triesText(rep.Tries))
+	}
+	if refused, ok := rep.Outcome.(exchange.Refused); ok {
+		e = e.Int64("retry_after_ms", refused.RetryAfter.Milliseconds())
+	}
+	e.Msg("request: ended")
+}
+
+// triesText writes the attempts in one line.
+func triesText(tries []exchange.Try) string {
+	var b strings.Builder
+	for i, t := range tries {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		b.WriteString(t.Server + " " + t.Model + " " + strconv.FormatInt(t.Took.Milliseconds(), 10) + "ms " + t.Result)
+	}
+	return b.String()
+}
+
+// leftOutEvery is the time between two lines about lines left out.
+const leftOutEvery = 5 * time.Second
+
+// run tells how many lines were left out, until ctx ends.
+func (r *reporter) run(ctx context.Context) error {
+	tick := time.NewTicker(leftOutEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if n := r.leftOut.Swap(0); n > 0 {
+				r.log.Info().Int64("requests", n).Msg("request: lines left out")
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/daemon/knowledge/members.go
@@ -0,0 +1,106 @@
+package knowledge
+
+import (
+	"context"
+	"crypto/ed25519"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ladderridge.example/core/relay"
+)
+
+// Member is a daemon's entry in the list of daemons.
+type Member struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Hall string
+	// Addr is where it listens for other daemons.
+	Addr string
+	// Public is the key that its certificate shows.
+	Public []byte
+	// Start tells its processes apart.
+	Start uint64
+}
+
+// keepMembers publishes this daemon's entry and reads those of the others.
+func (k *Keeper) keepMembers(ctx context.Context) {
+	data, err := cbor.Marshal(k.Self)
+	if err != nil {
+		k.Log.Error().Err(err).Msg("knowledge: this daemon's entry cannot be encoded")
+		return
+	}
+	published := false
+	pause := pauseFloor
+	for ctx.Err() == nil {
+		if !published {
+			published = k.publish(ctx, data)
+		}
+		at := time.Now()
+		page, _, err := k.call(ctx, relay.Members, false, 0)
+		k.deliver(ctx, paged{topic: relay.Members, page: page, whole: true, at: at, err: err})
+		if err != nil || !published {
+			wait(ctx, pause)
+			pause = min(2*pause, pauseCeiling)
+			continue
+		}
+		pause = pauseFloor
+		wait(ctx, membersEvery)
+	}
+}
+
+func (k *Keeper) publish(ctx context.Context, data []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.Calls.Add(1)
+	if err := k.Store.Put(ctx, relay.Members, k.Self.ID, data); err != nil {
+		k.Log.Warn().Err(err).Msg("knowledge: this daemon's entry could not be written: it is written again")
+		return false
+	}
+	return true
+}
+
+// readMembers takes the list of daemons.
+func (k *Keeper) readMembers() {
+	members := map[string]Member{}
+	for _, row := range k.topics[relay.Members].rows {
+		var m Member
+		err := cbor.Unmarshal(row.Data, &m)
+		if err == nil && m.ID != row.Key {
+			err = errNoMember
+		}
+		if err != nil {
+			k.malformed(relay.Members, row, err)
+			continue
+		}
+		members[m.ID] = m
+	}
+	k.members.Store(&members)
+}
+
+// PublicKey returns the key that a daemon has published, or nil.
+func (k *Keeper) PublicKey(id string) ed25519.PublicKey {
+	m, ok := (*k.members.Load())[id]
+	if !ok || len(m.Public) != ed25519.PublicKeySize {
+		return nil
+	}
+	return m.Public
+}
+
+// others returns the other daemons in a fixed order.
+func (k *Keeper) others() []Member {
+	var out []Member
+	for id, m := range *k.members.Load() {
+		if id != k.Self.ID {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/daemon/knowledge/read.go
@@ -0,0 +1,149 @@
+package knowledge
+
+import (
+	"errors"
+	"maps"
+	"time"
+
+	"ladderridge.example/core/fault"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/relay"
+	"ladderridge.example/core/routemap"
+)
+
+func isKind(err error, kind Kind) bool { return fault.Is(err, kind) }
+
+// malformed logs a row that does not decode, once for each of its versions.
+func (k *Keeper) malformed(topic relay.Topic, row relay.Row, err error) {
+	if k.bad[row.Key] == row.Version {
+		return
+	}
+	k.bad[row.Key] = row.Version
+	k.Log.Error().Str("topic", string(topic)).Str("key", row.Key).Uint64("version", row.Version).Err(err).Msg("knowledge: a row does not decode: the last good one stays in force")
+}
+
+// readOperator takes the configuration and the orders.
+func (k *Keeper) readOperator(now time.Time) {
+	for _, row := range k.topics[relay.Operator].rows {
+		decoded, err := k.Decoder.Operator(row)
+		if err != nil {
+			k.malformed(relay.Operator, row, err)
+			continue
+		}
+		switch d := decoded.(type) {
+		case Config:
+			k.configured(d.Map, row.Version)
+		case Order:
+			if k.rollouts.order(d.Order, now) {
+				k.Log.Info().Str("service", d.Order.Service).Str("version", d.Order.Version).Dur("within", d.Order.Within).Uint64("row", row.Version).Msg("rollout: ordered")
+				k.readProgress(now)
+			}
+		case Other:
+		}
+	}
+}
+
+// configured puts a configuration in force if it is newer.
+func (k *Keeper) configured(m *routemap.Map, row uint64) {
+	v := *k.view.Load()
+	if v.Map != nil && m.Number <= v.Map.Number {
+		if m.Number < v.Map.Number {
+			k.Log.Error().Uint64("number", m.Number).Uint64("in_force", v.Map.Number).Msg("knowledge: an older configuration came: it is ignored")
+		}
+		return
+	}
+	v.Map = m
+	k.view.Store(&v)
+	k.Log.Info().Uint64("number", m.Number).Uint64("row", row).Msg("knowledge: a configuration is in force")
+}
+
+// readServers makes the list of servers.
+func (k *Keeper) readServers(now time.Time) {
+	t := k.topics[relay.Servers]
+	if !t.known {
+		return
+	}
+	v := *k.view.Load()
+	first := v.Servers == nil
+	var servers []*fleet.Server
+	for _, row := range t.rows {
+		s, err := k.Decoder.Server(row)
+		if err != nil {
+			k.malformed(relay.Servers, row, err)
+			continue
+		}
+		servers = append(servers, k.withLoad(s))
+	}
+	for _, s := range k.stillLapsed(v.Servers, now) {
+		if _, listed := t.rows[s.ID]; !listed {
+			servers = append(servers, s)
+		}
+	}
+	k.forgetLoads(servers)
+	k.noteVersions(servers, first, now)
+	v.Servers = fleet.NewList(servers)
+	k.view.Store(&v)
+}
+
+func (k *Keeper) withLoad(s fleet.Server) *fleet.Server {
+	if k.loads[s.ID] == nil {
+		k.loads[s.ID] = fleet.NewLoad()
+	}
+	s.Load = k.loads[s.ID]
+	return &s
+}
+
+// stillLapsed returns the servers whose entries lapsed while the store was away.
+func (k *Keeper) stillLapsed(was *fleet.List, now time.Time) []*fleet.Server {
+	if was == nil {
+		return nil
+	}
+	var out []*fleet.Server
+	for _, s := range was.All() {
+		if until, ok := k.lapsed[s.ID]; ok && now.Before(until) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (k *Keeper) forgetLoads(servers []*fleet.Server) {
+	kept := make(map[string]*fleet.Load, len(servers))
+	for _, s := range servers {
+		kept[s.ID] = s.Load
+	}
+	k.loads = kept
+}
+
+// noteVersions remembers when a version was first listed. Those of the first
+// list are settled: an order for them is known already.
+func (k *Keeper) noteVersions(servers []*fleet.Server, first bool, now time.Time) {
+	seen := maps.Clone(k.firstSeen)
+	for _, s := range servers {
+		name := versionName(s.Service, s.Version)
+		if _, ok := seen[name]; ok {
+			continue
+		}
+		seen[name] = now
+		if first {
+			seen[name] = now.Add(-newcomerWait)
+		}
+	}
+	k.firstSeen = seen
+}
+
+// readProgress takes the states of roll-outs.
+func (k *Keeper) readProgress(now time.Time) {
+	for _, row := range k.topics[relay.Progress].rows {
+		service, p, err := k.Decoder.Progress(row)
+		if err != nil {
+			k.malformed(relay.Progress, row, err)
+			continue
+		}
+		if k.rollouts.progress(service, p, row.Version, now) {
+			k.Log.Info().Str("service", service).Str("version", p.Version).Str("state", p.State.String()).Uint64("row", row.Version).Msg("rollout: state known")
+		}
+	}
+}
+
+var errNoMember = errors.New("the entry names no daemon")
--- a/daemon/peer/codec.go
+++ b/daemon/peer/codec.go
@@ -6,8 +6,13 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"ladderridge.example/core/node"
+	"ladderridge.example/core/relay"
 )
 
+// Message is what daemons say to each other: a message of package node or of
+// package relay.
+type Message any
+
 // tag says which type of message follows it on the wire.
 type tag byte
 
@@ -22,6 +27,9 @@
 	tagCopiesHeld
 	tagRelease
 	tagTallyAcross
+	tagAsk
+	tagTell
+	tagEvidence
 )
 
 // MaxMessage bounds a message, in bytes.
@@ -37,7 +45,7 @@
 }()
 
 // Encode writes a message: one byte for its type, then CBOR.
-func Encode(m node.Message) ([]byte, error) {
+func Encode(m Message) ([]byte, error) {
 	var t tag
 	switch m.(type) {
 	case node.Heartbeat:
@@ -58,6 +66,14 @@
 		t = tagCopiesHeld
 	case node.Release:
 		t = tagRelease
+	case relay.Ask:
+		t = tagAsk
+	case relay.Tell:
+		t = tagTell
+	case relay.Evidence:
+		t = tagEvidence
+	default:
+		return nil, &Error{Op: "encode message", Kind: BadMessage, Err: fmt.Errorf("%T is no message", m)}
 	}
 	body, err := cbor.Marshal(m)
 	if err != nil {
@@ -67,7 +83,7 @@
 }
 
 // Decode reads a message.
-func Decode(data []byte) (node.Message, error) {
+func Decode(data []byte) (Message, error) {
 	if len(data) == 0 || len(data) > MaxMessage {
 		return nil, &Error{Op: "decode message", Kind: BadMessage, Err: fmt.Errorf("%d bytes", len(data))}
 	}
@@ -91,11 +107,17 @@
 		return decode[node.CopiesHeld](body)
 	case tagRelease:
 		return decode[node.Release](body)
+	case tagAsk:
+		return decode[relay.Ask](body)
+	case tagTell:
+		return decode[relay.Tell](body)
+	case tagEvidence:
+		return decode[relay.Evidence](body)
 	}
 	return nil, &Error{Op: "decode message", Kind: BadMessage, Err: fmt.Errorf("tag %d is unknown", data[0])}
 }
 
-func decode[M node.Message](body []byte) (node.Message, error) {
+func decode[M any](body []byte) (Message, error) {
 	var m M
 	if err := decoding.Unmarshal(body, &m); err != nil {
 		return nil, &Error{Op: "decode message", Kind: BadMessage, Err: err}
--- a/daemon/peer/codec_test.go
+++ b/daemon/peer/codec_test.go
@@ -71,7 +71,9 @@
 		}
 		l := newLinks(1)
 		l.addAll(3, 2)
-		l.feed("entry-000", node.Received{From: "entry-001", Message: m})
+		if m, ok := m.(node.Message); ok {
+			l.feed("entry-000", node.Received{From: "entry-001", Message: m})
+		}
 		l.feed("entry-000", node.Tick{})
 	})
 }
--- a/daemon/peer/keys.go
+++ b/daemon/peer/keys.go
@@ -15,6 +15,17 @@
 // protocol is the name that both ends of a connection must agree on.
 const protocol = "ladderridge/1"
 
+// Identity is what a daemon shows to others and checks them by: Keys or
+// OwnKeys.
+type Identity interface {
+	// server is the TLS configuration for connections that others make.
+	server() *tls.Config
+	// client is the TLS configuration for a connection to the daemon of that id.
+	client(id string) (*tls.Config, error)
+	// resetKey signs the resets of connections to an earlier process.
+	resetKey() (quic.StatelessResetKey, error)
+}
+
 // Keys are the files that a daemon shows and checks other daemons by. They are
 // read again when their times change, so that keys can be replaced without a
 // restart.
--- a/daemon/peer/links_test.go
+++ b/daemon/peer/links_test.go
@@ -287,7 +287,7 @@
 		if err != nil {
 			panic(err)
 		}
-		l.feed(d.to, node.Received{From: d.from, Message: m})
+		l.feed(d.to, node.Received{From: d.from, Message: m.(node.Message)})
 		return
 	}
 	if _, ok := d.event.(node.Tick); ok {
--- /dev/null
+++ b/daemon/peer/own_keys.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"math/big"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// OwnKeys are a key pair that a daemon makes at its start, for VMs that keep no
+// files. Other daemons are trusted by the public keys that they have published
+// where only daemons may write; a stranger is refused. Get one from NewOwnKeys.
+type OwnKeys struct {
+	// Trusted returns the public key that a daemon has published, or nil.
+	Trusted func(id string) ed25519.PublicKey
+
+	pair  tls.Certificate
+	reset quic.StatelessResetKey
+}
+
+// lifetime is how long a certificate made at the start is dated around the
+// present. The date is not checked, since times of day jump: the key lives as
+// long as its process.
+const lifetime = 10 * 365 * 24 * time.Hour
+
+// NewOwnKeys makes a key pair for the daemon of that id.
+func NewOwnKeys(id string) (*OwnKeys, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, &Error{Op: "make keys", Kind: BadKeys, Err: err}
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: id}, DNSNames: []string{id},
+		NotBefore: time.Now().Add(-lifetime), NotAfter: time.Now().Add(lifetime),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		return nil, &Error{Op: "make keys", Kind: BadKeys, Err: err}
+	}
+	return &OwnKeys{
+		pair:  tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private},
+		reset: quic.StatelessResetKey(sha256.Sum256(append([]byte("ladderridge stateless reset "), private...))),
+	}, nil
+}
+
+// Public is the public key to publish.
+func (k *OwnKeys) Public() ed25519.PublicKey {
+	private, ok := k.pair.PrivateKey.(ed25519.PrivateKey)
+	if !ok {
+		return nil
+	}
+	public, _ := private.Public().(ed25519.PublicKey)
+	return public
+}
+
+func (k *OwnKeys) resetKey() (quic.StatelessResetKey, error) { return k.reset, nil }
+
+func (k *OwnKeys) server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, NextProtos: []string{protocol},
+		Certificates: []tls.Certificate{k.pair}, ClientAuth: tls.RequireAnyClientCert,
+		VerifyConnection: func(s tls.ConnectionState) error { return k.verify(s, "") },
+	}
+}
+
+func (k *OwnKeys) client(id string) (*tls.Config, error) {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}, ServerName: id,
+		Certificates: []tls.Certificate{k.pair},
+		// There is no authority: VerifyConnection compares the key itself.
+		InsecureSkipVerify: true, //nolint:gosec // Checked in VerifyConnection.
+		VerifyConnection:   func(s tls.ConnectionState) error { return k.verify(s, id) },
+	}, nil
+}
+
+// verify checks that the other end has the key that the daemon it names, which
+// must be want if that is set, has published.
+func (k *OwnKeys) verify(s tls.ConnectionState, want string) error {
+	if len(s.PeerCertificates) == 0 {
+		return fmt.Errorf("the other end shows no certificate")
+	}
+	cert := s.PeerCertificates[0]
+	id := cert.Subject.CommonName
+	if want != "" && id != want {
+		return fmt.Errorf("the other end is %q, not %q", id, want)
+	}
+	shown, ok := cert.PublicKey.(ed25519.PublicKey)
+	if trusted := k.Trusted(id); !ok || trusted == nil || !trusted.Equal(shown) {
+		return fmt.Errorf("the key of %q is not the one that it has published", id)
+	}
+	return nil
+}
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -16,8 +16,6 @@
 
 	"github.com/phuslu/log"
 	"github.com/quic-go/quic-go"
-
-	"ladderridge.example/core/node"
 )
 
 // The bounds of the transport.
@@ -37,14 +35,15 @@
 // Incoming is a message with the id that its sender's certificate names.
 type Incoming struct {
 	From    string
-	Message node.Message
+	Message Message
 }
 
 // Transport carries messages. Set the exported fields before Run.
 type Transport struct {
 	// Addr is the UDP address to listen on.
 	Addr string
-	Keys *Keys
+	// Keys are what this daemon shows and checks others by.
+	Keys Identity
 	// Deliver takes each message; it must not block for long.
 	Deliver func(Incoming)
 	Log     log.Logger
@@ -148,7 +147,7 @@
 }
 
 // Send sends a message to the daemon of that id without waiting.
-func (t *Transport) Send(id, addr string, m node.Message) {
+func (t *Transport) Send(id, addr string, m Message) {
 	data, err := Encode(m)
 	if err != nil {
 		t.Dropped.Add(1)
--- a/daemon/peer/transport_test.go
+++ b/daemon/peer/transport_test.go
@@ -39,7 +39,7 @@
 		Keys:    &peer.Keys{Certificate: filepath.Join(dir, id+".pem"), Key: filepath.Join(dir, id+".key"), Authority: filepath.Join(dir, keys.AuthorityFile)},
 		Deliver: func(in peer.Incoming) { e.got <- in },
 	}
-	if err := e.Keys.Load(); err != nil {
+	if err := e.Keys.(*peer.Keys).Load(); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/thejerf/suture/v4"
 
+	"ladderridge.example/core/node"
 	"ladderridge.example/daemon/admin"
 	"ladderridge.example/daemon/backend"
 	"ladderridge.example/daemon/claims"
@@ -42,6 +43,12 @@
 // String names the part in the supervisor's messages.
 func (p part) String() string { return p.name }
 
+// sender carries the control state's messages to other daemons.
+type sender struct{ peers *peer.Transport }
+
+// Send implements control.Sender.
+func (s sender) Send(id, addr string, m node.Message) { s.peers.Send(id, addr, m) }
+
 // Process is one daemon. Set its field, then Run it.
 type Process struct {
 	Settings *settings.Settings
@@ -109,9 +116,11 @@
 	p.front = front.New()
 	p.control = control.New()
 	p.peers = &peer.Transport{Addr: s.Peers, Keys: keys, Log: p.log, Deliver: func(in peer.Incoming) {
-		p.control.Received(in.From, in.Message)
+		if m, ok := in.Message.(node.Message); ok {
+			p.control.Received(in.From, m)
+		}
 	}}
-	p.control.Settings, p.control.Platform, p.control.Peers = s, client, p.peers
+	p.control.Settings, p.control.Platform, p.control.Peers = s, client, sender{p.peers}
 	p.control.Log = p.log
 	p.control.Demands = p.front.Demands
 	p.control.Published = p.front.Wake
--- /dev/null
+++ b/daemon/settings/gateway.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+)
+
+// Gateway are the settings of a daemon that serves routed services on a
+// platform that hands out its configuration.
+type Gateway struct {
+	// ID and Hall name this VM and its data hall.
+	ID   string
+	Hall string
+	// Callers, Readiness and Admin are addresses for HTTP: callers' requests,
+	// the balancer's questions, operators' metrics and dump. Peers is for other
+	// daemons, over QUIC (UDP).
+	Callers   string
+	Readiness string
+	Admin     string
+	Peers     string
+
+	// StoreURL is where the platform's store is.
+	StoreURL string
+
+	// KeyAge is how long a key may be used after the configuration that allows
+	// it was last confirmed.
+	KeyAge time.Duration
+
+	// RepeatRatio and RepeatSlack bound the repeats that all daemons together
+	// send to a service within RepeatWindow.
+	RepeatRatio  float64
+	RepeatSlack  float64
+	RepeatWindow time.Duration
+
+	// Grace is how long a stopping daemon has until it is killed.
+	Grace time.Duration
+
+	LogLevel string
+}
+
+// keyAgeMargin is taken off the age that the platform allows: a request that
+// passed the check a moment ago must not leave after the time is over.
+const keyAgeMargin = 250 * time.Millisecond
+
+var gatewayOptions = []option[Gateway]{
+	{sectionDaemon, "id", "", true, func(s *Gateway, v string) error { return setName(&s.ID, v) }},
+	{sectionDaemon, "hall", "", true, func(s *Gateway, v string) error { return setName(&s.Hall, v) }},
+	{sectionDaemon, "callers", "", true, func(s *Gateway, v string) error { return setAddr(&s.Callers, v) }},
+	{sectionDaemon, "readiness", "", true, func(s *Gateway, v string) error { return setAddr(&s.Readiness, v) }},
+	{sectionDaemon, "admin", "", true, func(s *Gateway, v string) error { return setAddr(&s.Admin, v) }},
+	{sectionDaemon, "peers", "", true, func(s *Gateway, v string) error { return setAddr(&s.Peers, v) }},
+	{"store", "url", "", true, func(s *Gateway, v string) error { return setURL(&s.StoreURL, v) }},
+	{"keys", "usable_for", "5000ms", false, func(s *Gateway, v string) error { return setDuration(&s.KeyAge, v, true) }},
+	{"repeats", "ratio", "0.5", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatRatio, v) }},
+	{"repeats", "slack", "20", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatSlack, v) }},
+	{"repeats", "window", "10s", false, func(s *Gateway, v string) error { return setDuration(&s.RepeatWindow, v, true) }},
+	{"stop", "grace", "8s", false, func(s *Gateway, v string) error { return setDuration(&s.Grace, v, true) }},
+	{"log", "level", "info", false, func(s *Gateway, v string) error { return setLevelTo(&s.LogLevel, v) }},
+}
+
+// LoadGateway reads a gateway's settings file and reports all of its faults at
+// once.
+func LoadGateway(path string) (*Gateway, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "load settings", Kind: Unreadable, Err: err}
+	}
+	return ParseGateway(path, data)
+}
+
+// ParseGateway reads a gateway's settings from the contents of a file of that
+// name.
+func ParseGateway(name string, data []byte) (*Gateway, error) {
+	return parse(name, data, gatewayOptions, func(s *Gateway) []error {
+		if s.KeyAge > 0 && s.KeyAge <= keyAgeMargin {
+			return []error{&KeyError{File: name, Section: "keys", Key: "usable_for", Text: fmt.Sprintf("it must be longer than %v", keyAgeMargin)}}
+		}
+		s.KeyAge -= keyAgeMargin
+		return nil
+	})
+}
+
+func setRatio(to *float64, v string) error {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 0 || n > 1e6 {
+		return fmt.Errorf("%q is not a number from 0 up", v)
+	}
+	*to = n
+	return nil
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -71,19 +71,19 @@
 	Addr string
 }
 
-// option is one key of the file.
-type option struct {
+// option is one key of a file that fills an S.
+type option[S any] struct {
 	section  string
 	key      string
 	standard string
 	required bool
-	set      func(s *Settings, value string) error
+	set      func(s *S, value string) error
 }
 
 const sectionDaemon = "daemon"
 
 // options are every key there is, with its standard value.
-var options = []option{
+var options = []option[Settings]{
 	{sectionDaemon, "id", "", true, func(s *Settings, v string) error { return setName(&s.ID, v) }},
 	{sectionDaemon, "hall", "", true, func(s *Settings, v string) error { return setName(&s.Hall, v) }},
 	{sectionDaemon, "callers", "", true, func(s *Settings, v string) error { return setAddr(&s.Callers, v) }},
@@ -118,28 +118,36 @@
 
 // Parse reads settings from the contents of a file of that name.
 func Parse(name string, data []byte) (*Settings, error) {
+	return parse(name, data, options, func(s *Settings) []error {
+		if s.DefaultDeadline > s.MaxDeadline {
+			return []error{&KeyError{File: name, Section: "requests", Key: "default_deadline", Text: "it is longer than max_deadline: shorten it"}}
+		}
+		return nil
+	})
+}
+
+// parse reads a file by its options and then checks what they are together.
+func parse[S any](name string, data []byte, options []option[S], check func(*S) []error) (*S, error) {
 	const op = "load settings"
 	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true, AllowShadows: true, AllowDuplicateShadowValues: true}, data)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: Unreadable, Err: fmt.Errorf("%s: %w", name, err)}
 	}
-	errs := unknownKeys(name, file)
-	s := &Settings{}
+	errs := unknownKeys(name, file, options)
+	s := new(S)
 	for _, o := range options {
 		if err := o.read(s, file); err != nil {
 			errs = append(errs, &KeyError{File: name, Section: o.section, Key: o.key, Text: err.Error()})
 		}
 	}
-	if s.DefaultDeadline > s.MaxDeadline {
-		errs = append(errs, &KeyError{File: name, Section: "requests", Key: "default_deadline", Text: "it is longer than max_deadline: shorten it"})
-	}
+	errs = append(errs, check(s)...)
 	if len(errs) > 0 {
 		return nil, &Error{Op: op, Kind: Invalid, Err: errors.Join(errs...)}
 	}
 	return s, nil
 }
 
-func (o option) read(s *Settings, file *ini.File) error {
+func (o option[S]) read(s *S, file *ini.File) error {
 	value := o.standard
 	if section, err := file.GetSection(o.section); err == nil && section.HasKey(o.key) {
 		values := section.Key(o.key).ValueWithShadows()
@@ -155,7 +163,7 @@
 }
 
 // unknownKeys reports sections and keys that mean nothing.
-func unknownKeys(name string, file *ini.File) []error {
+func unknownKeys[S any](name string, file *ini.File, options []option[S]) []error {
 	var errs []error
 	for _, section := range file.Sections() {
 		var known []string
@@ -165,7 +173,7 @@
 			}
 		}
 		if len(known) == 0 && (section.Name() != ini.DefaultSection || len(section.Keys()) > 0) {
-			errs = append(errs, &KeyError{File: name, Section: section.Name(), Text: "there is no such section: the sections are " + strings.Join(sections(), ", ")})
+			errs = append(errs, &KeyError{File: name, Section: section.Name(), Text: "there is no such section: the sections are " + strings.Join(sections(options), ", ")})
 			continue
 		}
 		for _, key := range section.Keys() {
@@ -177,7 +185,7 @@
 	return errs
 }
 
-func sections() []string {
+func sections[S any](options []option[S]) []string {
 	var names []string
 	for _, o := range options {
 		if !slices.Contains(names, o.section) {
@@ -263,11 +271,13 @@
 	return nil
 }
 
-func setLevel(s *Settings, v string) error {
+func setLevel(s *Settings, v string) error { return setLevelTo(&s.LogLevel, v) }
+
+func setLevelTo(to *string, v string) error {
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, v) {
 		return fmt.Errorf("%q is not a level: write debug, info, warn or error", v)
 	}
-	s.LogLevel = v
+	*to = v
 	return nil
 }
 
