Sessions by the name that callers give, prompts placed by their last shared part

The headers that callers really send show a session's name, and that the part before the last one is what requests share. Ruled out: a wrong share or a fallback to another version; the log of every request shows none.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -8,6 +8,7 @@
 package canary
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -114,3 +115,12 @@
 func (r Rollout) UsesNew(hash uint64, now time.Time) bool {
 	return Chosen(hash, r.Share(now))
 }
+
+// Describe says in a few words what the roll-out means for a session.
+func (r Rollout) Describe(hash uint64, now time.Time) string {
+	side := "old"
+	if r.UsesNew(hash, now) {
+		side = "new"
+	}
+	return fmt.Sprintf("%s of %s: %s, share %.2f", side, r.Order.Version, r.State, r.Share(now))
+}
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -50,6 +50,9 @@
 			return s, true
 		}
 	}
+	if r, ok := j.view.Rollout(j.service); ok {
+		j.report.Rollout = r.Describe(j.request.session(), now)
+	}
 	first, second := j.view.Versions(j.service, j.request.session(), now)
 	want.Allowed = first
 	if s, ok := j.view.Servers.Choose(want, now); ok {
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -50,6 +50,10 @@
 	Version string
 	Model   string
 	Server  string
+	// Session is the hash of the session, Rollout what part of them the new
+	// version of a roll-out had, or "".
+	Session uint64
+	Rollout string
 	// Organisation holds the key.
 	Organisation string
 	// Config is the number of the configuration, ConfigAge how old it was.
@@ -161,7 +165,7 @@
 		j.step = ladder.Start(len(route.Ladder))
 	}
 	j.service = route.Pick(xxhash.Sum64String(j.request.ID))
-	j.report.Service = j.service
+	j.report.Service, j.report.Session = j.service, j.request.session()
 	j.end = j.deadline()
 	return nil
 }
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -41,7 +41,10 @@
 	Wait time.Duration
 	// Model is the model that the caller asks for: AnyModel leaves it to the
 	// route's ladder.
-	Model  string
+	Model string
+	// Session is the caller's name for what belongs together, or "".
+	Session string
+	// Prompt has the parts in order; the last one is the request's own.
 	Prompt []Part
 	// After is the last event of a stream that the caller has, or -1.
 	After int64
@@ -50,21 +53,23 @@
 // AnyModel as a request's model leaves the choice to the route's ladder.
 const AnyModel = "*"
 
-// session is a hash of what makes a session: the last part of the prompt, which
-// is the session's own. Requests without a prompt are sessions of their own.
+// session is a hash of the session. A request that names none is a session of
+// its own.
 func (r *Request) session() uint64 {
-	if n := len(r.Prompt); n > 0 {
-		return xxhash.Sum64String(r.Prompt[n-1].ID)
+	if r.Session != "" {
+		return xxhash.Sum64String(r.Session)
 	}
 	return xxhash.Sum64String(r.ID)
 }
 
-// affinity is a hash of the prompt that a server may have in its memory, or 0.
+// affinity is a hash of the part of the prompt that other requests share and
+// that a server may have in its memory: the longest one, which ends with the
+// last but one part. It is 0 without such a part.
 func (r *Request) affinity() uint64 {
-	if len(r.Prompt) == 0 {
+	if len(r.Prompt) < 2 {
 		return 0
 	}
-	return r.session()
+	return xxhash.Sum64String(r.Prompt[len(r.Prompt)-2].ID)
 }
 
 // Attempt is one request to one server, for a dialect to put into headers.
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -115,7 +115,7 @@
 		Str("route", rep.Route).Str("organisation", rep.Organisation).Str("service", rep.Service).
 		Str("version", rep.Version).Str("model", rep.Model).Str("server", rep.Server).
 		Uint64("config", rep.Config).Int64("config_age_ms", rep.ConfigAge.Milliseconds()).
-		Bool("escalated", rep.Escalated).Int64("took_ms", rep.Took.Milliseconds()).Int64("first_ms", rep.First.Milliseconds())
+		Str("session", strconv.FormatUint(rep.Session, 16)).Str("rollout", rep.Rollout).Bool("escalated", rep.Escalated).Int64("took_ms", rep.Took.Milliseconds()).Int64("first_ms", rep.First.Milliseconds())
 	if len(rep.Tries) > 0 {
 		e = e.Str("tries", triesText(rep.Tries))
 	}
