--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -63,8 +63,12 @@
 }
 
 // allowed is the last check before an attempt leaves: whether the newest
-// configuration still lets the request reach the service.
+// configuration still lets the request reach the service. An answer that the
+// caller has a part of is finished under the one that it began under.
 func (j *job) allowed(now time.Time) Outcome {
+	if j.begun {
+		return nil
+	}
 	route, ok := j.view.Map.Match(j.request.Host, j.request.Path)
 	if !ok {
 		return Refused{Reason: NoRoute}
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -39,7 +39,7 @@
 	askPeers = 3
 	// lapseWait is how long a server may take to be listed again after the
 	// store was away; the platform's pages give about two seconds.
-	lapseWait = 2200 * time.Millisecond
+	lapseWait = 2000 * time.Millisecond
 	// eventBacklog bounds the keeper's inbox.
 	eventBacklog = 4096
 )
@@ -299,12 +299,16 @@
 }
 
 // lapse notes servers whose entries are gone. While the store was away entries
-// lapse of servers that live: they have a while to come back.
+// lapse of servers that live: they have a while from its return to come back.
 func (k *Keeper) lapse(gone []string, now time.Time) {
 	t := k.topics[relay.Servers]
+	until := t.returned.Add(lapseWait)
+	if !t.away.IsZero() {
+		until = now.Add(lapseWait)
+	}
 	for _, id := range gone {
-		if !t.away.IsZero() || (!t.returned.IsZero() && now.Sub(t.returned) < lapseWait) {
-			k.lapsed[id] = now.Add(lapseWait)
+		if now.Before(until) {
+			k.lapsed[id] = until
 		}
 	}
 }
