--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,133 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ladderridge.example/core/fleet"
+)
+
+func pool(n int) []*fleet.Server {
+	var out []*fleet.Server
+	for i := range n {
+		out = append(out, &fleet.Server{ID: fmt.Sprintf("e%02d", i), Service: "s", Hall: "h", Version: "v1", Load: fleet.NewLoad()})
+	}
+	return out
+}
+
+var now = time.Unix(1000, 0)
+
+func choose(t *testing.T, servers []*fleet.Server, w fleet.Want) *fleet.Server {
+	t.Helper()
+	w.Service = "s"
+	s, ok := fleet.NewList(servers).Choose(w, now)
+	if !ok {
+		t.Fatal("no server")
+	}
+	return s
+}
+
+func TestLeavingAvoidedAndOtherVersionsAreNeverChosen(t *testing.T) {
+	servers := pool(4)
+	servers[0].Leaving = true
+	servers[1].Version = "v2"
+	only := fleet.Want{Service: "s", Avoid: []string{"e02"}, Allowed: func(v string) bool { return v == "v1" }}
+	for i := range uint64(100) {
+		only.Affinity = i
+		if s := choose(t, servers, only); s.ID != "e03" {
+			t.Fatalf("%s was chosen", s.ID)
+		}
+	}
+	only.Avoid = append(only.Avoid, "e03")
+	if s, ok := fleet.NewList(servers).Choose(only, now); ok {
+		t.Errorf("%s was chosen though none may be", s.ID)
+	}
+}
+
+func TestLikePromptsMeetOnOneServerUntilItIsMuchBusier(t *testing.T) {
+	servers := pool(8)
+	first := choose(t, servers, fleet.Want{Affinity: 42})
+	for range 4 {
+		if s := choose(t, servers, fleet.Want{Affinity: 42}); s != first {
+			t.Fatalf("%s after %s", s.ID, first.ID)
+		}
+	}
+	for range 10 {
+		first.Load.Begin()
+	}
+	if s := choose(t, servers, fleet.Want{Affinity: 42}); s == first {
+		t.Error("a server that is much busier than the others was chosen")
+	}
+}
+
+func TestLossOfAServerMovesOnlyItsPrompts(t *testing.T) {
+	servers := pool(8)
+	moved := 0
+	for i := range uint64(1000) {
+		was := choose(t, servers, fleet.Want{Affinity: i + 1})
+		is := choose(t, servers[1:], fleet.Want{Affinity: i + 1})
+		if was != servers[0] && was != is {
+			moved++
+		}
+	}
+	if moved > 0 {
+		t.Errorf("%d prompts moved that were elsewhere", moved)
+	}
+}
+
+func TestServerThatFailsRestsAndReturns(t *testing.T) {
+	servers := pool(2)
+	servers[0].Load.Unreachable(now)
+	for range 5 {
+		servers[1].Load.Begin()
+	}
+	if s := choose(t, servers, fleet.Want{}); s != servers[1] {
+		t.Error("a server that could not be reached was chosen")
+	}
+	later := now.Add(5 * time.Second)
+	if s, _ := fleet.NewList(servers).Choose(fleet.Want{Service: "s"}, later); s != servers[0] {
+		t.Error("it did not return")
+	}
+	servers[1].Load.Unreachable(now)
+	if _, ok := fleet.NewList(servers).Choose(fleet.Want{Service: "s"}, now); !ok {
+		t.Error("with all servers resting there is none")
+	}
+}
+
+func TestSlowAndFailingServersGetLess(t *testing.T) {
+	for name, spoil := range map[string]func(l *fleet.Load){
+		"slow":    func(l *fleet.Load) { l.Answered(8) },
+		"failing": func(l *fleet.Load) { l.Failed() },
+	} {
+		servers := pool(2)
+		for range 20 {
+			spoil(servers[0].Load)
+			servers[1].Load.Answered(1)
+		}
+		servers[1].Load.Begin()
+		if s := choose(t, servers, fleet.Want{}); s != servers[1] {
+			t.Errorf("%s: the bad server was chosen before one with a request more", name)
+		}
+		for range 60 {
+			servers[0].Load.Answered(1)
+		}
+		if s := choose(t, servers, fleet.Want{}); s != servers[0] {
+			t.Errorf("%s: it did not recover", name)
+		}
+	}
+}
+
+func TestOwnHallGoesFirstUntilItIsBusier(t *testing.T) {
+	servers := pool(2)
+	servers[1].Hall = "other"
+	if s := choose(t, servers, fleet.Want{Hall: "h"}); s != servers[0] {
+		t.Error("another hall was chosen")
+	}
+	for range 5 {
+		servers[0].Load.Begin()
+	}
+	if s := choose(t, servers, fleet.Want{Hall: "h"}); s != servers[1] {
+		t.Error("the own hall was chosen though it is busier")
+	}
+}
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -59,6 +59,9 @@
 
 // Pool keeps connections to servers.
 type Pool struct {
+	// Dial opens a connection; NewPool sets one over TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
 	// Opened counts new connections, Reused requests on kept ones, and Surplus
 	// the answers that belonged to no request.
 	Opened  atomic.Int64
@@ -67,16 +70,19 @@
 
 	mu   sync.Mutex
 	idle map[string][]*channel
-	dial net.Dialer
 }
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*channel{}, dial: net.Dialer{
+	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probes},
 		Control:         limitUnacked,
-	}}
+	}
+	return &Pool{
+		idle: map[string][]*channel{},
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
+	}
 }
 
 // limitUnacked sets the time after which unconfirmed bytes end a connection.
@@ -161,7 +167,7 @@
 }
 
 func (p *Pool) open(ctx context.Context, addr string) (*channel, error) {
-	conn, err := p.dial.DialContext(ctx, "tcp", addr)
+	conn, err := p.Dial(ctx, addr)
 	if err != nil {
 		return nil, &Error{Op: opExchange, Kind: Unreachable, Err: merry.Wrap(err)}
 	}
--- /dev/null
+++ b/daemon/channel/pool_test.go
@@ -0,0 +1,259 @@
+package channel_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"ladderridge.example/core/fault"
+	"ladderridge.example/daemon/channel"
+)
+
+// serve answers connections at an address, each by script, until the test ends.
+func serve(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// take reads a request whole and returns its id.
+func take(r *bufio.Reader) (string, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req.Header.Get("Id"), err
+}
+
+func request(addr, id string) channel.Request {
+	return channel.Request{
+		Addr: addr, Method: http.MethodPost, Target: "/a?b=c", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Belongs: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// exchange sends a request and returns the whole body of its answer.
+func exchange(t *testing.T, p *channel.Pool, x channel.Request) (string, error) {
+	t.Helper()
+	reply, err := p.Send(t.Context(), x)
+	if err != nil {
+		return "", err
+	}
+	defer reply.Close()
+	body, err := io.ReadAll(reply)
+	return string(body), err
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string([]byte{byte('0' + n/10%10), byte('0' + n%10)}) }
+
+func TestKeptConnectionCarriesTheNextRequest(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := take(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "for "+id))
+		}
+	})
+	p := channel.NewPool()
+	for _, id := range []string{"a", "b", "c"} {
+		if got, err := exchange(t, p, request(addr, id)); err != nil || got != "for "+id {
+			t.Fatalf("%s: %q, %v", id, got, err)
+		}
+	}
+	if p.Opened.Load() != 1 || p.Reused.Load() != 2 {
+		t.Errorf("%d connections opened, %d requests on kept ones", p.Opened.Load(), p.Reused.Load())
+	}
+}
+
+func TestSurplusAnswerBelongsToNoRequest(t *testing.T) {
+	second := make(chan struct{})
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := take(r)
+		_, _ = io.WriteString(c, answer(id, "first"))
+		// A second answer to the first request comes in place of the next one.
+		if id, err := take(r); err == nil {
+			_, _ = io.WriteString(c, answer("a", "stray")+answer(id, "second"))
+		}
+		<-second
+	})
+	defer close(second)
+	p := channel.NewPool()
+	if _, err := exchange(t, p, request(addr, "a")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := exchange(t, p, request(addr, "b")); err != nil || got != "second" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	if p.Surplus.Load() != 1 {
+		t.Errorf("%d surplus answers", p.Surplus.Load())
+	}
+}
+
+func TestBytesBehindAnAnswerCloseTheConnection(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := take(r)
+		_, _ = io.WriteString(c, answer(id, "whole")+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+		_, _ = take(r)
+	})
+	p := channel.NewPool()
+	for _, id := range []string{"a", "b"} {
+		if got, err := exchange(t, p, request(addr, id)); err != nil || got != "whole" {
+			t.Fatalf("%s: %q, %v", id, got, err)
+		}
+	}
+	if p.Reused.Load() != 0 {
+		t.Error("a connection with bytes of nobody's was used again")
+	}
+}
+
+func TestEndsAreToldApart(t *testing.T) {
+	for name, script := range map[string]string{
+		"cut within its length":       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+		"cut within a chunk":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"cut before the last chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+		"cut within the head":         "HTTP/1.1 200 OK\r\nConte",
+		"no answer in the protocol":   "\x00\x01\x02 nothing\r\n\r\n",
+		"closed without a single one": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = take(r)
+				_, _ = io.WriteString(c, script)
+			})
+			x := request(addr, "a")
+			x.Belongs = nil
+			_, err := exchange(t, channel.NewPool(), x)
+			if !fault.Is(err, channel.Broken) {
+				t.Errorf("the error is %v", err)
+			}
+			var e *channel.Error
+			if errors.As(err, &e) && e.Kind.NotRun() {
+				t.Error("it says that the request has not run")
+			}
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = take(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it")
+	})
+	if got, err := exchange(t, channel.NewPool(), request(addr, "a")); err != nil || got != "all of it" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+func TestResetAnswerWithoutLengthIsNotWhole(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = take(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	})
+	if got, err := exchange(t, channel.NewPool(), request(addr, "a")); !fault.Is(err, channel.Broken) {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+func TestClosedKeptConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := take(r)
+		_, _ = io.WriteString(c, answer(id, "once"))
+		_ = c.Close()
+		closed <- struct{}{}
+	})
+	p := channel.NewPool()
+	for _, id := range []string{"a", "b"} {
+		if got, err := exchange(t, p, request(addr, id)); err != nil || got != "once" {
+			t.Fatalf("%s: %q, %v", id, got, err)
+		}
+		<-closed
+	}
+}
+
+func TestNobodyListensIsNotRun(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	_, err = channel.NewPool().Send(t.Context(), request(addr, "a"))
+	var e *channel.Error
+	if !errors.As(err, &e) || e.Kind != channel.Unreachable || !e.Kind.NotRun() {
+		t.Errorf("the error is %v", err)
+	}
+}
+
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	release := make(chan struct{})
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(req.Header.Get("Id"), "no"))
+		<-release
+	})
+	defer close(release)
+	p := channel.NewPool()
+	x := request(addr, "a")
+	x.Body = []byte(strings.Repeat("x", 8<<20))
+	if got, err := exchange(t, p, x); err != nil || got != "no" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	if p.Idle() != 0 {
+		t.Error("a connection on which a body is still due was kept")
+	}
+}
+
+func TestEndedContextClosesTheConnection(t *testing.T) {
+	gone := make(chan error, 1)
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := take(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+		_, err := r.ReadByte()
+		gone <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	reply, err := channel.NewPool().Send(ctx, request(addr, "a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := <-gone; err == nil {
+		t.Error("the server did not see the end")
+	}
+	reply.Close()
+}
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -90,21 +90,21 @@
 }
 
 // open sends the request to a server and reads the head of the answer. It gives
-// up after patience, if that is set.
+// up after patience, if that is set and another attempt can be paid for.
 func (j *job) open(ctx context.Context, s *fleet.Server, patience time.Duration) *attempt {
 	a := &attempt{server: s, model: j.model(), sent: time.Now()}
 	a.kind = j.route.Name + "/" + a.model
 	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
 	ctx, a.cancel = context.WithCancel(ctx)
-	var timer *time.Timer
-	if patience > 0 {
-		timer = time.AfterFunc(patience, a.cancel)
-	}
+	timer := j.startTimer(a, patience)
 	s.Load.Begin()
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
-	if timer != nil && !timer.Stop() && a.err == nil {
-		a.reply.Close()
-		a.err = &channel.Error{Op: "wait for server", Kind: channel.Broken, Err: context.DeadlineExceeded}
+	if timer.stop() {
+		if a.err == nil {
+			a.reply.Close()
+		}
+		a.err = &channel.Error{Op: "wait for server", Kind: channel.Broken, Err: errSilent}
+		j.paid = true
 	}
 	j.judge(a)
 	if a.verdict != answered {
--- /dev/null
+++ b/daemon/exchange/budget_test.go
@@ -0,0 +1,61 @@
+package exchange_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ladderridge.example/daemon/exchange"
+)
+
+// In every span of a window's length, the repeats stay below what the rule
+// allows on the requests of that span.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	const ratio, slack = 0.5, 16.0
+	window := 10 * time.Second
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := &exchange.Budget{Ratio: ratio, Window: window, Slack: slack}
+	start := time.Now()
+	var requests, repeats []time.Duration
+	for at := time.Duration(0); at < time.Minute; at += 10 * time.Millisecond {
+		// Bursts and pauses.
+		if at/(5*time.Second)%2 == 0 || rng.IntN(10) == 0 {
+			b.Request("s", start.Add(at))
+			requests = append(requests, at)
+		}
+		if rng.IntN(2) == 0 && b.Spend("s", 8, start.Add(at)) {
+			repeats = append(repeats, at)
+		}
+	}
+	if len(repeats) < 100 {
+		t.Fatalf("only %d repeats were allowed", len(repeats))
+	}
+	for from := time.Duration(0); from < time.Minute; from += 250 * time.Millisecond {
+		// The rule counts requests of the window or of the one half before.
+		inWindow := max(count(requests, from, from+window), count(requests, from-window/2, from+window/2), count(requests, from-window, from))
+		if n := count(repeats, from, from+window); float64(n) > ratio*float64(inWindow)+slack/8 {
+			t.Fatalf("from %v: %d repeats on %d requests", from, n, inWindow)
+		}
+	}
+}
+
+func count(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	b := &exchange.Budget{Ratio: 1, Window: time.Second, Slack: 0}
+	now := time.Now()
+	for range 10 {
+		b.Request("s", now)
+	}
+	if !b.Spend("s", 1, now) || b.Spend("t", 1, now) {
+		t.Error("one service's requests pay for another's repeats")
+	}
+}
--- /dev/null
+++ b/daemon/exchange/engine_test.go
@@ -0,0 +1,333 @@
+package exchange_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/daemon/exchange"
+)
+
+// parts is a configuration with one route of each kind.
+func parts(number uint64, keys ...string) routemap.Parts {
+	base := routemap.Route{Host: "h", Shares: []routemap.Share{{Service: "s", Weight: 1}}, Attempts: 2, Limit: 2 * time.Second, Objective: 200 * time.Millisecond}
+	once, again, stream, ladder := base, base, base, base
+	once.Name, once.Prefix = "once", "/once/"
+	again.Name, again.Prefix, again.Repeat = "again", "/again/", routemap.Repeatable
+	stream.Name, stream.Prefix, stream.Streaming, stream.Resumable, stream.Pause = "stream", "/stream/", true, true, time.Second
+	ladder = stream
+	ladder.Name, ladder.Prefix, ladder.Ladder, ladder.Attempts = "ladder", "/ladder/", []string{"small", "middle", "large"}, 3
+	slow := stream
+	slow.Name, slow.Prefix, slow.Limit = "slow", "/slow/", 10*time.Second
+	return routemap.Parts{
+		Number: number, Routes: []routemap.Route{once, again, stream, ladder, slow},
+		Organisations: []routemap.Organisation{{Name: "org", Keys: keys}},
+	}
+}
+
+func TestRequestGoesOutUnalteredAndItsAnswerComesBack(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", whole(200, "the answer", "Proof: p")))
+		got := b.ask(t.Context(), exchange.Request{ID: "r1", Path: "/once/x", Target: "/once/x?q=%20", Key: "k", Body: []byte("in"), Wait: time.Second})
+		if got.status != 200 || got.body.String() != "the answer" || got.header.Get("Proof") != "p" || got.outcome != (exchange.Answered{Status: 200}) {
+			t.Errorf("%d %q %v", got.status, got.body.String(), got.outcome)
+		}
+		a := b.seen()[0]
+		if a.target != "/once/x?q=%20" || a.body != "in" || a.header.Get("Organisation") != "org" || a.header.Get("Left") != "1000" {
+			t.Errorf("the server saw %+v", a)
+		}
+	})
+}
+
+func TestRefusalsNeverReachAServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		s := b.server("a", "s", "v1", whole(200, "x"))
+		if got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/once/x", Key: "k"}); got.outcome.(exchange.Refused).Reason != exchange.NotReady {
+			t.Errorf("without a configuration: %v", got.outcome)
+		}
+		b.known.set(routemap.New(parts(1, "k")), s)
+		for want, r := range map[exchange.Reason]exchange.Request{
+			exchange.NoRoute:    {Path: "/other/"},
+			exchange.NoKey:      {Path: "/once/x"},
+			exchange.WrongKey:   {Path: "/once/x", Key: "other"},
+			exchange.WrongModel: {Path: "/ladder/x", Key: "k", Model: "large"},
+		} {
+			r.ID = "r"
+			if got := b.ask(t.Context(), r); got.outcome.(exchange.Refused).Reason != want {
+				t.Errorf("want %q: %v", want, got.outcome)
+			}
+		}
+		// Nothing has confirmed the configuration since: keys no longer pass.
+		time.Sleep(4*time.Second + time.Millisecond)
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/once/x", Key: "k"})
+		if out := got.outcome.(exchange.Refused); out.Reason != exchange.Stale || out.RetryAfter <= 0 {
+			t.Errorf("with an old configuration: %v", got.outcome)
+		}
+		if len(b.seen()) > 0 {
+			t.Errorf("%d requests reached a server", len(b.seen()))
+		}
+	})
+}
+
+func TestOnceRunsOnceAndIsNotCalledNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		lose := func(net.Conn, arrival) bool { return false }
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", lose), b.server("b", "s", "v1", lose))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/once/x", Key: "k", Wait: time.Second})
+		if got.outcome != (exchange.Failure{Reason: exchange.Failed}) {
+			t.Errorf("the outcome is %v", got.outcome)
+		}
+		if len(b.seen()) != 1 {
+			t.Errorf("it was sent %d times", len(b.seen()))
+		}
+	})
+}
+
+func TestDeclinedRequestGoesToAnotherServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		full := whole(503, "", "Declined: 1")
+		servers := []*fleet.Server{b.server("a", "s", "v1", full), b.server("b", "s", "v1", full), b.server("c", "s", "v1", whole(200, "ok"))}
+		b.known.set(routemap.New(parts(1, "k")), servers...)
+		if got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/once/x", Key: "k", Wait: time.Second}); got.body.String() != "ok" {
+			t.Errorf("%v", got.outcome)
+		}
+		b.scripts["c"] = full
+		b.known.set(routemap.New(parts(2, "k")), servers[:2]...)
+		got := b.ask(t.Context(), exchange.Request{ID: "r2", Path: "/once/x", Key: "k", Wait: time.Second})
+		if out, ok := got.outcome.(exchange.Refused); !ok || out.Reason != exchange.Full || out.RetryAfter <= 0 || got.took > 0 {
+			t.Errorf("with all servers full: %v after %v", got.outcome, got.took)
+		}
+	})
+}
+
+func TestRepeatableRequestIsTriedAgain(t *testing.T) {
+	for name, first := range map[string]script{
+		"lost":   func(net.Conn, arrival) bool { return false },
+		"failed": whole(500, "failure"),
+		"mute":   silent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newBench(t)
+				var failed atomic.Bool
+				s := func(c net.Conn, a arrival) bool {
+					if failed.CompareAndSwap(false, true) {
+						return first(c, a)
+					}
+					return whole(200, "ok")(c, a)
+				}
+				b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", s), b.server("b", "s", "v1", s))
+				got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Method: http.MethodGet, Key: "k", Wait: time.Second})
+				if got.body.String() != "ok" || len(b.seen()) != 2 {
+					t.Errorf("%v, sent %d times", got.outcome, len(b.seen()))
+				}
+			})
+		})
+	}
+}
+
+func TestLastFailureOfAServerIsPassedOn(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", whole(500, "failure", "Proof: p")))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Wait: time.Second})
+		if got.status != 500 || got.body.String() != "failure" || got.header.Get("Proof") != "p" {
+			t.Errorf("%d %q", got.status, got.body.String())
+		}
+	})
+}
+
+func TestDeadlineEndsARequestAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", silent))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/once/x", Key: "k", Wait: 300 * time.Millisecond})
+		if got.outcome != (exchange.Failure{Reason: exchange.Late}) || got.took != 300*time.Millisecond {
+			t.Errorf("%v after %v", got.outcome, got.took)
+		}
+	})
+}
+
+func TestBrokenStreamIsTakenUpWhereItBroke(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		s := func(c net.Conn, a arrival) bool {
+			if a.header.Get("After") == "" {
+				return events(1, 2, false, "Proof: first")(c, a)
+			}
+			return events(3, 4, true, "Proof: second")(c, a)
+		}
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", s), b.server("b", "s", "v1", s))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/stream/x", Key: "k", Wait: time.Second})
+		if got.outcome != (exchange.Answered{Status: 200}) || got.header.Get("Proof") != "first" {
+			t.Errorf("%v with the head %v", got.outcome, got.header)
+		}
+		if diff := cmp.Diff([]string{"1", "2", "3", "4"}, ids(got.body.String())); diff != "" {
+			t.Error(diff)
+		}
+		if b.seen()[1].header.Get("After") != "2" || b.seen()[1].server == b.seen()[0].server {
+			t.Errorf("it was taken up at %+v", b.seen()[1])
+		}
+	})
+}
+
+// ids are the ids of the events in a body.
+func ids(body string) []string {
+	var out []string
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(strings.TrimSpace(line), "id: "); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// A stream whose key is taken away while it runs is finished; it was once
+// answered as a refusal, which made the part that the caller had look whole.
+func TestBegunStreamOutlivesItsKey(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		var servers []*fleet.Server
+		s := func(c net.Conn, a arrival) bool {
+			if a.header.Get("After") == "" {
+				b.known.set(routemap.New(parts(2, "another")), servers...)
+				return events(1, 2, false)(c, a)
+			}
+			return events(3, 3, true)(c, a)
+		}
+		servers = []*fleet.Server{b.server("a", "s", "v1", s), b.server("b", "s", "v1", s)}
+		b.known.set(routemap.New(parts(1, "k")), servers...)
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/stream/x", Key: "k", Wait: time.Second})
+		if got.outcome != (exchange.Answered{Status: 200}) || len(ids(got.body.String())) != 3 {
+			t.Errorf("%v with the events %v", got.outcome, ids(got.body.String()))
+		}
+	})
+}
+
+func TestBrokenStreamNeverLooksWhole(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		s := events(1, 2, false)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", s), b.server("b", "s", "v1", s), b.server("c", "s", "v1", s))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/stream/x", Key: "k", Wait: time.Second})
+		if _, ok := got.outcome.(exchange.Broken); !ok {
+			t.Errorf("the outcome is %v", got.outcome)
+		}
+		if diff := cmp.Diff([]string{"1", "2"}, ids(got.body.String())); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestSilentStreamIsTakenUpElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		s := func(c net.Conn, a arrival) bool {
+			if a.header.Get("After") == "" {
+				events(1, 1, false)(c, a)
+				return silent(c, a)
+			}
+			return events(2, 2, true)(c, a)
+		}
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", s), b.server("b", "s", "v1", s))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/slow/x", Key: "k", Wait: 9 * time.Second})
+		if got.outcome != (exchange.Answered{Status: 200}) || got.took >= 4*time.Second {
+			t.Errorf("%v after %v", got.outcome, got.took)
+		}
+	})
+}
+
+func TestUnsureModelIsFollowedByTheLargest(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		s := func(c net.Conn, a arrival) bool {
+			if a.header.Get("Model") == "small" {
+				return events(1, 1, true, "Confidence: 10")(c, a)
+			}
+			return events(1, 2, true, "Confidence: 20")(c, a)
+		}
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", s))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/ladder/x", Key: "k", Model: exchange.AnyModel, Wait: time.Second})
+		if len(ids(got.body.String())) != 2 {
+			t.Errorf("%v: the caller has the events %v", got.outcome, ids(got.body.String()))
+		}
+		if len(b.seen()) != 2 || b.seen()[1].header.Get("Model") != "large" {
+			t.Errorf("the servers saw %+v", b.seen())
+		}
+	})
+}
+
+func TestSureModelIsKept(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", events(1, 1, true, "Confidence: 90")))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/ladder/x", Key: "k", Model: exchange.AnyModel, Wait: time.Second})
+		if len(b.seen()) != 1 || got.outcome != (exchange.Answered{Status: 200}) {
+			t.Errorf("%v after %d attempts", got.outcome, len(b.seen()))
+		}
+	})
+}
+
+// With the budget spent an unsure answer is better than none.
+func TestUnsureAnswerIsKeptWithoutBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.engine.Budget = &exchange.Budget{Window: 10 * time.Second}
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", events(1, 1, true, "Confidence: 10")))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/ladder/x", Key: "k", Model: exchange.AnyModel, Wait: time.Second})
+		if got.outcome != (exchange.Answered{Status: 200}) || len(b.seen()) != 1 {
+			t.Errorf("%v after %d attempts", got.outcome, len(b.seen()))
+		}
+	})
+}
+
+func TestCallerThatLeavesIsLetGoOfAtTheServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		left := make(chan struct{})
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", func(c net.Conn, a arrival) bool {
+			silent(c, a)
+			close(left)
+			return false
+		}))
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		got := b.ask(ctx, exchange.Request{ID: "r", Path: "/once/x", Key: "k", Wait: time.Second})
+		<-left
+		if got.outcome != (exchange.Gone{}) || got.took != 100*time.Millisecond {
+			t.Errorf("%v after %v", got.outcome, got.took)
+		}
+	})
+}
+
+// A stream whose server is silent goes on where no repeat can be paid: it was
+// once cut, with nothing to follow it.
+func TestSilentStreamWithoutBudgetIsNotCut(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.engine.Budget = &exchange.Budget{Window: 10 * time.Second}
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", func(c net.Conn, a arrival) bool {
+			events(1, 1, false)(c, a)
+			time.Sleep(4 * time.Second)
+			_, err := io.WriteString(c, "0\r\n\r\n")
+			return err == nil
+		}))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/slow/x", Key: "k", Wait: 9 * time.Second})
+		if got.outcome != (exchange.Answered{Status: 200}) || len(b.seen()) != 1 {
+			t.Errorf("%v after %d attempts", got.outcome, len(b.seen()))
+		}
+	})
+}
--- /dev/null
+++ b/daemon/exchange/harness_test.go
@@ -0,0 +1,248 @@
+package exchange_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/daemon/channel"
+	"ladderridge.example/daemon/exchange"
+	"ladderridge.example/daemon/knowledge"
+)
+
+// dialect is a small one: headers of the tests' own.
+type dialect struct{}
+
+func (dialect) Compose(a exchange.Attempt) http.Header {
+	h := http.Header{"Id": {a.Request.ID}, "Server": {a.Server.ID}, "Model": {a.Model}, "Organisation": {a.Organisation}}
+	if a.After >= 0 {
+		h.Set("After", strconv.FormatInt(a.After, 10))
+	}
+	if a.Left > 0 {
+		h.Set("Left", strconv.FormatInt(a.Left.Milliseconds(), 10))
+	}
+	return h
+}
+
+func (dialect) Belongs(id string, h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id }
+
+func (dialect) Read(_ int, h http.Header) exchange.Head {
+	head := exchange.Head{NotRun: h.Get("Declined") != ""}
+	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
+		head.Confidence, head.Confident = n, true
+	}
+	return head
+}
+
+func (dialect) Passed(h http.Header) http.Header { return h }
+
+// known is a fixed knowledge that tests replace.
+type known struct {
+	mu    sync.Mutex
+	view  *knowledge.View
+	facts []knowledge.Fact
+}
+
+func (k *known) View() *knowledge.View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.view
+}
+
+func (k *known) Observe(f knowledge.Fact) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.facts = append(k.facts, f)
+}
+
+// set replaces the configuration, which is confirmed now.
+func (k *known) set(m *routemap.Map, servers ...*fleet.Server) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	k.view = &knowledge.View{Map: m, Servers: fleet.NewList(servers), ConfigAt: now, ServersAt: now, Daemons: 1}
+}
+
+// arrival is a request that has reached a server.
+type arrival struct {
+	server string
+	header http.Header
+	body   string
+	target string
+}
+
+// script answers one request; the connection is closed when it returns false.
+type script func(c net.Conn, a arrival) bool
+
+// bench is an engine with servers that live in pipes.
+type bench struct {
+	t      *testing.T
+	engine *exchange.Engine
+	known  *known
+	mu     sync.Mutex
+	// scripts are the servers by address.
+	scripts  map[string]script
+	arrivals []arrival
+	reports  []exchange.Report
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, known: &known{view: &knowledge.View{}}, scripts: map[string]script{}}
+	pool := channel.NewPool()
+	pool.Dial = b.dial
+	t.Cleanup(func() { pool.Sweep(func(string) bool { return false }) })
+	b.engine = exchange.New()
+	b.engine.Knowledge, b.engine.Channels, b.engine.Dialect = b.known, pool, dialect{}
+	b.engine.Budget = &exchange.Budget{Ratio: 1, Window: 10 * time.Second, Slack: 800}
+	b.engine.KeyAge = 4 * time.Second
+	b.engine.Observer = func(r exchange.Report) { b.reports = append(b.reports, r) }
+	return b
+}
+
+func (b *bench) dial(_ context.Context, addr string) (net.Conn, error) {
+	b.mu.Lock()
+	s := b.scripts[addr]
+	b.mu.Unlock()
+	if s == nil {
+		return nil, &net.OpError{Op: "dial", Err: io.ErrUnexpectedEOF}
+	}
+	near, far := net.Pipe()
+	go b.serve(addr, far, s)
+	return near, nil
+}
+
+// seen are the requests that have reached servers.
+func (b *bench) seen() []arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.arrivals)
+}
+
+func (b *bench) serve(addr string, c net.Conn, s script) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		a := arrival{server: addr, header: req.Header, body: string(body), target: req.RequestURI}
+		b.mu.Lock()
+		b.arrivals = append(b.arrivals, a)
+		b.mu.Unlock()
+		if !s(c, a) {
+			return
+		}
+	}
+}
+
+// server adds a server with a script.
+func (b *bench) server(id, service, version string, s script) *fleet.Server {
+	b.scripts[id] = s
+	return &fleet.Server{ID: id, Service: service, Addr: id, Version: version, Load: fleet.NewLoad()}
+}
+
+// told is what a caller was sent.
+type told struct {
+	status  int
+	header  http.Header
+	body    bytes.Buffer
+	length  int64
+	outcome exchange.Outcome
+	took    time.Duration
+}
+
+func (t *told) Begin(status int, h http.Header, length int64) {
+	t.status, t.header, t.length = status, h, length
+}
+
+func (t *told) Write(p []byte) (int, error) { return t.body.Write(p) }
+
+func (t *told) Flush() error { return nil }
+
+// ask sends a request through the engine.
+func (b *bench) ask(ctx context.Context, r exchange.Request) *told {
+	r.Arrived = time.Now()
+	if r.Method == "" {
+		r.Method = http.MethodPost
+	}
+	if r.Target == "" {
+		r.Target = r.Path
+	}
+	r.Host = "h"
+	r.After = max(r.After, -1)
+	if r.After == 0 {
+		r.After = -1
+	}
+	out := &told{}
+	out.outcome = b.engine.Serve(ctx, &r, out)
+	out.took = time.Since(r.Arrived)
+	return out
+}
+
+// whole answers with a body of a length.
+func whole(status int, body string, headers ...string) script {
+	return func(c net.Conn, a arrival) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 "+strconv.Itoa(status)+" X\r\nId: "+a.header.Get("Id")+"\r\n"+lines(headers)+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		return err == nil
+	}
+}
+
+func lines(headers []string) string {
+	var b strings.Builder
+	for _, h := range headers {
+		b.WriteString(h + "\r\n")
+	}
+	return b.String()
+}
+
+// events answers with a stream of the events from..to, which ends as it should
+// if whole says so.
+func events(from, to int, whole bool, headers ...string) script {
+	return func(c net.Conn, a arrival) bool {
+		head := "HTTP/1.1 200 OK\r\nId: " + a.header.Get("Id") + "\r\n" + lines(headers) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+		if _, err := io.WriteString(c, head); err != nil {
+			return false
+		}
+		for i := from; i <= to; i++ {
+			text := "id: " + strconv.Itoa(i) + "\ndata: " + a.server + "\n\n"
+			if _, err := io.WriteString(c, strconv.FormatInt(int64(len(text)), 16)+"\r\n"+text+"\r\n"); err != nil {
+				return false
+			}
+		}
+		if !whole {
+			return false
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// silent takes requests and answers none.
+func silent(c net.Conn, _ arrival) bool {
+	_, _ = io.Copy(io.Discard, c)
+	return false
+}
+
+// inBubble runs a test on the clock of a bubble.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, f)
+}
--- /dev/null
+++ b/daemon/exchange/patience.go
@@ -0,0 +1,99 @@
+package exchange
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+)
+
+// The patience with a server that does not answer. Silence alone is no proof of
+// a failure: a server with long prompts before it is silent for seconds. So an
+// attempt is given up only where it takes many times the usual and where a
+// repeat is in the budget; otherwise it goes on to the deadline. A server whose
+// machine is gone is found by the connection instead.
+const (
+	// patienceFactor is how many times the usual an answer may take before
+	// another server is asked.
+	patienceFactor = 8
+	// patienceLeft is the part of the time left that is never waited.
+	patienceLeft = 0.6
+	// silenceFactor is how many times the longest pause that keeps a stream in
+	// time its server may be silent.
+	silenceFactor = 3
+)
+
+var errSilent = errors.New("the server was silent for too long")
+
+// attemptTimer ends an attempt when its time is over and a repeat can be paid.
+type attemptTimer struct {
+	timer *time.Timer
+	ended atomic.Bool
+}
+
+// startTimer starts the timer of an attempt; a wait of 0 is none.
+func (j *job) startTimer(a *attempt, wait time.Duration) *attemptTimer {
+	t := &attemptTimer{}
+	if wait <= 0 {
+		return t
+	}
+	service, daemons := j.service, j.view.Daemons
+	t.timer = time.AfterFunc(wait, func() {
+		if j.engine.Budget.Spend(service, daemons, time.Now()) {
+			t.ended.Store(true)
+			a.cancel()
+		}
+	})
+	return t
+}
+
+// reset starts the wait anew.
+func (t *attemptTimer) reset(wait time.Duration) {
+	if t.timer != nil && wait > 0 {
+		t.timer.Reset(wait)
+	}
+}
+
+// stop stops the timer and reports whether it has ended the attempt.
+func (t *attemptTimer) stop() bool {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	return t.ended.Load()
+}
+
+// mayRepeatAfterThis reports whether the attempt under way leaves another one.
+func (j *job) mayRepeatAfterThis(attempts int) bool {
+	return j.route.MayRepeat() && attempts < j.route.Attempts && !j.end.IsZero()
+}
+
+// patience is how long an attempt may take to the head of its answer; 0 is as
+// long as the request has.
+func (j *job) patience() time.Duration {
+	if !j.mayRepeatAfterThis(j.attempts + 1) {
+		return 0
+	}
+	return j.longest()
+}
+
+// firstWait is how long a stream's first event may take after its head.
+func (j *job) firstWait() time.Duration {
+	if !j.mayRepeatAfterThis(j.attempts) {
+		return 0
+	}
+	return j.longest()
+}
+
+// silence is how long a stream's server may be silent between two events.
+func (j *job) silence() time.Duration {
+	if !j.mayRepeatAfterThis(j.attempts) {
+		return 0
+	}
+	return silenceFactor * j.route.Pause
+}
+
+// longest is the longest wait for the first part of an answer.
+func (j *job) longest() time.Duration {
+	usual := j.engine.pace.usual(j.route.Name + "/" + j.model())
+	wait := max(patienceFactor*usual, j.route.Objective)
+	return min(wait, time.Duration(patienceLeft*float64(time.Until(j.end))))
+}
--- a/daemon/exchange/run.go
+++ b/daemon/exchange/run.go
@@ -94,25 +94,3 @@
 	fullRetryFloor   = 50 * time.Millisecond
 	fullRetryCeiling = 2 * time.Second
 )
-
-// The patience with a server that does not answer at all.
-const (
-	// patienceFactor is how many times the usual an answer may take before
-	// another server is asked.
-	patienceFactor = 6
-	// patienceShare is the part of the objective that is always waited, and
-	// patienceLeft the part of the time left that never is.
-	patienceShare = 0.75
-	patienceLeft  = 0.6
-)
-
-// patience is how long an attempt may take to the head of its answer; 0 is as
-// long as the request has. Only requests that may run again are cut short.
-func (j *job) patience() time.Duration {
-	if !j.route.MayRepeat() || j.attempts+1 >= j.route.Attempts || j.end.IsZero() {
-		return 0
-	}
-	usual := j.engine.pace.usual(j.route.Name + "/" + j.model())
-	wait := max(patienceFactor*usual, time.Duration(patienceShare*float64(j.route.Objective)))
-	return min(wait, time.Duration(patienceLeft*float64(time.Until(j.end))))
-}
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -43,7 +43,6 @@
 var (
 	errCallerGone = errors.New("the caller is gone")
 	errGap        = errors.New("an event is missing")
-	errSilent     = errors.New("no event came for too long")
 )
 
 // mayEscalate reports whether an answer is dropped for one of a larger model.
@@ -62,8 +61,8 @@
 // passEvents passes events on until the stream's proper end.
 func (j *job) passEvents(ctx context.Context, a *attempt) error {
 	events := newEventReader(a.reply)
-	silence := j.silence(a)
-	defer silence.stop()
+	timer := j.startTimer(a, j.firstWait())
+	defer timer.stop()
 	first := true
 	for {
 		ev, err := events.next()
@@ -71,12 +70,13 @@
 			return nil
 		}
 		if err != nil {
-			if silence.fired() {
+			if timer.stop() {
+				j.paid = true
 				return errSilent
 			}
 			return err
 		}
-		silence.reset()
+		timer.reset(j.silence())
 		if first {
 			first = false
 			j.wentWell(a, time.Since(a.sent))
@@ -103,48 +103,3 @@
 		}
 	}
 }
-
-// silence ends an attempt whose server falls silent within a stream that may be
-// taken up elsewhere.
-type silence struct {
-	timer *time.Timer
-	wait  time.Duration
-	done  bool
-}
-
-// silenceShare is the part of the longest pause that keeps a stream in time
-// after which another server is asked.
-const silenceShare = 0.6
-
-func (j *job) silence(a *attempt) *silence {
-	s := &silence{}
-	if !j.route.Resumable || j.route.Pause <= 0 || j.attempts >= j.route.Attempts {
-		return s
-	}
-	s.wait = time.Duration(silenceShare * float64(j.route.Pause))
-	s.timer = time.AfterFunc(max(s.wait, j.firstWait()), a.cancel)
-	return s
-}
-
-// firstWait is how long a stream's first event may take after the head.
-func (j *job) firstWait() time.Duration {
-	return max(patienceFactor*j.engine.pace.usual(j.route.Name+"/"+j.model()), time.Duration(patienceShare*float64(j.route.Objective)))
-}
-
-func (s *silence) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.wait)
-	}
-}
-
-func (s *silence) stop() {
-	if s.timer != nil {
-		s.done = !s.timer.Stop()
-	}
-}
-
-// fired reports whether the wait was over.
-func (s *silence) fired() bool {
-	s.stop()
-	return s.done
-}
--- /dev/null
+++ b/daemon/knowledge/harness_test.go
@@ -0,0 +1,322 @@
+package knowledge_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ladderridge.example/core/canary"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/relay"
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/daemon/knowledge"
+)
+
+// rows is a store in memory with faults. All keepers of a test share it.
+type rows struct {
+	mu      sync.Mutex
+	version uint64
+	tables  map[relay.Topic]map[string]relay.Row
+	removed []removal
+	changed chan struct{}
+	began   time.Time
+	// forgotten is the version up to which the history is gone.
+	forgotten uint64
+	reads     int
+}
+
+type removal struct {
+	topic   relay.Topic
+	key     string
+	version uint64
+}
+
+func newRows() *rows {
+	return &rows{tables: map[relay.Topic]map[string]relay.Row{}, changed: make(chan struct{}), began: time.Now()}
+}
+
+// set writes a row, or removes it if data is empty.
+func (s *rows) set(topic relay.Topic, key, data string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(topic, key, data)
+}
+
+func (s *rows) put(topic relay.Topic, key, data string) {
+	s.version++
+	if s.tables[topic] == nil {
+		s.tables[topic] = map[string]relay.Row{}
+	}
+	if data == "" {
+		delete(s.tables[topic], key)
+		s.removed = append(s.removed, removal{topic, key, s.version})
+	} else {
+		s.tables[topic][key] = relay.Row{Key: key, Data: []byte(data), Version: s.version}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *rows) get(topic relay.Topic, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.tables[topic][key].Data)
+}
+
+// since returns what has changed after a version.
+func (s *rows) since(topic relay.Topic, after uint64) knowledge.Page {
+	p := knowledge.Page{Version: s.version, ClockMS: 1000 + uint64(time.Since(s.began).Milliseconds())}
+	for _, row := range s.tables[topic] {
+		if row.Version > after {
+			p.Rows = append(p.Rows, row)
+		}
+	}
+	for _, r := range s.removed {
+		if r.topic == topic && r.version > after {
+			p.Removed = append(p.Removed, r.key)
+		}
+	}
+	return p
+}
+
+// link is one daemon's way to the store, which may be cut.
+type link struct {
+	*rows
+	mu sync.Mutex
+	// down is the error of all calls, hold what is added to the time of a
+	// read's answer.
+	down error
+	hold time.Duration
+	// loseWrites does writes and loses their answers.
+	loseWrites bool
+}
+
+func (l *link) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = err
+}
+
+func (l *link) state() (error, time.Duration, bool) { //nolint:revive,staticcheck // The error is a state here.
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down, l.hold, l.loseWrites
+}
+
+var errDown = &knowledge.Error{Op: "call", Kind: knowledge.Away, Err: errors.New("down")}
+
+func (l *link) Read(_ context.Context, topic relay.Topic) (knowledge.Page, error) {
+	down, hold, _ := l.state()
+	if down != nil {
+		return knowledge.Page{}, down
+	}
+	l.rows.mu.Lock()
+	l.reads++
+	p := l.since(topic, 0)
+	p.Removed = nil
+	l.rows.mu.Unlock()
+	time.Sleep(hold)
+	return p, nil
+}
+
+func (l *link) Follow(ctx context.Context, topic relay.Topic, after uint64, wait time.Duration) (knowledge.Page, error) {
+	timeout := time.After(wait)
+	for {
+		down, hold, _ := l.state()
+		if down != nil {
+			return knowledge.Page{}, down
+		}
+		l.rows.mu.Lock()
+		p, changed := l.since(topic, after), l.changed
+		lost := after < l.forgotten
+		l.rows.mu.Unlock()
+		if lost {
+			return knowledge.Page{}, &knowledge.Error{Op: "follow", Kind: knowledge.HistoryLost}
+		}
+		if len(p.Rows)+len(p.Removed) > 0 {
+			time.Sleep(hold)
+			return p, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			time.Sleep(hold)
+			return p, nil
+		case <-ctx.Done():
+			return knowledge.Page{}, &knowledge.Error{Op: "follow", Kind: knowledge.Away, Err: ctx.Err()}
+		}
+	}
+}
+
+func (l *link) Write(_ context.Context, topic relay.Topic, key string, data []byte, was uint64) error {
+	down, _, lose := l.state()
+	if down != nil {
+		return down
+	}
+	l.rows.mu.Lock()
+	defer l.rows.mu.Unlock()
+	if l.tables[topic][key].Version != was {
+		return &knowledge.Error{Op: "write", Kind: knowledge.Conflict}
+	}
+	l.put(topic, key, string(data))
+	if lose {
+		return errDown
+	}
+	return nil
+}
+
+func (l *link) Put(_ context.Context, topic relay.Topic, key string, data []byte) error {
+	down, _, _ := l.state()
+	if down != nil {
+		return down
+	}
+	l.set(topic, key, string(data))
+	return nil
+}
+
+// decoder reads rows of the tests' own form: configurations and servers are
+// JSON of a few fields.
+type decoder struct{}
+
+type configRow struct {
+	Number uint64
+	Keys   []string
+}
+
+type orderRow struct {
+	Version string
+	Seconds int
+}
+
+func (decoder) Operator(row relay.Row) (knowledge.Operator, error) {
+	if service, ok := strings.CutPrefix(row.Key, "order/"); ok {
+		var o orderRow
+		err := json.Unmarshal(row.Data, &o)
+		return knowledge.Order{Order: canary.Order{Service: service, Version: o.Version, Within: time.Duration(o.Seconds) * time.Second, Number: row.Version}}, err
+	}
+	var c configRow
+	if err := json.Unmarshal(row.Data, &c); err != nil {
+		return nil, err
+	}
+	return knowledge.Config{Map: routemap.New(routemap.Parts{Number: c.Number, Organisations: []routemap.Organisation{{Name: "o", Keys: c.Keys}}})}, nil
+}
+
+func (decoder) Server(row relay.Row) (fleet.Server, error) {
+	return fleet.Server{ID: row.Key, Service: "s", Addr: row.Key, Version: string(row.Data)}, nil
+}
+
+func (decoder) Progress(row relay.Row) (string, canary.Progress, error) {
+	var p canary.Progress
+	err := json.Unmarshal(row.Data, &p)
+	return row.Key, p, err
+}
+
+func (decoder) WriteProgress(service string, p canary.Progress) (relay.Row, error) {
+	data, err := json.Marshal(p)
+	return relay.Row{Key: service, Data: data}, err
+}
+
+// mesh carries messages between the keepers of a test at once.
+type mesh struct {
+	mu      sync.Mutex
+	keepers map[string]*knowledge.Keeper
+	// held are messages to a daemon that are kept back.
+	holding map[string]bool
+	held    map[string][]func()
+}
+
+type sender struct {
+	mesh *mesh
+	from string
+}
+
+func (s sender) Send(id, _ string, m any) {
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	k := s.mesh.keepers[id]
+	if k == nil {
+		return
+	}
+	deliver := func() { k.Received(s.from, m) }
+	if s.mesh.holding[id] {
+		s.mesh.held[id] = append(s.mesh.held[id], deliver)
+		return
+	}
+	deliver()
+}
+
+// system is a store with daemons that follow it.
+type system struct {
+	t     *testing.T
+	rows  *rows
+	mesh  *mesh
+	links map[string]*link
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	return &system{t: t, rows: newRows(), links: map[string]*link{}, mesh: &mesh{
+		keepers: map[string]*knowledge.Keeper{}, holding: map[string]bool{}, held: map[string][]func(){},
+	}}
+}
+
+// daemon starts one.
+func (s *system) daemon(id string) *knowledge.Keeper {
+	s.t.Helper()
+	k := knowledge.New()
+	l := &link{rows: s.rows}
+	k.Store, k.Decoder, k.Peers = l, decoder{}, sender{s.mesh, id}
+	k.Self = knowledge.Member{ID: id, Hall: "h", Addr: id, Public: make([]byte, 32), Start: 1}
+	k.Log = log.Logger{Level: log.PanicLevel}
+	s.mesh.mu.Lock()
+	s.mesh.keepers[id] = k
+	s.mesh.mu.Unlock()
+	s.links[id] = l
+	ctx, cancel := context.WithCancel(s.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return k
+}
+
+// config puts a configuration into the store.
+func (s *system) config(number uint64, keys ...string) {
+	data, err := json.Marshal(configRow{Number: number, Keys: keys})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.rows.set(relay.Operator, "config", string(data))
+}
+
+// inBubble runs a test on the clock of a bubble.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, f)
+}
+
+// pass lets time pass until nothing more happens.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// servers are the ids of the servers that a daemon uses.
+func servers(k *knowledge.Keeper) []string {
+	out := []string{}
+	for _, s := range k.View().Servers.Service("s") {
+		out = append(out, s.ID)
+	}
+	slices.Sort(out)
+	return out
+}
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -32,9 +32,9 @@
 	membersEvery = 10 * time.Second
 	// tickEvery is the time between two looks at what is due.
 	tickEvery = 200 * time.Millisecond
-	// askAfter is the age from which other daemons are asked: longer than a
-	// call takes that has nothing to tell.
-	askAfter = followFor + 400*time.Millisecond
+	// askAfter is the age from which other daemons are asked: what is known is
+	// as old as the start of a call, which is up to two calls ago.
+	askAfter = 2*followFor + 150*time.Millisecond
 	// askPeers is how many daemons are asked at a time.
 	askPeers = 3
 	// lapseWait is how long a server may take to be listed again after the
@@ -186,7 +186,7 @@
 func (k *Keeper) follow(ctx context.Context, topic relay.Topic, wanted func() bool) {
 	var after uint64
 	known := false
-	pause := pauseFloor
+	pause, hold := pauseFloor, followFor
 	for ctx.Err() == nil {
 		if !wanted() {
 			known = false
@@ -194,7 +194,7 @@
 			continue
 		}
 		at := time.Now()
-		page, whole, err := k.call(ctx, topic, known, after)
+		page, whole, err := k.call(ctx, topic, known, after, hold)
 		if ctx.Err() != nil {
 			return
 		}
@@ -204,10 +204,11 @@
 			// if the store says that its history is gone.
 			known = known && !isKind(err, HistoryLost)
 			wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
-			pause = min(2*pause, pauseCeiling)
+			// The next answer is wanted at once: it tells that the store is back.
+			pause, hold = min(2*pause, pauseCeiling), time.Millisecond
 			continue
 		}
-		known, after, pause = true, page.Version, pauseFloor
+		known, after, pause, hold = true, page.Version, pauseFloor, followFor
 	}
 }
 
@@ -219,7 +220,8 @@
 	}
 }
 
-func (k *Keeper) call(ctx context.Context, topic relay.Topic, known bool, after uint64) (Page, bool, error) {
+// call reads all rows of a topic if none are known, and otherwise follows it.
+func (k *Keeper) call(ctx context.Context, topic relay.Topic, known bool, after uint64, hold time.Duration) (Page, bool, error) {
 	k.Calls.Add(1)
 	if !known {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -227,9 +229,9 @@
 		page, err := k.Store.Read(ctx, topic)
 		return page, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, followFor+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, hold+callTimeout)
 	defer cancel()
-	page, err := k.Store.Follow(ctx, topic, after, followFor)
+	page, err := k.Store.Follow(ctx, topic, after, hold)
 	return page, false, err
 }
 
--- /dev/null
+++ b/daemon/knowledge/keeper_test.go
@@ -0,0 +1,203 @@
+package knowledge_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ladderridge.example/core/relay"
+)
+
+func TestConfigurationIsInForceAtOnceAndOnlyForward(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		k := s.daemon("a")
+		pass(time.Second)
+		if k.View().Ready() {
+			t.Fatal("ready without a configuration")
+		}
+		s.config(3, "k")
+		s.rows.set(relay.Servers, "x", "v1")
+		pass(0)
+		if v := k.View(); !v.Ready() || v.Map.Number != 3 {
+			t.Fatal("the configuration is not in force")
+		}
+		s.config(2, "old")
+		s.rows.set(relay.Operator, "config", "no configuration")
+		pass(5 * time.Second)
+		if v := k.View(); v.Map.Number != 3 {
+			t.Errorf("configuration %d is in force", v.Map.Number)
+		}
+	})
+}
+
+func TestKnowledgeIsAsOldAsTheStartOfTheCall(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		k := s.daemon("a")
+		pass(time.Second)
+		s.links["a"].fail(errDown)
+		pass(10 * time.Second)
+		if age := k.View().ConfigAge(time.Now()); age < 9*time.Second {
+			t.Errorf("ten seconds without the store, the configuration is taken for %v old", age)
+		}
+		s.links["a"].fail(nil)
+		pass(4 * time.Second)
+		// As old as the start of the call before the one under way.
+		if age := k.View().ConfigAge(time.Now()); age > 3*time.Second {
+			t.Errorf("with the store back, the configuration is taken for %v old", age)
+		}
+	})
+}
+
+func TestLostHistoryIsReadAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		s.rows.set(relay.Servers, "x", "v1")
+		s.rows.set(relay.Servers, "y", "v1")
+		k := s.daemon("a")
+		pass(time.Second)
+		// A change that no call tells, since its history is gone.
+		s.rows.mu.Lock()
+		delete(s.rows.tables[relay.Servers], "y")
+		s.rows.version++
+		s.rows.forgotten = s.rows.version
+		s.rows.mu.Unlock()
+		pass(3 * time.Second)
+		if diff := cmp.Diff([]string{"x"}, servers(k)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestDaemonWithoutTheStoreIsKeptGoingByOthers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k", "taken")
+		a := s.daemon("a")
+		s.daemon("b")
+		pass(15 * time.Second)
+		s.links["a"].fail(errDown)
+		pass(10 * time.Second)
+		if age := a.View().ConfigAge(time.Now()); age > 4*time.Second {
+			t.Errorf("the configuration is taken for %v old", age)
+		}
+		s.config(2, "k")
+		pass(time.Second)
+		if _, ok := a.View().Map.Organisation("taken"); ok {
+			t.Error("a key that was taken away is still in force a second later")
+		}
+	})
+}
+
+// An answer of another daemon that was held up, as in the inbox of a process
+// that was paused, must not make what is known younger than it is.
+func TestHeldUpAnswerConfirmsNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		a := s.daemon("a")
+		s.daemon("b")
+		pass(15 * time.Second)
+		s.links["a"].fail(errDown)
+		s.mesh.mu.Lock()
+		s.mesh.holding["a"] = true
+		s.mesh.mu.Unlock()
+		pass(10 * time.Second)
+		before := a.View().ConfigAge(time.Now())
+		s.mesh.mu.Lock()
+		held := s.mesh.held["a"]
+		s.mesh.mu.Unlock()
+		if len(held) == 0 {
+			t.Fatal("nothing was held up")
+		}
+		for _, deliver := range held {
+			deliver()
+		}
+		pass(0)
+		if after := a.View().ConfigAge(time.Now()); after < min(before, 1500*time.Millisecond) {
+			t.Errorf("answers that were held up made the configuration %v old, it was %v", after, before)
+		}
+	})
+}
+
+func TestServersThatLapseWhileTheStoreIsAwayHaveTwoSeconds(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		for _, id := range []string{"x", "y", "z"} {
+			s.rows.set(relay.Servers, id, "v1")
+		}
+		k := s.daemon("a")
+		pass(time.Second)
+		s.links["a"].fail(errDown)
+		pass(5 * time.Second)
+		s.rows.set(relay.Servers, "x", "")
+		s.rows.set(relay.Servers, "y", "")
+		s.links["a"].fail(nil)
+		pass(1200 * time.Millisecond)
+		if diff := cmp.Diff([]string{"x", "y", "z"}, servers(k)); diff != "" {
+			t.Errorf("just after the return: %s", diff)
+		}
+		s.rows.set(relay.Servers, "x", "v1")
+		pass(3 * time.Second)
+		if diff := cmp.Diff([]string{"x", "z"}, servers(k)); diff != "" {
+			t.Errorf("two seconds after the return: %s", diff)
+		}
+	})
+}
+
+// A server whose entry goes shortly before those two seconds are over is gone
+// when they are: it was once kept for two seconds more.
+func TestServerThatGoesAfterTheReturnIsNotKeptLonger(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		s.rows.set(relay.Servers, "x", "v1")
+		s.rows.set(relay.Servers, "y", "v1")
+		k := s.daemon("a")
+		pass(time.Second)
+		s.links["a"].fail(errDown)
+		pass(5 * time.Second)
+		s.links["a"].fail(nil)
+		// The next call comes within a second and a half.
+		pass(2500 * time.Millisecond)
+		s.rows.set(relay.Servers, "x", "")
+		pass(1500 * time.Millisecond)
+		if diff := cmp.Diff([]string{"y"}, servers(k)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestServerThatGoesIsGoneAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		s.rows.set(relay.Servers, "x", "v1")
+		s.rows.set(relay.Servers, "y", "v1")
+		k := s.daemon("a")
+		pass(5 * time.Second)
+		s.rows.set(relay.Servers, "x", "")
+		pass(0)
+		if diff := cmp.Diff([]string{"y"}, servers(k)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestIdleStoreIsAskedSeldom(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		k := s.daemon("a")
+		pass(time.Minute)
+		// Two topics are followed at one call in a second and a half each.
+		if calls := k.Calls.Load(); calls > 100 {
+			t.Errorf("%d calls in a minute", calls)
+		}
+	})
+}
--- a/daemon/knowledge/members.go
+++ b/daemon/knowledge/members.go
@@ -38,7 +38,7 @@
 			published = k.publish(ctx, data)
 		}
 		at := time.Now()
-		page, _, err := k.call(ctx, relay.Members, false, 0)
+		page, _, err := k.call(ctx, relay.Members, false, 0, 0)
 		k.deliver(ctx, paged{topic: relay.Members, page: page, whole: true, at: at, err: err})
 		if err != nil || !published {
 			wait(ctx, pause)
--- /dev/null
+++ b/daemon/knowledge/rollout_test.go
@@ -0,0 +1,142 @@
+package knowledge_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"ladderridge.example/core/canary"
+	"ladderridge.example/core/relay"
+	"ladderridge.example/daemon/knowledge"
+)
+
+// rollout is a system of daemons with both versions of a service and an order
+// for the new one.
+func rollout(t *testing.T, daemons, seconds int) (*system, []*knowledge.Keeper) {
+	t.Helper()
+	s := newSystem(t)
+	s.config(1, "k")
+	s.rows.set(relay.Servers, "old", "v1")
+	var keepers []*knowledge.Keeper
+	for i := range daemons {
+		keepers = append(keepers, s.daemon(fmt.Sprintf("d%d", i)))
+	}
+	// All daemons know each other after the second read of their list.
+	pass(12 * time.Second)
+	s.rows.set(relay.Servers, "new", "v2")
+	s.rows.set(relay.Operator, "order/s", fmt.Sprintf(`{"Version":"v2","Seconds":%d}`, seconds))
+	pass(time.Second)
+	return s, keepers
+}
+
+func (s *system) progress() canary.Progress {
+	var p canary.Progress
+	_ = json.Unmarshal([]byte(s.rows.get(relay.Progress, "s")), &p)
+	return p
+}
+
+// uses reports whether a session's first choice is a version.
+func uses(k *knowledge.Keeper, hash uint64, version string) bool {
+	first, _ := k.View().Versions("s", hash, time.Now())
+	return first(version)
+}
+
+const (
+	// lowest falls to the new version first, highest last.
+	lowest  = uint64(0)
+	highest = ^uint64(0)
+)
+
+func TestGoodVersionTakesOverInTime(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, keepers := rollout(t, 3, 20)
+		for _, k := range keepers {
+			if !uses(k, lowest, "v2") || !uses(k, highest, "v1") {
+				t.Fatal("the first share is wrong")
+			}
+		}
+		pass(20 * time.Second)
+		if p := s.progress(); p.State != canary.Completed || p.Version != "v2" {
+			t.Fatalf("the state is %v", p)
+		}
+		for _, k := range keepers {
+			if !uses(k, highest, "v2") {
+				t.Error("a daemon does not use the new version alone")
+			}
+		}
+	})
+}
+
+func TestBadVersionIsTakenBackByAllFromWhatAllSee(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, keepers := rollout(t, 3, 20)
+		// No daemon alone sees enough.
+		for _, k := range keepers {
+			for i := range 8 {
+				k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: i%2 == 0})
+			}
+		}
+		pass(time.Second)
+		for i, k := range keepers {
+			if uses(k, lowest, "v2") {
+				t.Errorf("daemon %d still uses the bad version", i)
+			}
+		}
+		pass(2 * time.Second)
+		if p := s.progress(); p.State != canary.RolledBack {
+			t.Errorf("the state is %v", p)
+		}
+	})
+}
+
+func TestLostAnswersAndADriverThatIsCutOffDoNotStopARollout(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, _ := rollout(t, 3, 20)
+		s.links["d0"].fail(errDown)
+		for _, id := range []string{"d1", "d2"} {
+			s.links[id].mu.Lock()
+			s.links[id].loseWrites = true
+			s.links[id].mu.Unlock()
+		}
+		pass(20 * time.Second)
+		if p := s.progress(); p.State != canary.Completed {
+			t.Errorf("the state is %v", p)
+		}
+	})
+}
+
+func TestDaemonThatStartsTakesUpTheRolloutAtItsAge(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, _ := rollout(t, 2, 40)
+		pass(10 * time.Second)
+		late := s.daemon("late")
+		pass(2 * time.Second)
+		r, ok := late.View().Rollout("s")
+		if age := time.Since(r.Since); !ok || !r.Started || age < 12*time.Second || age > 14*time.Second {
+			t.Errorf("the order is taken for %v old (started %v)", age, r.Started)
+		}
+	})
+}
+
+func TestVersionWithoutAnOrderWaitsForOne(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		s.rows.set(relay.Servers, "old", "v1")
+		k := s.daemon("a")
+		pass(3 * time.Second)
+		if !uses(k, lowest, "v1") {
+			t.Error("the version of the first list is not used")
+		}
+		s.rows.set(relay.Servers, "new", "v2")
+		pass(time.Second)
+		if uses(k, lowest, "v2") {
+			t.Error("a version is used before an order could have come")
+		}
+		pass(time.Second)
+		if !uses(k, lowest, "v2") {
+			t.Error("a version without an order is never used")
+		}
+	})
+}
