One daemon reads the store for its hall and tells the others

Now the first daemon of a hall that answers, in the order of a hash of the ids, reads; the others ask it every 0.4 s and are told news at once. Who hears nothing for half a second reads for itself. Calls about the configuration are held for 1 s (they confirm it), the others for 6 s and ended when the first one fails. Evidence of roll-outs goes to the hall's reader, sums to other halls.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -58,6 +58,9 @@
 	AgeMS uint64
 	// Sum is a hash of the rows' keys and versions.
 	Sum uint64
+	// ReturnedMS is how long ago the store answered again after it was away, or
+	// 0 if it was not: entries that lapsed meanwhile may come back.
+	ReturnedMS uint64
 	// Rows are all rows of the topic, unless the asker has the same.
 	Rows []Row
 }
@@ -74,11 +77,15 @@
 	return sum
 }
 
-// Tell answers Ask.
+// Tell answers Ask, or tells news.
 type Tell struct {
-	_     struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Nonce is that of the question; 0 is news that nobody has asked for, which
+	// may be held up on its way and so confirms nothing.
 	Nonce uint64
 	Known []Known
+	// Withdrawn are versions in roll-out that were found bad: SERVICE@VERSION.
+	Withdrawn []string
 }
 
 // Count is what one daemon has seen of a version's answers on one route since
@@ -94,15 +101,17 @@
 	Slow    uint64
 }
 
-// Evidence is all that a daemon has seen of roll-outs. It replaces what the
-// same daemon said before, if its Sequence is higher.
+// Evidence is all that a daemon, or a whole data hall, has seen of roll-outs. It
+// replaces what the same daemon or hall said before.
 type Evidence struct {
-	_        struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Hall is set if this is the sum of a data hall.
+	Hall     string
 	Start    uint64
 	Sequence uint64
 	Counts   []Count
-	// OldInFlight are requests under way on the version that is replaced, by
-	// service.
+	// OldInFlight are requests under way on a version that gets no more, by
+	// service; a service that still uses its old version is not there.
 	OldInFlight map[string]int
 	// Withdrawn are versions that this daemon no longer uses: SERVICE@VERSION.
 	Withdrawn []string
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -19,8 +19,15 @@
 	turnWait = 350 * time.Millisecond
 	// writeTimeout bounds a write, and the pause after one that failed.
 	writeTimeout = 900 * time.Millisecond
-	// aliveFor is how long a daemon counts as alive after its last message.
-	aliveFor = 2 * time.Second
+	// toldFor is how long what another daemon or hall has seen counts after it
+	// was last told.
+	toldFor = 2 * time.Second
+	// likelyReaders is how many daemons of another hall are told what this one
+	// has seen.
+	likelyReaders = 2
+	// bystanderWait is how long a daemon that does not read leaves the writing
+	// of states to those that do.
+	bystanderWait = 3 * time.Second
 )
 
 // Observe takes what an answer says of a version in roll-out.
@@ -35,26 +42,49 @@
 	if !k.rollouts.open.Load() {
 		return
 	}
-	old := k.oldInFlight(now)
+	k.rollouts.forget(now)
+	own := k.oldInFlight(now)
 	for service, r := range k.rollouts.byService {
 		if r.State == canary.Running {
-			k.drive(ctx, service, r, old, now)
+			k.drive(ctx, service, r, own, now)
 		}
 	}
 	if now.Sub(k.rollouts.sentAt) >= evidenceEvery {
-		k.tellEvidence(old, now)
+		k.tellEvidence(own, now)
 	}
 }
 
-// tellEvidence tells the other daemons what was seen here.
-func (k *Keeper) tellEvidence(old map[string]int, now time.Time) {
+// tellEvidence tells what was seen: to the daemon that reads for this one, or,
+// from one that reads, what its hall has seen to the readers of other halls.
+func (k *Keeper) tellEvidence(own map[string]int, now time.Time) {
 	k.rollouts.sentAt = now
-	m := k.rollouts.evidence(k.Self.Start, old)
-	for _, other := range k.others() {
+	if reader, ok := k.readers.reader(); ok && !k.reading.Load() {
+		k.Peers.Send(reader.ID, reader.Addr, k.rollouts.message(k.Self.Start, "", k.rollouts.own, own))
+		return
+	}
+	m := k.rollouts.message(k.Self.Start, k.Self.Hall, k.rollouts.totals(), k.rollouts.oldInFlight(own))
+	for _, other := range k.abroad() {
 		k.Peers.Send(other.ID, other.Addr, m)
 	}
 }
 
+// abroad are the daemons that read for the other halls: the first two in the
+// order of each, since one of them may be gone.
+func (k *Keeper) abroad() []Member {
+	halls := map[string][]Member{}
+	for _, m := range k.others() {
+		if m.Hall != k.Self.Hall {
+			halls[m.Hall] = append(halls[m.Hall], m)
+		}
+	}
+	var out []Member
+	for _, of := range halls {
+		slices.SortFunc(of, rank)
+		out = append(out, of[:min(likelyReaders, len(of))]...)
+	}
+	return out
+}
+
 // oldInFlight counts this daemon's requests on versions that get no more, by
 // service.
 func (k *Keeper) oldInFlight(now time.Time) map[string]int {
@@ -78,7 +108,7 @@
 }
 
 // drive takes the next step of an order, if it is this daemon's turn.
-func (k *Keeper) drive(ctx context.Context, service string, r canary.Rollout, old map[string]int, now time.Time) {
+func (k *Keeper) drive(ctx context.Context, service string, r canary.Rollout, own map[string]int, now time.Time) {
 	version := r.Order.Version
 	if !r.Started {
 		k.writeInTurn(ctx, service, canary.Progress{State: canary.Running, Version: version, SinceMS: k.storeSince(service, now), Order: r.Order.Number}, k.rollouts.seenAt[service], now)
@@ -86,13 +116,14 @@
 	}
 	if why := canary.Judge(k.rollouts.pairs(service)); why != "" && k.rollouts.withdraw(service, version) {
 		k.Log.Warn().Str("service", service).Str("version", version).Str("why", why).Dur("age", now.Sub(r.Since)).Msg("rollout: the version is bad: it gets nothing more")
-		k.tellEvidence(old, now)
+		k.tellEvidence(own, now)
+		k.tellWithdrawn(now)
 	}
 	next := canary.Progress{Version: version, SinceMS: k.storeSince(service, now), Order: r.Order.Number}
 	switch {
 	case k.rollouts.withdrawn[versionName(service, version)]:
 		next.State = canary.RolledBack
-	case r.Share(now) >= 1 && (canary.Late(now.Sub(r.Since), r.Order.Within) || k.nothingOld(service, old, now)):
+	case r.Share(now) >= 1 && (canary.Late(now.Sub(r.Since), r.Order.Within) || k.nothingOld(service, own)):
 		next.State = canary.Completed
 	default:
 		return
@@ -110,21 +141,11 @@
 	return clock - min(age, clock)
 }
 
-// nothingOld reports whether no daemon has a request under way on the old
-// version.
-func (k *Keeper) nothingOld(service string, old map[string]int, now time.Time) bool {
-	if n, ok := old[service]; !ok || n > 0 {
-		return false
-	}
-	for _, m := range k.others() {
-		if now.Sub(k.peersSeen[m.ID]) > aliveFor {
-			continue
-		}
-		if n, ok := k.rollouts.told[m.ID].OldInFlight[service]; !ok || n > 0 {
-			return false
-		}
-	}
-	return true
+// nothingOld reports whether no daemon is known to have a request under way on
+// the old version.
+func (k *Keeper) nothingOld(service string, own map[string]int) bool {
+	n, ok := k.rollouts.allOldInFlight(own)[service]
+	return ok && n == 0
 }
 
 // writeInTurn writes a state when it is this daemon's turn: the others follow
@@ -133,7 +154,7 @@
 	if began, busy := k.rollouts.busy[service]; busy && now.Sub(began) < 2*writeTimeout {
 		return
 	}
-	if now.Sub(due) < time.Duration(k.turn(p.Order))*turnWait {
+	if now.Sub(due) < k.turnAfter() {
 		return
 	}
 	row, err := k.Decoder.WriteProgress(service, p)
@@ -153,18 +174,21 @@
 	}()
 }
 
-// turn is this daemon's place in the order in which daemons write.
-func (k *Keeper) turn(order uint64) int {
-	others := k.others()
-	if len(others) == 0 {
-		return 0
-	}
-	at := slices.IndexFunc(others, func(m Member) bool { return m.ID > k.Self.ID })
-	if at < 0 {
-		at = len(others)
-	}
-	n := len(others) + 1
-	return (at + n - int(order%uint64(n))) % n
+// turnAfter is how long this daemon leaves the writing to others: the readers
+// of the halls take turns, and other daemons come after them.
+func (k *Keeper) turnAfter() time.Duration {
+	halls := []string{k.Self.Hall}
+	for _, m := range k.others() {
+		if !slices.Contains(halls, m.Hall) {
+			halls = append(halls, m.Hall)
+		}
+	}
+	slices.Sort(halls)
+	wait := time.Duration(slices.Index(halls, k.Self.Hall)) * turnWait
+	if !k.reading.Load() {
+		wait += bystanderWait
+	}
+	return wait
 }
 
 // wrote notes the outcome of a write. Whatever it was, the topic tells what
--- /dev/null
+++ b/daemon/knowledge/follow.go
@@ -0,0 +1,123 @@
+package knowledge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ladderridge.example/core/relay"
+)
+
+// The rhythm of calls to the store.
+const (
+	// followFor is how long the store holds a call about the configuration
+	// that has nothing to tell. Each answer confirms what is known; keys may
+	// be used for some seconds after that, so several may be missed.
+	followFor = time.Second
+	// followLong is how long it holds the other calls: what they tell need
+	// not be confirmed, and a failure of the first one ends them.
+	followLong = 6 * time.Second
+	// callTimeout is what is added to that before a call counts as lost.
+	callTimeout = 900 * time.Millisecond
+	// pauseFloor and pauseCeiling bound the pause after a failed call, which
+	// doubles.
+	pauseFloor   = 150 * time.Millisecond
+	pauseCeiling = time.Second
+)
+
+// follower keeps one topic up to date from the store.
+type follower struct {
+	topic relay.Topic
+	hold  time.Duration
+	// wanted reports whether the topic is to be followed now.
+	wanted func() bool
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	// stopped tells that the call under way was ended from here.
+	stopped bool
+}
+
+// interrupt ends the call under way: the next one finds out whether the store
+// is there.
+func (f *follower) interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.stopped = true
+		f.cancel()
+	}
+}
+
+func (f *follower) begin(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel, f.stopped = cancel, false
+	return ctx, cancel
+}
+
+// end forgets the call under way and reports whether it was ended from here.
+func (f *follower) end() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = nil
+	return f.stopped
+}
+
+// follow keeps a topic up to date while it is wanted.
+func (k *Keeper) follow(ctx context.Context, f *follower) {
+	var after uint64
+	known := false
+	pause, hold := pauseFloor, f.hold
+	for ctx.Err() == nil {
+		if !f.wanted() {
+			known = false
+			wait(ctx, tickEvery)
+			continue
+		}
+		at := time.Now()
+		page, whole, err := k.call(ctx, f, known, after, hold)
+		if ctx.Err() != nil {
+			return
+		}
+		if f.end() && err != nil {
+			hold = time.Millisecond
+			continue
+		}
+		k.deliver(ctx, paged{topic: f.topic, page: page, whole: whole, at: at, err: err})
+		if err != nil {
+			// What has changed meanwhile is only safely known from all rows
+			// if the store says that its history is gone.
+			known = known && !isKind(err, HistoryLost)
+			wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+			// The next answer is wanted at once: it tells that the store is back.
+			pause, hold = min(2*pause, pauseCeiling), time.Millisecond
+			continue
+		}
+		known, after, pause, hold = true, page.Version, pauseFloor, f.hold
+	}
+}
+
+// call reads all rows of a topic if none are known, and otherwise follows it.
+func (k *Keeper) call(ctx context.Context, f *follower, known bool, after uint64, hold time.Duration) (Page, bool, error) {
+	k.Calls.Add(1)
+	if !known {
+		ctx, cancel := f.begin(ctx, callTimeout)
+		defer cancel()
+		page, err := k.Store.Read(ctx, f.topic)
+		return page, true, err
+	}
+	ctx, cancel := f.begin(ctx, hold+callTimeout)
+	defer cancel()
+	page, err := k.Store.Follow(ctx, f.topic, after, hold)
+	return page, false, err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -18,24 +18,12 @@
 
 // The rhythm of the keeper.
 const (
-	// followFor is how long the store holds a call that has nothing to tell.
-	// Each answer confirms what is known; keys may be used for some seconds
-	// after that, so several answers may be missed.
-	followFor = 1500 * time.Millisecond
-	// callTimeout is what is added to that before a call counts as lost.
-	callTimeout = 900 * time.Millisecond
-	// pauseFloor and pauseCeiling bound the pause after a failed call, which
-	// doubles.
-	pauseFloor   = 150 * time.Millisecond
-	pauseCeiling = time.Second
-	// membersEvery is the time between two reads of the list of daemons.
-	membersEvery = 10 * time.Second
 	// tickEvery is the time between two looks at what is due.
-	tickEvery = 200 * time.Millisecond
-	// askAfter is the age from which other daemons are asked: what is known is
-	// as old as the start of a call, which is up to two calls ago.
-	askAfter = 2*followFor + 150*time.Millisecond
-	// askPeers is how many daemons are asked at a time.
+	tickEvery = 100 * time.Millisecond
+	// askAfter is the age from which any daemons are asked, beside the hall's
+	// reader: older than what a reader tells that the store answers.
+	askAfter = usefulAge + askEvery
+	// askPeers is how many daemons are asked then.
 	askPeers = 3
 	// lapseWait is how long a server may take to be listed again after the
 	// store was away; the platform's pages give about two seconds.
@@ -71,13 +59,22 @@
 	events  chan event
 	run     func(ctx context.Context) error
 
+	// reading tells that this daemon reads the store.
+	reading   atomic.Bool
+	readers   *readers
+	followers []*follower
+	// listeners are the daemons that this one reads for, by when they last
+	// asked.
+	listeners map[string]time.Time
 	topics    map[relay.Topic]*topicState
 	loads     map[string]*fleet.Load
 	lapsed    map[string]time.Time
 	firstSeen map[string]time.Time
 	asked     map[uint64]time.Time
 	nonce     uint64
-	peersSeen map[string]time.Time
+	askedAt   time.Time
+	// toldBy is when a daemon last answered a question.
+	toldBy map[string]time.Time
 	rollouts  *rollouts
 	// bad are rows that did not decode, by key, so that each is logged once.
 	bad map[string]uint64
@@ -120,7 +117,7 @@
 	k := &Keeper{
 		events: make(chan event, eventBacklog),
 		topics: map[relay.Topic]*topicState{}, loads: map[string]*fleet.Load{}, lapsed: map[string]time.Time{},
-		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, peersSeen: map[string]time.Time{},
+		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldBy: map[string]time.Time{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), nonce: rand.Uint64(),
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
@@ -128,6 +125,13 @@
 	}
 	k.view.Store(&View{})
 	k.members.Store(&map[string]Member{})
+	k.reading.Store(true)
+	k.followers = []*follower{
+		{topic: relay.Operator, hold: followFor, wanted: k.reading.Load},
+		{topic: relay.Servers, hold: followLong, wanted: k.reading.Load},
+		{topic: relay.Members, hold: followLong, wanted: k.reading.Load},
+		{topic: relay.Progress, hold: followLong, wanted: func() bool { return k.reading.Load() && k.rollouts.open.Load() }},
+	}
 	k.run = func(ctx context.Context) error { return k.loop(ctx) }
 	return k
 }
@@ -151,10 +155,11 @@
 func (k *Keeper) Run(ctx context.Context) error { return k.run(ctx) }
 
 func (k *Keeper) loop(ctx context.Context) error {
-	go k.follow(ctx, relay.Operator, func() bool { return true })
-	go k.follow(ctx, relay.Servers, func() bool { return true })
-	go k.follow(ctx, relay.Progress, k.rollouts.open.Load)
-	go k.keepMembers(ctx)
+	k.readers.self = k.Self
+	for _, f := range k.followers {
+		go k.follow(ctx, f)
+	}
+	go k.publish(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -182,36 +187,6 @@
 	}
 }
 
-// follow keeps one topic up to date while wanted says so.
-func (k *Keeper) follow(ctx context.Context, topic relay.Topic, wanted func() bool) {
-	var after uint64
-	known := false
-	pause, hold := pauseFloor, followFor
-	for ctx.Err() == nil {
-		if !wanted() {
-			known = false
-			wait(ctx, tickEvery)
-			continue
-		}
-		at := time.Now()
-		page, whole, err := k.call(ctx, topic, known, after, hold)
-		if ctx.Err() != nil {
-			return
-		}
-		k.deliver(ctx, paged{topic: topic, page: page, whole: whole, at: at, err: err})
-		if err != nil {
-			// What has changed meanwhile is only safely known from all rows
-			// if the store says that its history is gone.
-			known = known && !isKind(err, HistoryLost)
-			wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
-			// The next answer is wanted at once: it tells that the store is back.
-			pause, hold = min(2*pause, pauseCeiling), time.Millisecond
-			continue
-		}
-		known, after, pause, hold = true, page.Version, pauseFloor, followFor
-	}
-}
-
 // deliver hands an answer over, whatever the inbox holds.
 func (k *Keeper) deliver(ctx context.Context, e event) {
 	select {
@@ -220,28 +195,6 @@
 	}
 }
 
-// call reads all rows of a topic if none are known, and otherwise follows it.
-func (k *Keeper) call(ctx context.Context, topic relay.Topic, known bool, after uint64, hold time.Duration) (Page, bool, error) {
-	k.Calls.Add(1)
-	if !known {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		page, err := k.Store.Read(ctx, topic)
-		return page, true, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, hold+callTimeout)
-	defer cancel()
-	page, err := k.Store.Follow(ctx, topic, after, hold)
-	return page, false, err
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // paged takes an answer of the store.
 func (k *Keeper) paged(e paged, now time.Time) {
 	t := k.topics[e.topic]
@@ -271,6 +224,13 @@
 		k.Log.Info().Str("topic", string(e.topic)).Uint64("version", t.version).Msg("knowledge: the store has forgotten its history: all rows are read again")
 		return
 	}
+	if e.topic == relay.Operator {
+		for _, f := range k.followers {
+			if f.topic != relay.Operator {
+				f.interrupt()
+			}
+		}
+	}
 	if t.away.IsZero() {
 		t.away = now
 		k.Lost.Add(1)
@@ -298,6 +258,7 @@
 		k.readMembers()
 	}
 	k.refresh()
+	k.tellNews(topic, now)
 }
 
 // lapse notes servers whose entries are gone. While the store was away entries
@@ -333,6 +294,7 @@
 			k.readServers(now)
 		}
 	}
+	k.askReader(now)
 	k.askAround(now)
 	k.driveRollouts(ctx, now)
 	k.refresh()
--- a/daemon/knowledge/keeper_test.go
+++ b/daemon/knowledge/keeper_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"ladderridge.example/core/relay"
+	"ladderridge.example/daemon/knowledge"
 )
 
 func TestConfigurationIsInForceAtOnceAndOnlyForward(t *testing.T) {
@@ -65,6 +66,8 @@
 		delete(s.rows.tables[relay.Servers], "y")
 		s.rows.version++
 		s.rows.forgotten = s.rows.version
+		close(s.rows.changed)
+		s.rows.changed = make(chan struct{})
 		s.rows.mu.Unlock()
 		pass(3 * time.Second)
 		if diff := cmp.Diff([]string{"x"}, servers(k)); diff != "" {
@@ -107,18 +110,19 @@
 		s.mesh.holding["a"] = true
 		s.mesh.mu.Unlock()
 		pass(10 * time.Second)
-		before := a.View().ConfigAge(time.Now())
 		s.mesh.mu.Lock()
 		held := s.mesh.held["a"]
 		s.mesh.mu.Unlock()
 		if len(held) == 0 {
 			t.Fatal("nothing was held up")
 		}
+		pass(2 * time.Second)
+		before := a.View().ConfigAge(time.Now())
 		for _, deliver := range held {
 			deliver()
 		}
 		pass(0)
-		if after := a.View().ConfigAge(time.Now()); after < min(before, 1500*time.Millisecond) {
+		if after := a.View().ConfigAge(time.Now()); after < before {
 			t.Errorf("answers that were held up made the configuration %v old, it was %v", after, before)
 		}
 	})
@@ -201,3 +205,77 @@
 		}
 	})
 }
+
+// In a hall one daemon reads the store; when it fails another does, and what
+// changes meanwhile is in force within two seconds.
+func TestOneDaemonReadsForItsHall(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		ids := []string{"a", "b", "c", "d", "e", "f"}
+		keepers := map[string]*knowledge.Keeper{}
+		for _, id := range ids {
+			keepers[id] = s.daemon(id)
+		}
+		pass(15 * time.Second)
+		before := map[string]int64{}
+		for id, k := range keepers {
+			before[id] = k.Calls.Load()
+		}
+		pass(20 * time.Second)
+		var reader string
+		for id, k := range keepers {
+			switch calls := k.Calls.Load() - before[id]; {
+			case calls > 40:
+				t.Errorf("%s made %d calls in 20 s", id, calls)
+			case calls > 2 && reader != "":
+				t.Errorf("%s and %s read the store", id, reader)
+			case calls > 2:
+				reader = id
+			}
+			if age := k.View().ConfigAge(time.Now()); age > 3*time.Second {
+				t.Errorf("%s takes the configuration for %v old", id, age)
+			}
+		}
+		if reader == "" {
+			t.Fatal("nobody reads the store")
+		}
+		// The reader falls silent just as the configuration changes.
+		s.mesh.mu.Lock()
+		delete(s.mesh.keepers, reader)
+		s.mesh.mu.Unlock()
+		s.links[reader].fail(errDown)
+		s.config(2, "k")
+		pass(2 * time.Second)
+		for id, k := range keepers {
+			if id != reader && k.View().Map.Number != 2 {
+				t.Errorf("%s has configuration %d", id, k.View().Map.Number)
+			}
+		}
+	})
+}
+
+// A reader that the store turns away, while others reach it, is passed over.
+func TestReaderWithoutTheStoreIsPassedOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		ids := []string{"a", "b", "c", "d"}
+		keepers := map[string]*knowledge.Keeper{}
+		for _, id := range ids {
+			keepers[id] = s.daemon(id)
+		}
+		pass(15 * time.Second)
+		for _, id := range ids {
+			s.links[id].fail(errDown)
+			pass(5 * time.Second)
+			for other, k := range keepers {
+				if age := k.View().ConfigAge(time.Now()); age > 4*time.Second {
+					t.Errorf("with %s turned away, %s takes the configuration for %v old", id, other, age)
+				}
+			}
+			s.links[id].fail(nil)
+			pass(5 * time.Second)
+		}
+	})
+}
--- a/daemon/knowledge/members.go
+++ b/daemon/knowledge/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/ed25519"
 	"slices"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -24,33 +23,23 @@
 	Start uint64
 }
 
-// keepMembers publishes this daemon's entry and reads those of the others.
-func (k *Keeper) keepMembers(ctx context.Context) {
+// publish writes this daemon's entry until the store has it.
+func (k *Keeper) publish(ctx context.Context) {
 	data, err := cbor.Marshal(k.Self)
 	if err != nil {
 		k.Log.Error().Err(err).Msg("knowledge: this daemon's entry cannot be encoded")
 		return
 	}
-	published := false
-	pause := pauseFloor
-	for ctx.Err() == nil {
-		if !published {
-			published = k.publish(ctx, data)
+	for pause := pauseFloor; ctx.Err() == nil; pause = min(2*pause, pauseCeiling) {
+		if k.put(ctx, data) {
+			return
 		}
-		at := time.Now()
-		page, _, err := k.call(ctx, relay.Members, false, 0, 0)
-		k.deliver(ctx, paged{topic: relay.Members, page: page, whole: true, at: at, err: err})
-		if err != nil || !published {
-			wait(ctx, pause)
-			pause = min(2*pause, pauseCeiling)
-			continue
-		}
-		pause = pauseFloor
-		wait(ctx, membersEvery)
+		wait(ctx, pause)
 	}
 }
 
-func (k *Keeper) publish(ctx context.Context, data []byte) bool {
+// put writes this daemon's entry once.
+func (k *Keeper) put(ctx context.Context, data []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	k.Calls.Add(1)
@@ -77,6 +66,7 @@
 		members[m.ID] = m
 	}
 	k.members.Store(&members)
+	k.readers.list(members)
 }
 
 // PublicKey returns the key that a daemon has published, or nil.
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -11,40 +11,97 @@
 const askedFor = time.Second
 
 // relayed are the topics that daemons tell each other.
-var relayed = []relay.Topic{relay.Operator, relay.Servers, relay.Progress}
+var relayed = []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members}
 
-// askAround asks other daemons when this daemon's own knowledge grows old.
+// askReader asks the daemon that reads for this one, and reads itself if there
+// is none.
+func (k *Keeper) askReader(now time.Time) {
+	for _, id := range k.readers.expire(now) {
+		k.Log.Warn().Str("reader", id).Msg("knowledge: the reader of this hall does not answer")
+	}
+	k.settleReading()
+	due := k.readers.due(now)
+	if len(due) == 0 {
+		return
+	}
+	ask := k.question(relayed, now)
+	for _, m := range due {
+		k.readers.ask(m.ID, now)
+		k.Peers.Send(m.ID, m.Addr, ask)
+	}
+}
+
+// settleReading begins or ends the reading of the store.
+func (k *Keeper) settleReading() {
+	reader, others := k.readers.reader()
+	if k.reading.Load() == !others {
+		return
+	}
+	// Before the reader has told anything useful, this daemon goes on itself.
+	if others && !k.useful(time.Now()) {
+		return
+	}
+	k.reading.Store(!others)
+	k.Log.Info().Bool("reading", !others).Str("reader", reader.ID).Msg("knowledge: who reads the store has changed")
+	if others {
+		k.stopReading()
+	}
+}
+
+// stopReading ends the calls to the store: whether it is away is now the
+// reader's to find out.
+func (k *Keeper) stopReading() {
+	for _, f := range k.followers {
+		f.interrupt()
+	}
+	now := time.Now()
+	for _, t := range k.topics {
+		if !t.away.IsZero() {
+			t.away, t.returned = time.Time{}, now
+		}
+	}
+}
+
+// useful reports whether the reader has told this daemon what it knows.
+func (k *Keeper) useful(now time.Time) bool {
+	reader, ok := k.readers.reader()
+	at, told := k.toldBy[reader.ID]
+	return ok && told && now.Sub(at) < askEvery+answerWithin
+}
+
+// question makes a question about topics.
+func (k *Keeper) question(topics []relay.Topic, now time.Time) relay.Ask {
+	k.nonce++
+	k.asked[k.nonce] = now
+	ask := relay.Ask{Nonce: k.nonce}
+	for _, topic := range topics {
+		t := k.topics[topic]
+		ask.Have = append(ask.Have, relay.Have{Topic: topic, Version: t.version, Sum: relay.Sum(t.list())})
+	}
+	return ask
+}
+
+// askAround asks any daemons when what is known here grows old.
 func (k *Keeper) askAround(now time.Time) {
 	for nonce, at := range k.asked {
 		if now.Sub(at) > askedFor {
 			delete(k.asked, nonce)
 		}
 	}
-	var have []relay.Have
-	for _, topic := range relayed {
-		t := k.topics[topic]
-		if topic == relay.Progress && !k.rollouts.open.Load() {
-			continue
-		}
-		if now.Sub(t.confirmed) > askAfter {
-			have = append(have, relay.Have{Topic: topic, Version: t.version, Sum: relay.Sum(t.list())})
-		}
-	}
 	others := k.others()
-	if len(have) == 0 || len(others) == 0 {
+	if now.Sub(k.topics[relay.Operator].confirmed) <= askAfter || now.Sub(k.askedAt) < askEvery/2 || len(others) == 0 {
 		return
 	}
-	k.nonce++
-	k.asked[k.nonce] = now
+	k.askedAt = now
+	ask := k.question(relayed, now)
 	for i := range min(askPeers, len(others)) {
 		m := others[(int(k.nonce%uint64(len(others)))*askPeers+i)%len(others)]
-		k.Peers.Send(m.ID, m.Addr, relay.Ask{Nonce: k.nonce, Have: have})
+		k.Peers.Send(m.ID, m.Addr, ask)
 	}
 }
 
 // heard takes a message of another daemon.
 func (k *Keeper) heard(e heard, now time.Time) {
-	k.peersSeen[e.from] = now
 	switch m := e.message.(type) {
 	case relay.Ask:
 		k.answer(e.from, m, now)
@@ -61,46 +118,107 @@
 	if !ok {
 		return
 	}
-	tell := relay.Tell{Nonce: m.Nonce}
+	k.listeners[to] = now
+	tell := relay.Tell{Nonce: m.Nonce, Withdrawn: k.rollouts.withdrawnNames()}
 	for _, have := range m.Have {
 		t := k.topics[have.Topic]
-		if t == nil || !t.known || t.version < have.Version || have.Topic == relay.Members {
+		if t == nil || !t.known {
 			continue
 		}
-		rows := t.list()
-		known := relay.Known{Topic: have.Topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: relay.Sum(rows)}
-		if known.Sum != have.Sum {
-			known.Rows = rows
+		known := t.tell(have.Topic, now)
+		if known.Sum == have.Sum {
+			known.Rows = nil
 		}
 		tell.Known = append(tell.Known, known)
 	}
-	if len(tell.Known) > 0 {
-		k.Peers.Send(to, member.Addr, tell)
+	k.Peers.Send(to, member.Addr, tell)
+}
+
+// tell is what is known of a topic, with all rows.
+func (t *topicState) tell(topic relay.Topic, now time.Time) relay.Known {
+	rows := t.list()
+	out := relay.Known{Topic: topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: relay.Sum(rows), Rows: rows}
+	if !t.returned.IsZero() {
+		out.ReturnedMS = uint64(max(1, now.Sub(t.returned).Milliseconds()))
+	}
+	return out
+}
+
+// listenFor is how long after its last question a daemon is told news.
+const listenFor = 3 * time.Second
+
+// tellNews tells a topic that has changed to the daemons that ask here.
+func (k *Keeper) tellNews(topic relay.Topic, now time.Time) {
+	var tell relay.Tell
+	for id, at := range k.listeners {
+		member, ok := (*k.members.Load())[id]
+		if !ok || now.Sub(at) > listenFor {
+			delete(k.listeners, id)
+			continue
+		}
+		if tell.Known == nil {
+			tell.Known = []relay.Known{k.topics[topic].tell(topic, now)}
+		}
+		k.Peers.Send(id, member.Addr, tell)
+	}
+}
+
+// tellWithdrawn tells which versions are bad to the daemons that ask here.
+func (k *Keeper) tellWithdrawn(now time.Time) {
+	for id, at := range k.listeners {
+		if member, ok := (*k.members.Load())[id]; ok && now.Sub(at) <= listenFor {
+			k.Peers.Send(id, member.Addr, relay.Tell{Withdrawn: k.rollouts.withdrawnNames()})
+		}
 	}
 }
 
 // told takes what another daemon knows. Its age counts from when the question
-// was asked, so that an answer that was held up does not make it younger.
+// was asked, so that an answer that was held up does not make it younger; news
+// that nobody has asked for confirms nothing.
 func (k *Keeper) told(from string, m relay.Tell, now time.Time) {
 	defer k.refresh()
+	for _, name := range m.Withdrawn {
+		k.rollouts.withdrawNamed(name)
+	}
 	asked, ok := k.asked[m.Nonce]
-	if !ok || now.Sub(asked) > askedFor {
+	if m.Nonce != 0 && (!ok || now.Sub(asked) > askedFor) {
 		return
 	}
 	for _, known := range m.Known {
 		t := k.topics[known.Topic]
-		if t == nil || known.Topic == relay.Members {
+		if t == nil {
 			continue
 		}
-		confirmed := asked.Add(-time.Duration(known.AgeMS) * time.Millisecond)
-		switch {
-		case t.known && known.Version >= t.version && known.Sum == relay.Sum(t.list()):
-			t.version = known.Version
-			t.confirm(confirmed)
-		case known.Version > t.version || !t.known:
-			gone, newer := t.replace(known.Rows, known.Version, confirmed)
-			k.Log.Info().Str("topic", string(known.Topic)).Str("from", from).Uint64("version", known.Version).Uint64("age_ms", known.AgeMS).Msg("knowledge: told by another daemon")
-			k.learned(known.Topic, gone, newer, now)
+		var confirmed time.Time
+		if m.Nonce != 0 {
+			confirmed = asked.Add(-time.Duration(known.AgeMS) * time.Millisecond)
+		}
+		k.take(from, known, confirmed, now)
+	}
+	if m.Nonce == 0 {
+		return
+	}
+	for _, known := range m.Known {
+		if known.Topic == relay.Operator {
+			k.readers.told(from, now.Sub(asked.Add(-time.Duration(known.AgeMS)*time.Millisecond)))
+			k.toldBy[from] = now
 		}
 	}
 }
+
+// take takes what another daemon knows of a topic.
+func (k *Keeper) take(from string, known relay.Known, confirmed, now time.Time) {
+	t := k.topics[known.Topic]
+	if returned := now.Add(-time.Duration(known.ReturnedMS) * time.Millisecond); known.ReturnedMS > 0 && returned.After(t.returned) {
+		t.returned = returned
+	}
+	switch {
+	case t.known && known.Sum == relay.Sum(t.list()):
+		t.version = max(t.version, known.Version)
+		t.confirm(confirmed)
+	case known.Rows != nil && (known.Version > t.version || !t.known):
+		gone, newer := t.replace(known.Rows, known.Version, confirmed)
+		k.Log.Info().Str("topic", string(known.Topic)).Str("from", from).Uint64("version", known.Version).Uint64("age_ms", known.AgeMS).Msg("knowledge: told by another daemon")
+		k.learned(known.Topic, gone, newer, now)
+	}
+}
--- /dev/null
+++ b/daemon/knowledge/readers.go
@@ -0,0 +1,126 @@
+package knowledge
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Who reads the store. In each data hall one daemon does, and tells the others:
+// the first one that answers, in the order of a hash of the ids. Nobody is
+// elected; a daemon that hears nothing from those before it reads for itself,
+// which costs calls and does no harm.
+const (
+	// askEvery is the time between two questions to the hall's reader: what is
+	// known is older by it than at the reader.
+	askEvery = 400 * time.Millisecond
+	// answerWithin is how long a reader has to answer. With the time between
+	// questions it bounds how long a change may be missed when one fails.
+	answerWithin = 500 * time.Millisecond
+	// usefulAge is the age up to which a reader's knowledge is good enough; a
+	// reader that the store answers is never older than two calls.
+	usefulAge = 2*followFor + answerWithin
+	// probeEvery is the time between two questions to a daemon that has not
+	// answered.
+	probeEvery = 2 * time.Second
+)
+
+// readers decides whether this daemon reads the store, and whom it asks
+// otherwise. It belongs to the keeper's goroutine.
+type readers struct {
+	self Member
+	// before are the daemons of the own hall that go before this one, in order.
+	before []Member
+	// silent are daemons that did not answer, or had nothing useful to tell.
+	silent map[string]bool
+	// waiting is since when an answer of a daemon is due.
+	waiting map[string]time.Time
+	asked   map[string]time.Time
+}
+
+func newReaders() *readers {
+	return &readers{silent: map[string]bool{}, waiting: map[string]time.Time{}, asked: map[string]time.Time{}}
+}
+
+// rank orders daemons for reading.
+func rank(a, b Member) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+}
+
+// list takes the list of daemons.
+func (r *readers) list(members map[string]Member) {
+	r.before = nil
+	for _, m := range members {
+		if m.Hall == r.self.Hall && m.ID != r.self.ID && rank(m, r.self) < 0 {
+			r.before = append(r.before, m)
+		}
+	}
+	slices.SortFunc(r.before, rank)
+}
+
+// reader returns the daemon that reads for this one; ok is false if this daemon
+// reads itself.
+func (r *readers) reader() (Member, bool) {
+	for _, m := range r.before {
+		if !r.silent[m.ID] {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// due returns the daemons to ask now: the reader, and those that were silent
+// now and then.
+func (r *readers) due(now time.Time) []Member {
+	var out []Member
+	reader, ok := r.reader()
+	for _, m := range r.before {
+		every := probeEvery
+		if ok && m.ID == reader.ID {
+			every = askEvery
+		} else if !r.silent[m.ID] {
+			continue
+		}
+		if now.Sub(r.asked[m.ID]) >= every {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// ask notes that a daemon is asked now.
+func (r *readers) ask(id string, now time.Time) {
+	r.asked[id] = now
+	if _, waits := r.waiting[id]; !waits {
+		r.waiting[id] = now
+	}
+}
+
+// told notes an answer and how old what it tells is.
+func (r *readers) told(id string, age time.Duration) {
+	delete(r.waiting, id)
+	if age <= usefulAge {
+		delete(r.silent, id)
+	} else {
+		r.silent[id] = true
+	}
+}
+
+// expire notes the daemons whose answer is overdue; it returns those that were
+// not silent before.
+func (r *readers) expire(now time.Time) []string {
+	var out []string
+	for id, since := range r.waiting {
+		if now.Sub(since) < answerWithin {
+			continue
+		}
+		delete(r.waiting, id)
+		if !r.silent[id] {
+			r.silent[id] = true
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +29,10 @@
 	// rows are the versions of the rows with the states.
 	rows      map[string]uint64
 	own       map[countKey]canary.Count
-	told      map[string]relay.Evidence
-	toldAt    map[string]time.Time
+	// told is what other daemons of the hall have seen, and other halls as
+	// wholes.
+	told      map[source]relay.Evidence
+	toldAt    map[source]time.Time
 	withdrawn map[string]bool
 	sequence  uint64
 	sentAt    time.Time
@@ -43,6 +44,12 @@
 	seenAt  map[string]time.Time
 }
 
+// source is who says what was seen: a daemon, or a data hall as a whole.
+type source struct {
+	daemon string
+	hall   string
+}
+
 // countKey is what counts are kept by.
 type countKey struct {
 	service string
@@ -53,7 +60,7 @@
 func newRollouts() *rollouts {
 	return &rollouts{
 		byService: map[string]canary.Rollout{}, rows: map[string]uint64{}, own: map[countKey]canary.Count{},
-		told: map[string]relay.Evidence{}, toldAt: map[string]time.Time{}, withdrawn: map[string]bool{},
+		told: map[source]relay.Evidence{}, toldAt: map[source]time.Time{}, withdrawn: map[string]bool{},
 		busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
 	}
 }
@@ -145,57 +152,136 @@
 	r.own[key] = c
 }
 
-// hear takes what another daemon has seen.
+// hear takes what another daemon or hall has seen.
 func (r *rollouts) hear(from string, m relay.Evidence, now time.Time) {
-	was, ok := r.told[from]
+	src := source{daemon: from}
+	if m.Hall != "" {
+		// Whoever reads for the hall says so.
+		src = source{hall: m.Hall}
+	}
+	was, ok := r.told[src]
 	if ok && was.Start == m.Start && was.Sequence >= m.Sequence {
 		return
 	}
-	r.told[from], r.toldAt[from] = m, now
+	r.told[src], r.toldAt[src] = m, now
+	for _, name := range m.Withdrawn {
+		r.withdrawNamed(name)
+	}
+}
+
+// forget drops what was said too long ago to be of use.
+func (r *rollouts) forget(now time.Time) {
+	for src, at := range r.toldAt {
+		if now.Sub(at) > toldFor {
+			delete(r.told, src)
+			delete(r.toldAt, src)
+		}
+	}
+}
+
+// withdrawNamed stops the use of a version that another daemon found bad.
+func (r *rollouts) withdrawNamed(name string) {
 	for service, o := range r.byService {
-		if o.State == canary.Running && slices.Contains(m.Withdrawn, versionName(service, o.Order.Version)) {
+		if o.State == canary.Running && versionName(service, o.Order.Version) == name {
 			r.withdraw(service, o.Order.Version)
 		}
 	}
 }
 
+// withdrawnNames are the versions whose use has stopped here.
+func (r *rollouts) withdrawnNames() []string {
+	var out []string
+	for name := range r.withdrawn {
+		out = append(out, name)
+	}
+	return out
+}
+
+// totals adds up what this daemon and those of its hall have seen.
+func (r *rollouts) totals() map[countKey]canary.Count {
+	out := maps.Clone(r.own)
+	for src, m := range r.told {
+		if src.hall == "" {
+			addCounts(out, m.Counts)
+		}
+	}
+	return out
+}
+
+func addCounts(to map[countKey]canary.Count, counts []relay.Count) {
+	for _, c := range counts {
+		key := countKey{service: c.Service, version: c.Version, route: c.Route}
+		to[key] = to[key].Plus(canary.Count{Answers: c.Answers, Failed: c.Failed, Slow: c.Slow})
+	}
+}
+
 // pairs adds up what all daemons have seen of a service's versions, by route.
 func (r *rollouts) pairs(service string) map[string]canary.Pair {
+	all := r.totals()
+	for src, m := range r.told {
+		if src.hall != "" {
+			addCounts(all, m.Counts)
+		}
+	}
 	out := map[string]canary.Pair{}
 	version := r.byService[service].Order.Version
-	add := func(route, of string, c canary.Count) {
-		p := out[route]
-		if of == version {
+	for key, c := range all {
+		if key.service != service {
+			continue
+		}
+		p := out[key.route]
+		if key.version == version {
 			p.New = p.New.Plus(c)
 		} else {
 			p.Old = p.Old.Plus(c)
 		}
-		out[route] = p
+		out[key.route] = p
 	}
-	for key, c := range r.own {
-		if key.service == service {
-			add(key.route, key.version, c)
-		}
+	return out
+}
+
+// message is what has been seen, for others: by this daemon, or by its hall.
+func (r *rollouts) message(start uint64, hall string, counts map[countKey]canary.Count, old map[string]int) relay.Evidence {
+	r.sequence++
+	m := relay.Evidence{Hall: hall, Start: start, Sequence: r.sequence, OldInFlight: old, Withdrawn: r.withdrawnNames()}
+	for key, c := range counts {
+		m.Counts = append(m.Counts, relay.Count{Service: key.service, Version: key.version, Route: key.route, Answers: c.Answers, Failed: c.Failed, Slow: c.Slow})
 	}
-	for _, m := range r.told {
-		for _, c := range m.Counts {
-			if c.Service == service {
-				add(c.Route, c.Version, canary.Count{Answers: c.Answers, Failed: c.Failed, Slow: c.Slow})
-			}
+	return m
+}
+
+// oldInFlight adds up the requests of this daemon's hall on old versions. A
+// service of which a daemon of the hall still uses the old one is left out.
+func (r *rollouts) oldInFlight(own map[string]int) map[string]int {
+	out := maps.Clone(own)
+	for src, m := range r.told {
+		if src.hall == "" {
+			addInFlight(out, m.OldInFlight)
 		}
 	}
 	return out
 }
 
-// evidence is what this daemon has seen, for the others.
-func (r *rollouts) evidence(start uint64, old map[string]int) relay.Evidence {
-	r.sequence++
-	m := relay.Evidence{Start: start, Sequence: r.sequence, OldInFlight: old}
-	for key, c := range r.own {
-		m.Counts = append(m.Counts, relay.Count{Service: key.service, Version: key.version, Route: key.route, Answers: c.Answers, Failed: c.Failed, Slow: c.Slow})
+// addInFlight adds numbers of requests; a service that one side lacks is
+// dropped.
+func addInFlight(to, more map[string]int) {
+	for service, n := range to {
+		add, ok := more[service]
+		if !ok {
+			delete(to, service)
+			continue
+		}
+		to[service] = n + add
 	}
-	for name := range r.withdrawn {
-		m.Withdrawn = append(m.Withdrawn, name)
+}
+
+// allOldInFlight adds up the requests of all daemons on old versions.
+func (r *rollouts) allOldInFlight(own map[string]int) map[string]int {
+	out := r.oldInFlight(own)
+	for src, m := range r.told {
+		if src.hall != "" {
+			addInFlight(out, m.OldInFlight)
+		}
 	}
-	return m
+	return out
 }
