A cut hall rests whole; slow versions are told by the time between events

Three servers of a hall that time out without an answer now rest the hall; a connection comes up within 0.4 s or another server is asked; bytes that are not confirmed end a connection after 0.9 s. Cause 2: a request whose first attempt was lost was given up as 'configuration too old' before its second one, though its key had passed. It is now only asked again under a newer configuration. The time between events counts now.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -10,8 +10,9 @@
 
 func pool(n int) []*fleet.Server {
 	var out []*fleet.Server
+	hall := fleet.NewHall()
 	for i := range n {
-		out = append(out, &fleet.Server{ID: fmt.Sprintf("e%02d", i), Service: "s", Hall: "h", Version: "v1", Load: fleet.NewLoad()})
+		out = append(out, &fleet.Server{ID: fmt.Sprintf("e%02d", i), Service: "s", Hall: "h", Version: "v1", Load: fleet.NewLoad(hall)})
 	}
 	return out
 }
@@ -131,3 +132,34 @@
 		t.Error("the own hall was chosen though it is busier")
 	}
 }
+
+// When the way to a hall is cut, a few time-outs tell for all of its servers.
+func TestHallWhoseServersTimeOutRestsWhole(t *testing.T) {
+	near, far := pool(4), pool(4)
+	for _, s := range far {
+		s.ID, s.Hall = "far-"+s.ID, "far"
+	}
+	all := append(near, far...)
+	far[0].Load.Silent(now)
+	far[1].Load.Silent(now)
+	far[0].Load.Silent(now)
+	if far[3].Load.Resting(now) {
+		t.Fatal("two servers make a hall rest")
+	}
+	far[2].Load.Silent(now)
+	for i := range uint64(200) {
+		if s := choose(t, all, fleet.Want{Affinity: i + 1}); s.Hall == "far" {
+			t.Fatalf("%s was chosen", s.ID)
+		}
+	}
+	if s, ok := fleet.NewList(far).Choose(fleet.Want{Service: "s"}, now); !ok || s.Hall != "far" {
+		t.Error("with no other hall it is not used")
+	}
+	far[3].Load.Answered(1)
+	if far[3].Load.Resting(now) {
+		t.Error("an answer does not end the rest")
+	}
+	if !far[0].Load.Resting(now) {
+		t.Error("a server that timed out does not rest itself")
+	}
+}
--- /dev/null
+++ b/core/fleet/hall.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// Hall is what this daemon's requests have seen of a data hall's servers
+// together. When the way to a hall is cut, each of its servers would cost some
+// requests a time-out; here the first few tell for all.
+type Hall struct {
+	mu sync.Mutex
+	// timedOut are the servers whose connections timed out since one of the
+	// hall last answered.
+	timedOut map[*Load]bool
+	until    time.Time
+	rest     time.Duration
+}
+
+const (
+	// hallSilent is how many servers must time out, with none answering, for a
+	// hall to rest: one or two may have crashed at once.
+	hallSilent = 3
+	// hallRestFloor and hallRestCeiling bound the rest, which doubles. After
+	// it requests try the hall again.
+	hallRestFloor   = time.Second
+	hallRestCeiling = 2 * time.Second
+)
+
+// NewHall returns a hall of which nothing has been seen.
+func NewHall() *Hall { return &Hall{timedOut: map[*Load]bool{}} }
+
+func (h *Hall) resting(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Before(h.until)
+}
+
+func (h *Hall) silent(l *Load, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.timedOut[l] = true
+	if len(h.timedOut) < hallSilent || now.Before(h.until) {
+		return
+	}
+	h.rest = min(max(2*h.rest, hallRestFloor), hallRestCeiling)
+	h.until = now.Add(h.rest)
+}
+
+func (h *Hall) answered() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.timedOut) == 0 {
+		return
+	}
+	clear(h.timedOut)
+	h.until, h.rest = time.Time{}, 0
+}
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -19,6 +19,7 @@
 	// slowness is the recent time of answers relative to what other servers
 	// took for the like, 1 when alike.
 	slowness float64
+	hall     *Hall
 }
 
 // The pauses of a server that fails.
@@ -39,8 +40,9 @@
 	failingCost = 4
 )
 
-// NewLoad returns the load of a server that has served nothing yet.
-func NewLoad() *Load { return &Load{slowness: 1} }
+// NewLoad returns the load of a server that has served nothing yet. All servers
+// of a data hall share one Hall.
+func NewLoad(hall *Hall) *Load { return &Load{slowness: 1, hall: hall} }
 
 // InFlight is the number of this daemon's requests under way there.
 func (l *Load) InFlight() int {
@@ -70,16 +72,28 @@
 	return l.slowness * (1 + failingCost*l.failing)
 }
 
-// Resting reports whether the server has failed so lately that others go first.
+// Resting reports whether the server, or its hall, has failed so lately that
+// others go first.
 func (l *Load) Resting(now time.Time) bool {
+	if l.hall.resting(now) {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return now.Before(l.resting)
 }
 
+// Silent notes a server that gave no sign of its machine: the connection timed
+// out. It rests at once, and so does its hall if several of it do that.
+func (l *Load) Silent(now time.Time) {
+	l.hall.silent(l, now)
+	l.Unreachable(now)
+}
+
 // Answered notes a good answer; relative is the time it took in terms of what
 // the like takes, or 0 if that is unknown.
 func (l *Load) Answered(relative float64) {
+	l.hall.answered()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures = 0
--- a/daemon/channel/error.go
+++ b/daemon/channel/error.go
@@ -1,6 +1,12 @@
 package channel
 
-import "ladderridge.example/core/fault"
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"ladderridge.example/core/fault"
+)
 
 // Kind says what sort of error the package met, and with that whether the
 // request may have run.
@@ -28,3 +34,13 @@
 
 // Error is the error type of this package.
 type Error = fault.Of[Kind]
+
+// TimedOut reports whether an error says that the server's machine gave no sign
+// of itself, as one that is cut off or has no power.
+func TimedOut(err error) bool {
+	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
+		return true
+	}
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -19,8 +19,9 @@
 // The bounds of connections.
 const (
 	// dialTimeout is the longest that a connection may take to come up: a hall
-	// away is a few milliseconds, and one lost packet costs a second.
-	dialTimeout = 1200 * time.Millisecond
+	// away is a few milliseconds. A lost packet is sent again only after a
+	// second; by then another server has answered.
+	dialTimeout = 400 * time.Millisecond
 	// longestRest is how long a connection is kept without a request. Servers
 	// close idle ones after a time of their own; the shorter wins.
 	longestRest = 10 * time.Second
@@ -28,12 +29,13 @@
 	// a request does not meet the close.
 	keepMargin = 500 * time.Millisecond
 	// unackedTimeout ends a connection whose bytes the other end's machine does
-	// not confirm: it has lost power or is cut off. Go's own probes find the
-	// same on a connection that only waits.
-	unackedTimeout = 1500 * time.Millisecond
-	probeAfter     = 700 * time.Millisecond
-	probeEvery     = 400 * time.Millisecond
-	probes         = 3
+	// not confirm: it has lost power or is cut off. Two packets lost in a row
+	// are sent again within it. Probes find the same on a connection that only
+	// waits; the system counts them by whole seconds.
+	unackedTimeout = 900 * time.Millisecond
+	probeAfter     = time.Second
+	probeEvery     = time.Second
+	probes         = 1
 	// surplusAnswers is how many answers to earlier requests are read past.
 	surplusAnswers = 2
 )
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -37,7 +37,11 @@
 	// cancel ends the attempt at the server.
 	cancel context.CancelFunc
 	ended  bool
-	kind   string
+	// kind is what times are compared by: the route and the model.
+	kind string
+	// relative is how long the first part took in terms of the usual, 0 if that
+	// is not known.
+	relative float64
 }
 
 // choose finds a server for the next attempt.
@@ -64,7 +68,8 @@
 
 // allowed is the last check before an attempt leaves: whether the newest
 // configuration still lets the request reach the service. An answer that the
-// caller has a part of is finished under the one that it began under.
+// caller has a part of is finished under the one that it began under, and a
+// request that was accepted under this one is not asked for its key again.
 func (j *job) allowed(now time.Time) Outcome {
 	if j.begun {
 		return nil
@@ -78,6 +83,9 @@
 		j.report.Service = j.service
 	}
 	j.route = route
+	if j.view.Map.Number == j.accepted {
+		return nil
+	}
 	return j.authenticate(now)
 }
 
@@ -170,7 +178,7 @@
 	if errors.As(a.err, &e) && e.Kind.NotRun() {
 		a.verdict = declined
 		if fault.Is(a.err, channel.Unreachable) && j.live() {
-			a.server.Load.Unreachable(now)
+			j.blame(a, a.err, now)
 		}
 		return
 	}
@@ -178,11 +186,23 @@
 	j.attempts++
 	j.mayHaveRun = true
 	if j.live() {
-		a.server.Load.Broke(now)
+		j.blame(a, a.err, now)
 		j.observe(a, true, false)
 	}
 }
 
+// blame notes with the server how it failed.
+func (j *job) blame(a *attempt, err error, now time.Time) {
+	switch {
+	case channel.TimedOut(err):
+		a.server.Load.Silent(now)
+	case fault.Is(err, channel.Unreachable):
+		a.server.Load.Unreachable(now)
+	default:
+		a.server.Load.Broke(now)
+	}
+}
+
 // live reports whether the request's time is not over: else a failure says
 // nothing about the server.
 func (j *job) live() bool { return j.end.IsZero() || time.Now().Before(j.end) }
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -102,10 +102,12 @@
 	sink    Sink
 	report  Report
 
-	view    *knowledge.View
-	route   *routemap.Route
-	holder  *routemap.Organisation
-	service string
+	view   *knowledge.View
+	route  *routemap.Route
+	holder *routemap.Organisation
+	// accepted is the configuration under which the key passed.
+	accepted uint64
+	service  string
 	// end is when the request is given up, zero for never.
 	end   time.Time
 	step  ladder.Step
@@ -154,7 +156,7 @@
 	if !ok {
 		return Refused{Reason: NoRoute}
 	}
-	j.route, j.report.Route = route, route.Name
+	j.route, j.report.Route, j.accepted = route, route.Name, j.view.Map.Number
 	if out := j.authenticate(now); out != nil {
 		return out
 	}
--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -331,3 +331,55 @@
 		}
 	})
 }
+
+// A request that was accepted is tried again though the configuration has grown
+// too old for new ones meanwhile: it was once given up after its first attempt.
+func TestAcceptedRequestOutlivesTheAgeOfItsConfiguration(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.engine.KeyAge = 50 * time.Millisecond
+		var lost atomic.Bool
+		s := func(c net.Conn, a arrival) bool {
+			if lost.CompareAndSwap(false, true) {
+				time.Sleep(100 * time.Millisecond)
+				return false
+			}
+			return whole(200, "ok")(c, a)
+		}
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", s), b.server("b", "s", "v1", s))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Wait: time.Second})
+		if got.body.String() != "ok" {
+			t.Errorf("%v", got.outcome)
+		}
+	})
+}
+
+// A stream whose first event takes long, as on a server that the prompt is new
+// to, does not speak against a version; one whose events come slowly does.
+func TestSlownessIsToldByTheTimeBetweenEvents(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		first, between := 10*time.Millisecond, 5*time.Millisecond
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", func(c net.Conn, a arrival) bool {
+			time.Sleep(first)
+			return paced(6, between)(c, a)
+		}))
+		ask := func() bool {
+			b.ask(t.Context(), exchange.Request{ID: "r", Path: "/slow/x", Key: "k", Wait: 9 * time.Second})
+			return b.known.facts[len(b.known.facts)-1].Slow
+		}
+		for range 20 {
+			if ask() {
+				t.Fatal("a usual answer counts as slow")
+			}
+		}
+		first = 150 * time.Millisecond
+		if ask() {
+			t.Error("a late first event counts as slow")
+		}
+		first, between = 10*time.Millisecond, 40*time.Millisecond
+		if !ask() {
+			t.Error("slow events do not count as slow")
+		}
+	})
+}
--- a/daemon/exchange/harness_test.go
+++ b/daemon/exchange/harness_test.go
@@ -156,7 +156,7 @@
 // server adds a server with a script.
 func (b *bench) server(id, service, version string, s script) *fleet.Server {
 	b.scripts[id] = s
-	return &fleet.Server{ID: id, Service: service, Addr: id, Version: version, Load: fleet.NewLoad()}
+	return &fleet.Server{ID: id, Service: service, Addr: id, Version: version, Load: fleet.NewLoad(fleet.NewHall())}
 }
 
 // told is what a caller was sent.
@@ -246,3 +246,19 @@
 	t.Helper()
 	synctest.Test(t, f)
 }
+
+// paced answers with a whole stream of n events with a pause between them.
+func paced(n int, pause time.Duration) script {
+	return func(c net.Conn, a arrival) bool {
+		events(1, 1, false)(c, a)
+		for i := 2; i <= n; i++ {
+			time.Sleep(pause)
+			text := "id: " + strconv.Itoa(i) + "\ndata: x\n\n"
+			if _, err := io.WriteString(c, strconv.FormatInt(int64(len(text)), 16)+"\r\n"+text+"\r\n"); err != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -28,9 +28,11 @@
 			return Gone{}, ""
 		}
 	}
-	err := j.passEvents(ctx, a)
+	var t tempo
+	err := j.passEvents(ctx, a, &t)
 	switch {
 	case err == nil:
+		j.observe(a, false, t.slow(j, a))
 		j.note(a, "whole")
 		return Answered{Status: a.reply.Status}, ""
 	case errors.Is(err, errCallerGone):
@@ -59,7 +61,7 @@
 }
 
 // passEvents passes events on until the stream's proper end.
-func (j *job) passEvents(ctx context.Context, a *attempt) error {
+func (j *job) passEvents(ctx context.Context, a *attempt, t *tempo) error {
 	events := newEventReader(a.reply)
 	timer := j.startTimer(a, j.firstWait())
 	defer timer.stop()
@@ -77,6 +79,7 @@
 			return err
 		}
 		timer.reset(j.silence())
+		t.event(time.Now())
 		if first {
 			first = false
 			j.wentWell(a, time.Since(a.sent))
@@ -103,3 +106,36 @@
 		}
 	}
 }
+
+// tempo is the time between the events of one stream.
+type tempo struct {
+	first  time.Time
+	last   time.Time
+	events int
+}
+
+// tempoEvents is how many events a stream must have for its tempo to count.
+const tempoEvents = 4
+
+func (t *tempo) event(now time.Time) {
+	if t.events == 0 {
+		t.first = now
+	}
+	t.last = now
+	t.events++
+}
+
+// slow reports whether a whole stream was several times slower than usual. The
+// first event says little: it takes long where the prompt is new to the server,
+// as all prompts are to the servers of a new version. So the time between
+// events counts, and the first one only in short streams, by the objective.
+func (t *tempo) slow(j *job, a *attempt) bool {
+	if t.events < tempoEvents {
+		return a.relative >= slowFactor && t.first.Sub(a.sent) > j.route.Objective/2
+	}
+	between := t.last.Sub(t.first) / time.Duration(t.events-1)
+	kind := a.kind + "/tempo"
+	relative := j.engine.pace.relative(kind, between)
+	j.engine.pace.learn(kind, between)
+	return relative >= slowFactor
+}
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -43,6 +43,7 @@
 		return nil, Failed
 	}
 	j.wentWell(a, took)
+	j.observe(a, false, a.relative >= slowFactor)
 	j.note(a, fmt.Sprintf("status %d", w.status))
 	return j.sendWhole(w), ""
 }
@@ -52,18 +53,18 @@
 	j.note(a, err.Error())
 	j.avoid = append(j.avoid, a.server.ID)
 	if j.live() {
-		a.server.Load.Broke(time.Now())
+		j.blame(a, err, time.Now())
 		j.observe(a, true, false)
 	}
 	return nil, Failed
 }
 
-// wentWell notes a good answer and how long it took.
+// wentWell notes that the first part of a good answer came, or all of a plain
+// one.
 func (j *job) wentWell(a *attempt, took time.Duration) {
-	relative := j.engine.pace.relative(a.kind, took)
-	a.server.Load.Answered(relative)
+	a.relative = j.engine.pace.relative(a.kind, took)
+	a.server.Load.Answered(a.relative)
 	j.engine.pace.learn(a.kind, took)
-	j.observe(a, false, relative >= slowFactor)
 	j.report.First = time.Since(j.request.Arrived)
 }
 
@@ -89,5 +90,6 @@
 		return Broken{Reason: Failed}, ""
 	}
 	j.wentWell(a, time.Since(a.sent))
+	j.observe(a, false, a.relative >= slowFactor)
 	return Answered{Status: a.reply.Status}, ""
 }
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -68,14 +68,15 @@
 	listeners map[string]time.Time
 	topics    map[relay.Topic]*topicState
 	loads     map[string]*fleet.Load
+	halls     map[string]*fleet.Hall
 	lapsed    map[string]time.Time
 	firstSeen map[string]time.Time
 	asked     map[uint64]time.Time
 	nonce     uint64
 	askedAt   time.Time
 	// toldBy is when a daemon last answered a question.
-	toldBy map[string]time.Time
-	rollouts  *rollouts
+	toldBy   map[string]time.Time
+	rollouts *rollouts
 	// bad are rows that did not decode, by key, so that each is logged once.
 	bad map[string]uint64
 }
@@ -116,7 +117,7 @@
 func New() *Keeper {
 	k := &Keeper{
 		events: make(chan event, eventBacklog),
-		topics: map[relay.Topic]*topicState{}, loads: map[string]*fleet.Load{}, lapsed: map[string]time.Time{},
+		topics: map[relay.Topic]*topicState{}, loads: map[string]*fleet.Load{}, halls: map[string]*fleet.Hall{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldBy: map[string]time.Time{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), nonce: rand.Uint64(),
 	}
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -87,12 +87,20 @@
 
 func (k *Keeper) withLoad(s fleet.Server) *fleet.Server {
 	if k.loads[s.ID] == nil {
-		k.loads[s.ID] = fleet.NewLoad()
+		k.loads[s.ID] = fleet.NewLoad(k.hall(s.Hall))
 	}
 	s.Load = k.loads[s.ID]
 	return &s
 }
 
+// hall returns what all servers of a hall share.
+func (k *Keeper) hall(name string) *fleet.Hall {
+	if k.halls[name] == nil {
+		k.halls[name] = fleet.NewHall()
+	}
+	return k.halls[name]
+}
+
 // stillLapsed returns the servers whose entries lapsed while the store was away.
 func (k *Keeper) stillLapsed(was *fleet.List, now time.Time) []*fleet.Server {
 	if was == nil {
--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -27,8 +27,8 @@
 
 	byService map[string]canary.Rollout
 	// rows are the versions of the rows with the states.
-	rows      map[string]uint64
-	own       map[countKey]canary.Count
+	rows map[string]uint64
+	own  map[countKey]canary.Count
 	// told is what other daemons of the hall have seen, and other halls as
 	// wholes.
 	told      map[source]relay.Evidence
