News among daemons as differences; settings are read again on SIGHUP

The settings are now read again on the signal and when the file changes; what cannot change while running is logged. Changes are now told as differences, at most ten times a second, checked by the sum of the rows; a daemon that lags far is told all rows. Ruled out: the requests themselves (unchanged).

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -56,13 +56,17 @@
 	Version uint64
 	// AgeMS is how long ago the store confirmed it, in milliseconds.
 	AgeMS uint64
-	// Sum is a hash of the rows' keys and versions.
+	// Sum is a hash of the rows' keys and versions, as they are now.
 	Sum uint64
 	// ReturnedMS is how long ago the store answered again after it was away, or
 	// 0 if it was not: entries that lapsed meanwhile may come back.
 	ReturnedMS uint64
-	// Rows are all rows of the topic, unless the asker has the same.
-	Rows []Row
+	// Whole tells that Rows are all rows of the topic. Otherwise Rows and
+	// Removed are what has changed since the rows whose sum is Base.
+	Whole   bool
+	Base    uint64
+	Rows    []Row
+	Removed []string
 }
 
 // Sum returns the hash of a topic's rows, whatever their order.
--- a/daemon/cmd/ladderridged/cmd_gateway.go
+++ b/daemon/cmd/ladderridged/cmd_gateway.go
@@ -44,24 +44,33 @@
 	return cmd
 }
 
-// serveGateway runs the daemon. SIGUSR1 writes its state to the log.
+// serveGateway runs the daemon. SIGUSR1 writes its state to the log, SIGHUP has
+// the settings read again.
 func serveGateway(ctx context.Context, path string) error {
 	s, err := settings.LoadGateway(path)
 	if err != nil {
 		return err
 	}
-	g := &gateway.Gateway{Settings: s, Start: uint64(time.Now().UnixNano()), Platform: gateway.Platform{
+	g := gateway.New(s)
+	g.Start = uint64(time.Now().UnixNano())
+	g.Load = func() (*settings.Gateway, error) { return settings.LoadGateway(path) }
+	g.Platform = gateway.Platform{
 		Store: platform.NewStore(s.StoreURL), Decoder: platform.Rows{}, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		Door: func(p gateway.Port) http.Handler {
 			return &platform.Door{Engine: p.Engine, BodyLimit: p.BodyLimit, Closing: p.Closing}
 		},
-	}}
-	dumps := make(chan os.Signal, 1)
-	signal.Notify(dumps, syscall.SIGUSR1)
-	defer signal.Stop(dumps)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	go func() {
-		for range dumps {
-			g.LogDump()
+		for sig := range signals {
+			switch sig {
+			case syscall.SIGUSR1:
+				g.LogDump()
+			case syscall.SIGHUP:
+				g.Reload()
+			}
 		}
 	}()
 	return g.Run(ctx)
--- a/daemon/exchange/budget.go
+++ b/daemon/exchange/budget.go
@@ -40,6 +40,17 @@
 // when they reach a server, not by when they leave.
 const budgetMargin = 0.92
 
+// Set changes the bounds.
+func (b *Budget) Set(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if window != b.Window {
+		// The slots of another length say nothing.
+		b.services, b.first = nil, time.Time{}
+	}
+	b.Ratio, b.Slack, b.Window = ratio, slack, window
+}
+
 func (b *Budget) window(service string) *budgetWindow {
 	if b.services == nil {
 		b.services = map[string]*budgetWindow{}
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -27,17 +27,21 @@
 	Budget    *Budget
 	// Hall is this daemon's data hall.
 	Hall string
-	// KeyAge is how old the configuration may be for a key to pass.
-	KeyAge time.Duration
 	// Observer is told of each request that has ended; nil is nobody.
 	Observer func(Report)
 
 	// Open counts requests under way.
 	Open atomic.Int64
 
-	pace *pace
+	// keyAge is how old the configuration may be for a key to pass.
+	keyAge atomic.Int64
+	pace   *pace
 }
 
+// SetKeyAge sets how old the configuration may be for a key to pass; until it is
+// called no key passes.
+func (e *Engine) SetKeyAge(d time.Duration) { e.keyAge.Store(int64(d)) }
+
 // New returns an engine that has served nothing yet.
 func New() *Engine { return &Engine{pace: newPace()} }
 
@@ -184,7 +188,7 @@
 	if j.request.Key == "" {
 		return Refused{Reason: NoKey}
 	}
-	if j.view.ConfigAge(now) > j.engine.KeyAge {
+	if j.view.ConfigAge(now) > time.Duration(j.engine.keyAge.Load()) {
 		return Refused{Reason: Stale, RetryAfter: staleRetry}
 	}
 	holder, ok := j.view.Map.Organisation(j.request.Key)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -47,9 +48,11 @@
 	ReadyPath string
 }
 
-// Gateway is one daemon. Set the exported fields, then Run.
+// Gateway is one daemon. Get one from New, set the exported fields, then Run.
 type Gateway struct {
 	Settings *settings.Gateway
+	// Load reads the settings again; nil keeps those of the start.
+	Load     func() (*settings.Gateway, error)
 	Platform Platform
 	// Start tells the processes of one daemon apart; it is any number that
 	// differs.
@@ -67,8 +70,16 @@
 	readiness *server
 	admin     *server
 	phase     phase
+
+	// settings are those in force; reloads asks for them to be read again.
+	settings    atomic.Pointer[settings.Gateway]
+	reloads     chan struct{}
+	badSettings string
 }
 
+// New returns a daemon with its settings.
+func New(s *settings.Gateway) *Gateway { return &Gateway{Settings: s, reloads: make(chan struct{}, 1)} }
+
 // part adapts a part's Run to the supervisor.
 type part struct {
 	name string
@@ -118,6 +129,7 @@
 // build puts the parts together.
 func (g *Gateway) build() error {
 	s := g.Settings
+	g.settings.Store(s)
 	g.log, g.logWriter = newLogger(s.LogLevel)
 	keys, err := peer.NewOwnKeys(s.ID)
 	if err != nil {
@@ -134,8 +146,9 @@
 	g.reporter = newReporter(g.log)
 	g.engine = exchange.New()
 	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
-	g.engine.Hall, g.engine.KeyAge, g.engine.Observer = s.Hall, s.KeyAge, g.reporter.report
-	g.engine.Budget = &exchange.Budget{Ratio: s.RepeatRatio, Window: s.RepeatWindow, Slack: s.RepeatSlack}
+	g.engine.Hall, g.engine.Observer = s.Hall, g.reporter.report
+	g.engine.Budget = &exchange.Budget{}
+	g.apply(s)
 	g.registry = g.metrics()
 	g.callers = newServer(s.Callers, g.Platform.Door(Port{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing}))
 	g.readiness = newServer(s.Readiness, g.readyHandler())
@@ -149,6 +162,9 @@
 // Send implements knowledge.Sender.
 func (s sender) Send(id, addr string, m any) { s.peers.Send(id, addr, m) }
 
+// Forget implements knowledge.Sender.
+func (s sender) Forget(id string) { s.peers.Forget(id) }
+
 // bodyLimit is the longest body that callers may send now.
 func (g *Gateway) bodyLimit() int64 {
 	if v := g.keeper.View(); v.Map != nil {
@@ -173,6 +189,7 @@
 	serving.Add(part{"admin", g.admin.run})
 	serving.Add(part{"channels", g.sweep})
 	serving.Add(part{"reports", g.reporter.run})
+	serving.Add(part{"settings", g.watchSettings})
 	root.Add(coordination)
 	root.Add(serving)
 	return root
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -31,8 +31,8 @@
 	begun := time.Now()
 	g.log.Info().Int64("open", g.engine.Open.Load()).Msg("gateway: stopping: not ready")
 	g.phase.stopping.Store(true)
-	time.Sleep(min(notice, g.Settings.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.Settings.Grace-lastMoment))
+	time.Sleep(min(notice, g.settings.Load().Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.settings.Load().Grace-lastMoment))
 	defer cancel()
 	if err := g.callers.http.Shutdown(ctx); err != nil {
 		g.log.Warn().Err(err).Int64("open", g.engine.Open.Load()).Msg("gateway: stopping: requests outlasted the grace")
--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -253,6 +253,8 @@
 	deliver()
 }
 
+func (s sender) Forget(string) {}
+
 // system is a store with daemons that follow it.
 type system struct {
 	t     *testing.T
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -35,6 +35,8 @@
 // Sender carries messages to other daemons without waiting.
 type Sender interface {
 	Send(id, addr string, m any)
+	// Forget drops the connections to a daemon.
+	Forget(id string)
 }
 
 // Keeper keeps what a daemon knows. Get one from New, set the exported fields,
@@ -67,6 +69,8 @@
 	// asked.
 	listeners map[string]time.Time
 	topics    map[relay.Topic]*topicState
+	// toldSums are the sums of the topics at the last news.
+	toldSums  map[relay.Topic]uint64
 	loads     map[string]*fleet.Load
 	halls     map[string]*fleet.Hall
 	lapsed    map[string]time.Time
@@ -118,7 +122,7 @@
 	k := &Keeper{
 		events: make(chan event, eventBacklog),
 		topics: map[relay.Topic]*topicState{}, loads: map[string]*fleet.Load{}, halls: map[string]*fleet.Hall{}, lapsed: map[string]time.Time{},
-		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldBy: map[string]time.Time{}, readers: newReaders(),
+		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, toldBy: map[string]time.Time{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), nonce: rand.Uint64(),
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
@@ -259,7 +263,6 @@
 		k.readMembers()
 	}
 	k.refresh()
-	k.tellNews(topic, now)
 }
 
 // lapse notes servers whose entries are gone. While the store was away entries
@@ -297,6 +300,7 @@
 	}
 	k.askReader(now)
 	k.askAround(now)
+	k.tellNews(now)
 	k.driveRollouts(ctx, now)
 	k.refresh()
 }
--- a/daemon/knowledge/members.go
+++ b/daemon/knowledge/members.go
@@ -64,6 +64,9 @@
 			continue
 		}
 		members[m.ID] = m
+		if was, ok := (*k.members.Load())[m.ID]; ok && was.Start != m.Start {
+			k.Peers.Forget(m.ID)
+		}
 	}
 	k.members.Store(&members)
 	k.readers.list(members)
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -17,6 +17,8 @@
 // is none.
 func (k *Keeper) askReader(now time.Time) {
 	for _, id := range k.readers.expire(now) {
+		// Its process may be a new one, which does not know the connection.
+		k.Peers.Forget(id)
 		k.Log.Warn().Str("reader", id).Msg("knowledge: the reader of this hall does not answer")
 	}
 	k.settleReading()
@@ -76,7 +78,7 @@
 	ask := relay.Ask{Nonce: k.nonce}
 	for _, topic := range topics {
 		t := k.topics[topic]
-		ask.Have = append(ask.Have, relay.Have{Topic: topic, Version: t.version, Sum: relay.Sum(t.list())})
+		ask.Have = append(ask.Have, relay.Have{Topic: topic, Version: t.version, Sum: t.sum})
 	}
 	return ask
 }
@@ -125,41 +127,50 @@
 		if t == nil || !t.known {
 			continue
 		}
-		known := t.tell(have.Topic, now)
-		if known.Sum == have.Sum {
-			known.Rows = nil
-		}
-		tell.Known = append(tell.Known, known)
+		tell.Known = append(tell.Known, t.tell(have.Topic, have.Sum, now))
 	}
 	k.Peers.Send(to, member.Addr, tell)
 }
 
-// tell is what is known of a topic, with all rows.
-func (t *topicState) tell(topic relay.Topic, now time.Time) relay.Known {
-	rows := t.list()
-	out := relay.Known{Topic: topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: relay.Sum(rows), Rows: rows}
+// tell is what is known of a topic, for a daemon whose rows have a sum.
+func (t *topicState) tell(topic relay.Topic, sum uint64, now time.Time) relay.Known {
+	out := relay.Known{Topic: topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: t.sum, Base: sum}
 	if !t.returned.IsZero() {
 		out.ReturnedMS = uint64(max(1, now.Sub(t.returned).Milliseconds()))
 	}
+	if sum == t.sum {
+		return out
+	}
+	var ok bool
+	if out.Rows, out.Removed, ok = t.since(sum); !ok {
+		out.Rows, out.Removed, out.Whole = t.list(), nil, true
+	}
 	return out
 }
 
 // listenFor is how long after its last question a daemon is told news.
 const listenFor = 3 * time.Second
 
-// tellNews tells a topic that has changed to the daemons that ask here.
-func (k *Keeper) tellNews(topic relay.Topic, now time.Time) {
+// tellNews tells the topics that have changed since the last news to the daemons
+// that ask here.
+func (k *Keeper) tellNews(now time.Time) {
 	var tell relay.Tell
+	for _, topic := range relayed {
+		t := k.topics[topic]
+		if t.known && t.sum != k.toldSums[topic] {
+			tell.Known = append(tell.Known, t.tell(topic, k.toldSums[topic], now))
+			k.toldSums[topic] = t.sum
+		}
+	}
 	for id, at := range k.listeners {
 		member, ok := (*k.members.Load())[id]
 		if !ok || now.Sub(at) > listenFor {
 			delete(k.listeners, id)
 			continue
 		}
-		if tell.Known == nil {
-			tell.Known = []relay.Known{k.topics[topic].tell(topic, now)}
+		if len(tell.Known) > 0 {
+			k.Peers.Send(id, member.Addr, tell)
 		}
-		k.Peers.Send(id, member.Addr, tell)
 	}
 }
 
@@ -212,12 +223,20 @@
 	if returned := now.Add(-time.Duration(known.ReturnedMS) * time.Millisecond); known.ReturnedMS > 0 && returned.After(t.returned) {
 		t.returned = returned
 	}
+	var gone []string
+	newer := false
 	switch {
-	case t.known && known.Sum == relay.Sum(t.list()):
+	case known.Sum == t.sum:
+		t.known = true
 		t.version = max(t.version, known.Version)
 		t.confirm(confirmed)
-	case known.Rows != nil && (known.Version > t.version || !t.known):
-		gone, newer := t.replace(known.Rows, known.Version, confirmed)
+	case t.known && known.Version <= t.version:
+	case known.Whole:
+		gone, newer = t.replace(known.Rows, known.Version, confirmed)
+	default:
+		gone, newer = t.apply(known, confirmed)
+	}
+	if newer {
 		k.Log.Info().Str("topic", string(known.Topic)).Str("from", from).Uint64("version", known.Version).Uint64("age_ms", known.AgeMS).Msg("knowledge: told by another daemon")
 		k.learned(known.Topic, gone, newer, now)
 	}
--- a/daemon/knowledge/readers.go
+++ b/daemon/knowledge/readers.go
@@ -15,10 +15,13 @@
 const (
 	// askEvery is the time between two questions to the hall's reader: what is
 	// known is older by it than at the reader.
-	askEvery = 400 * time.Millisecond
+	askEvery = 450 * time.Millisecond
 	// answerWithin is how long a reader has to answer. With the time between
 	// questions it bounds how long a change may be missed when one fails.
 	answerWithin = 500 * time.Millisecond
+	// acquaintWithin is how long it has to answer the first time: all daemons
+	// of a hall that starts make their connections at once.
+	acquaintWithin = 2500 * time.Millisecond
 	// usefulAge is the age up to which a reader's knowledge is good enough; a
 	// reader that the store answers is never older than two calls.
 	usefulAge = 2*followFor + answerWithin
@@ -38,10 +41,12 @@
 	// waiting is since when an answer of a daemon is due.
 	waiting map[string]time.Time
 	asked   map[string]time.Time
+	// acquainted are daemons that have answered since they last were silent.
+	acquainted map[string]bool
 }
 
 func newReaders() *readers {
-	return &readers{silent: map[string]bool{}, waiting: map[string]time.Time{}, asked: map[string]time.Time{}}
+	return &readers{silent: map[string]bool{}, waiting: map[string]time.Time{}, asked: map[string]time.Time{}, acquainted: map[string]bool{}}
 }
 
 // rank orders daemons for reading.
@@ -101,6 +106,7 @@
 // told notes an answer and how old what it tells is.
 func (r *readers) told(id string, age time.Duration) {
 	delete(r.waiting, id)
+	r.acquainted[id] = true
 	if age <= usefulAge {
 		delete(r.silent, id)
 	} else {
@@ -113,10 +119,15 @@
 func (r *readers) expire(now time.Time) []string {
 	var out []string
 	for id, since := range r.waiting {
-		if now.Sub(since) < answerWithin {
+		within := answerWithin
+		if !r.acquainted[id] {
+			within = acquaintWithin
+		}
+		if now.Sub(since) < within {
 			continue
 		}
 		delete(r.waiting, id)
+		delete(r.acquainted, id)
 		if !r.silent[id] {
 			r.silent[id] = true
 			out = append(out, id)
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -368,6 +368,20 @@
 // headerBytes is the size of the IPv4 and UDP headers of a packet.
 const headerBytes = 28
 
+// Forget closes the connections to a daemon, whose process may no longer know
+// them. The next message to it makes a new one.
+func (t *Transport) Forget(id string) {
+	t.mu.Lock()
+	l := t.links[id]
+	t.mu.Unlock()
+	if l == nil {
+		return
+	}
+	for _, c := range l.open() {
+		_ = c.CloseWithError(0, "forgotten")
+	}
+}
+
 // Usage is what the transport has used since it started.
 type Usage struct {
 	// SentBytes and ReceivedBytes include the UDP and IP headers.
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -82,6 +82,18 @@
 	})
 }
 
+// Place is what a running process cannot change about itself.
+type Place struct {
+	ID, Hall, Callers, Readiness, Admin, Peers, StoreURL, LogLevel string
+}
+
+// Places returns what a running process cannot change about itself.
+func Places(s *Gateway) Place {
+	return Place{
+		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
+	}
+}
+
 func setRatio(to *float64, v string) error {
 	n, err := strconv.ParseFloat(v, 64)
 	if err != nil || n < 0 || n > 1e6 {
