Halls of unequal VMs: capable daemons read, news is gathered and compressed

Cause (grown site): the readers of the halls fell silent for seconds while 112 servers of a new version were listed. A debug line a half second shows that they got every question and that 2 MB left in two seconds, on links of 10 Mbit/s: news went out row by row, was asked for again before it had arrived, and a question lost on its way alone made a reader count as silent. Now changes are gathered for 0.15 s, a message over a datagram's size is compressed and encoded once for all, an answer leaves out what was told a moment ago, one lost question is borne, and the daemon with the most processor and bandwidth reads. Evidence of roll-outs is by route, each 0.7 s. Ruled out: the readers' processor (3% of a core) and their inboxes (empty).

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -98,7 +98,6 @@
 	_       struct{} `cbor:",toarray"`
 	Service string
 	Version string
-	// Route names the route and the model that answered.
 	Route   string
 	Answers uint64
 	Failed  uint64
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -209,7 +209,7 @@
 
 // observe tells what an answer says about the version that gave it.
 func (j *job) observe(a *attempt, failed, slow bool) {
-	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: a.kind, Failed: failed, Slow: slow})
+	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Failed: failed, Slow: slow})
 }
 
 // finish ends an attempt: the server has its place back.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -141,7 +141,7 @@
 		g.keeper.Received(in.From, in.Message)
 	}}
 	g.keeper.Store, g.keeper.Decoder, g.keeper.Peers, g.keeper.Log = g.Platform.Store, g.Platform.Decoder, sender{g.peers}, g.log
-	g.keeper.Self = knowledge.Member{ID: s.ID, Hall: s.Hall, Addr: s.Peers, Public: keys.Public(), Start: g.Start}
+	g.keeper.Self = knowledge.Member{ID: s.ID, Hall: s.Hall, Addr: s.Peers, Public: keys.Public(), Start: g.Start, Capacity: s.Capacity()}
 	g.channels = channel.NewPool()
 	g.reporter = newReporter(g.log)
 	g.engine = exchange.New()
@@ -162,6 +162,9 @@
 // Send implements knowledge.Sender.
 func (s sender) Send(id, addr string, m any) { s.peers.Send(id, addr, m) }
 
+// SendAll implements knowledge.Sender.
+func (s sender) SendAll(to map[string]string, m any) { s.peers.SendAll(to, m) }
+
 // Forget implements knowledge.Sender.
 func (s sender) Forget(id string) { s.peers.Forget(id) }
 
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 const (
 	// evidenceEvery is the time between two messages about what was seen: a bad
 	// version may see requests for some seconds after it is known to be bad.
-	evidenceEvery = 400 * time.Millisecond
+	evidenceEvery = 700 * time.Millisecond
 	// turnWait is how long a daemon waits for each one before it in turn to
 	// write a state.
 	turnWait = 350 * time.Millisecond
@@ -49,6 +50,10 @@
 			k.drive(ctx, service, r, own, now)
 		}
 	}
+	if k.rollouts.sentAt.IsZero() {
+		// Daemons that hear of an order together do not all speak at once.
+		k.rollouts.sentAt = now.Add(-time.Duration(rand.Int64N(int64(evidenceEvery))))
+	}
 	if now.Sub(k.rollouts.sentAt) >= evidenceEvery {
 		k.tellEvidence(own, now)
 	}
--- a/daemon/knowledge/follow.go
+++ b/daemon/knowledge/follow.go
@@ -24,6 +24,9 @@
 	// doubles.
 	pauseFloor   = 150 * time.Millisecond
 	pauseCeiling = time.Second
+	// gather is the pause after an answer with changes, so that more of them
+	// come with the next one: when many servers start, each would cost a call.
+	gather = 150 * time.Millisecond
 )
 
 // follower keeps one topic up to date from the store.
@@ -97,6 +100,9 @@
 			continue
 		}
 		known, after, pause, hold = true, page.Version, pauseFloor, f.hold
+		if !whole && len(page.Rows)+len(page.Removed) > 0 {
+			wait(ctx, gather)
+		}
 	}
 }
 
--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -253,6 +253,12 @@
 	deliver()
 }
 
+func (s sender) SendAll(to map[string]string, m any) {
+	for id, addr := range to {
+		s.Send(id, addr, m)
+	}
+}
+
 func (s sender) Forget(string) {}
 
 // system is a store with daemons that follow it.
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -35,6 +35,8 @@
 // Sender carries messages to other daemons without waiting.
 type Sender interface {
 	Send(id, addr string, m any)
+	// SendAll sends one message to several daemons, by id and address.
+	SendAll(to map[string]string, m any)
 	// Forget drops the connections to a daemon.
 	Forget(id string)
 }
@@ -165,6 +167,8 @@
 		go k.follow(ctx, f)
 	}
 	go k.publish(ctx)
+	// Daemons that start together do not speak at the same moments.
+	wait(ctx, time.Duration(rand.Int64N(int64(tickEvery))))
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
--- a/daemon/knowledge/members.go
+++ b/daemon/knowledge/members.go
@@ -21,6 +21,9 @@
 	Public []byte
 	// Start tells its processes apart.
 	Start uint64
+	// Capacity orders daemons by what their VMs can carry: those with the most
+	// read for their halls.
+	Capacity int
 }
 
 // publish writes this daemon's entry until the store has it.
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -16,9 +16,12 @@
 // askReader asks the daemon that reads for this one, and reads itself if there
 // is none.
 func (k *Keeper) askReader(now time.Time) {
-	for _, id := range k.readers.expire(now) {
+	fresh, still := k.readers.expire(now)
+	for _, id := range still {
 		// Its process may be a new one, which does not know the connection.
 		k.Peers.Forget(id)
+	}
+	for _, id := range fresh {
 		k.Log.Warn().Str("reader", id).Msg("knowledge: the reader of this hall does not answer")
 	}
 	k.settleReading()
@@ -141,8 +144,25 @@
 	if sum == t.sum {
 		return out
 	}
-	var ok bool
-	if out.Rows, out.Removed, ok = t.since(sum); !ok {
+	var known, onItsWay bool
+	out.Rows, out.Removed, known, onItsWay = t.since(sum, now)
+	switch {
+	case onItsWay:
+		// The news of it was told a moment ago; another question shows
+		// whether it has arrived.
+		out.Rows, out.Removed = nil, nil
+	case !known:
+		out.Rows, out.Removed, out.Whole = t.list(), nil, true
+	}
+	return out
+}
+
+// news is what has changed since the last news, which all listeners have.
+func (t *topicState) news(topic relay.Topic, sum uint64, now time.Time) relay.Known {
+	out := t.tell(topic, t.sum, now)
+	rows, removed, known, _ := t.since(sum, now)
+	out.Base, out.Rows, out.Removed = sum, rows, removed
+	if !known {
 		out.Rows, out.Removed, out.Whole = t.list(), nil, true
 	}
 	return out
@@ -158,29 +178,32 @@
 	for _, topic := range relayed {
 		t := k.topics[topic]
 		if t.known && t.sum != k.toldSums[topic] {
-			tell.Known = append(tell.Known, t.tell(topic, k.toldSums[topic], now))
+			tell.Known = append(tell.Known, t.news(topic, k.toldSums[topic], now))
 			k.toldSums[topic] = t.sum
 		}
 	}
+	if to := k.audience(now); len(tell.Known) > 0 && len(to) > 0 {
+		k.Peers.SendAll(to, tell)
+	}
+}
+
+// audience are the daemons that this one reads for, by id and address.
+func (k *Keeper) audience(now time.Time) map[string]string {
+	to := map[string]string{}
 	for id, at := range k.listeners {
 		member, ok := (*k.members.Load())[id]
 		if !ok || now.Sub(at) > listenFor {
 			delete(k.listeners, id)
 			continue
 		}
-		if len(tell.Known) > 0 {
-			k.Peers.Send(id, member.Addr, tell)
-		}
+		to[id] = member.Addr
 	}
+	return to
 }
 
 // tellWithdrawn tells which versions are bad to the daemons that ask here.
 func (k *Keeper) tellWithdrawn(now time.Time) {
-	for id, at := range k.listeners {
-		if member, ok := (*k.members.Load())[id]; ok && now.Sub(at) <= listenFor {
-			k.Peers.Send(id, member.Addr, relay.Tell{Withdrawn: k.rollouts.withdrawnNames()})
-		}
-	}
+	k.Peers.SendAll(k.audience(now), relay.Tell{Withdrawn: k.rollouts.withdrawnNames()})
 }
 
 // told takes what another daemon knows. Its age counts from when the question
--- a/daemon/knowledge/readers.go
+++ b/daemon/knowledge/readers.go
@@ -9,16 +9,17 @@
 )
 
 // Who reads the store. In each data hall one daemon does, and tells the others:
-// the first one that answers, in the order of a hash of the ids. Nobody is
+// the first one that answers, in the order of capacity and a hash of the ids. Nobody is
 // elected; a daemon that hears nothing from those before it reads for itself,
 // which costs calls and does no harm.
 const (
 	// askEvery is the time between two questions to the hall's reader: what is
 	// known is older by it than at the reader.
 	askEvery = 450 * time.Millisecond
-	// answerWithin is how long a reader has to answer. With the time between
-	// questions it bounds how long a change may be missed when one fails.
-	answerWithin = 500 * time.Millisecond
+	// answerWithin is how long a reader has to answer, so that one question may
+	// be lost on its way. With the time between questions it bounds how long a
+	// change may be missed when a reader fails.
+	answerWithin = 2*askEvery + 150*time.Millisecond
 	// acquaintWithin is how long it has to answer the first time: all daemons
 	// of a hall that starts make their connections at once.
 	acquaintWithin = 2500 * time.Millisecond
@@ -49,9 +50,9 @@
 	return &readers{silent: map[string]bool{}, waiting: map[string]time.Time{}, asked: map[string]time.Time{}, acquainted: map[string]bool{}}
 }
 
-// rank orders daemons for reading.
+// rank orders daemons for reading: the most capable first, then by hash.
 func rank(a, b Member) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
 }
 
 // list takes the list of daemons.
@@ -114,10 +115,9 @@
 	}
 }
 
-// expire notes the daemons whose answer is overdue; it returns those that were
-// not silent before.
-func (r *readers) expire(now time.Time) []string {
-	var out []string
+// expire notes the daemons whose answer is overdue. It returns those that were
+// not silent before, and those that still are.
+func (r *readers) expire(now time.Time) (fresh, still []string) {
 	for id, since := range r.waiting {
 		within := answerWithin
 		if !r.acquainted[id] {
@@ -128,10 +128,12 @@
 		}
 		delete(r.waiting, id)
 		delete(r.acquainted, id)
-		if !r.silent[id] {
-			r.silent[id] = true
-			out = append(out, id)
+		if r.silent[id] {
+			still = append(still, id)
+			continue
 		}
+		r.silent[id] = true
+		fresh = append(fresh, id)
 	}
-	return out
+	return fresh, still
 }
--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -13,10 +13,9 @@
 type Fact struct {
 	Service string
 	Version string
-	// Route names the route and the model.
-	Route  string
-	Failed bool
-	Slow   bool
+	Route   string
+	Failed  bool
+	Slow    bool
 }
 
 // rollouts are the orders that a daemon knows, and what is seen of them. All
--- a/daemon/knowledge/topic.go
+++ b/daemon/knowledge/topic.go
@@ -29,8 +29,12 @@
 	// before is the sum of the rows until then.
 	before uint64
 	keys   []string
+	at     time.Time
 }
 
+// newsTime is how long news takes to be told, sent and taken at most.
+const newsTime = 2*tickEvery + 200*time.Millisecond
+
 // pastChanges is how many changes are remembered for daemons that lag behind;
 // one that lags further is told all rows.
 const pastChanges = 64
@@ -72,18 +76,18 @@
 	if t.sum == before {
 		return
 	}
-	t.past = append(t.past, change{before: before, keys: keys})
+	t.past = append(t.past, change{before: before, keys: keys, at: time.Now()})
 	if len(t.past) > pastChanges {
 		t.past = slices.Delete(t.past, 0, len(t.past)-pastChanges)
 	}
 }
 
-// since returns what has changed since the rows had a sum, or false if that is
-// not remembered.
-func (t *topicState) since(sum uint64) (rows []relay.Row, removed []string, ok bool) {
+// since returns what has changed since the rows had a sum, if that is known, and
+// whether all of it is so new that the news of it may still be on its way.
+func (t *topicState) since(sum uint64, now time.Time) (rows []relay.Row, removed []string, known, onItsWay bool) {
 	at := slices.IndexFunc(t.past, func(c change) bool { return c.before == sum })
 	if at < 0 {
-		return nil, nil, false
+		return nil, nil, false, false
 	}
 	seen := map[string]bool{}
 	for _, c := range t.past[at:] {
@@ -99,7 +103,7 @@
 			}
 		}
 	}
-	return rows, removed, true
+	return rows, removed, true, now.Sub(t.past[at].at) < newsTime
 }
 
 // apply takes what has changed, if that leads to the rows that the teller has.
--- a/daemon/peer/codec.go
+++ b/daemon/peer/codec.go
@@ -1,7 +1,11 @@
 package peer
 
 import (
+	"bytes"
+	"compress/flate"
+	"errors"
 	"fmt"
+	"io"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -30,8 +34,14 @@
 	tagAsk
 	tagTell
 	tagEvidence
+	// tagPacked is a message of any other tag, compressed.
+	tagPacked
 )
 
+// packFrom is the length from which a message is compressed, in bytes: shorter
+// ones fit into a datagram.
+const packFrom = maxDatagram
+
 // MaxMessage bounds a message, in bytes.
 const MaxMessage = 16 << 20
 
@@ -79,7 +89,40 @@
 	if err != nil {
 		return nil, &Error{Op: "encode message", Kind: BadMessage, Err: err}
 	}
-	return append([]byte{byte(t)}, body...), nil
+	data := append([]byte{byte(t)}, body...)
+	if len(data) <= packFrom {
+		return data, nil
+	}
+	return pack(data)
+}
+
+// pack compresses an encoded message.
+func pack(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	out.WriteByte(byte(tagPacked))
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, &Error{Op: "encode message", Kind: BadMessage, Err: err}
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, &Error{Op: "encode message", Kind: BadMessage, Err: err}
+	}
+	if err := w.Close(); err != nil {
+		return nil, &Error{Op: "encode message", Kind: BadMessage, Err: err}
+	}
+	return out.Bytes(), nil
+}
+
+// unpack reads a compressed message.
+func unpack(body []byte) (Message, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), MaxMessage+1))
+	if err != nil {
+		return nil, &Error{Op: "decode message", Kind: BadMessage, Err: err}
+	}
+	if len(data) == 0 || tag(data[0]) == tagPacked {
+		return nil, &Error{Op: "decode message", Kind: BadMessage, Err: errors.New("a compressed message holds none")}
+	}
+	return Decode(data)
 }
 
 // Decode reads a message.
@@ -89,6 +132,8 @@
 	}
 	body := data[1:]
 	switch tag(data[0]) {
+	case tagPacked:
+		return unpack(body)
 	case tagHeartbeat:
 		return decode[node.Heartbeat](body)
 	case tagFetch:
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -148,11 +148,23 @@
 
 // Send sends a message to the daemon of that id without waiting.
 func (t *Transport) Send(id, addr string, m Message) {
+	t.SendAll(map[string]string{id: addr}, m)
+}
+
+// SendAll sends a message to several daemons, by id and address, without
+// waiting. It is encoded once.
+func (t *Transport) SendAll(to map[string]string, m Message) {
 	data, err := Encode(m)
 	if err != nil {
-		t.Dropped.Add(1)
+		t.Dropped.Add(int64(len(to)))
 		return
 	}
+	for id, addr := range to {
+		t.enqueue(id, addr, data)
+	}
+}
+
+func (t *Transport) enqueue(id, addr string, data []byte) {
 	l := t.link(id)
 	if l == nil {
 		t.Dropped.Add(1)
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"strconv"
 	"time"
@@ -37,9 +38,20 @@
 	// Grace is how long a stopping daemon has until it is killed.
 	Grace time.Duration
 
+	// Processor is the share of a core that this VM has, Link its bandwidth in
+	// Mbit/s.
+	Processor float64
+	Link      float64
+
 	LogLevel string
 }
 
+// Capacity is a rough measure of what the VM can carry, which doubles its
+// processor and bandwidth at each step: small differences do not count.
+func (s *Gateway) Capacity() int {
+	return int(math.Log2(max(1, s.Processor*100)) + math.Log2(max(1, s.Link)))
+}
+
 // keyAgeMargin is taken off the age that the platform allows: a request that
 // passed the check a moment ago must not leave after the time is over.
 const keyAgeMargin = 250 * time.Millisecond
@@ -57,6 +69,8 @@
 	{"repeats", "slack", "20", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatSlack, v) }},
 	{"repeats", "window", "10s", false, func(s *Gateway, v string) error { return setDuration(&s.RepeatWindow, v, true) }},
 	{"stop", "grace", "8s", false, func(s *Gateway, v string) error { return setDuration(&s.Grace, v, true) }},
+	{"vm", "processor", "1", false, func(s *Gateway, v string) error { return setRatio(&s.Processor, v) }},
+	{"vm", "link", "1000", false, func(s *Gateway, v string) error { return setRatio(&s.Link, v) }},
 	{"log", "level", "info", false, func(s *Gateway, v string) error { return setLevelTo(&s.LogLevel, v) }},
 }
 
