The ladder steps down when the larger model is unlikely to be in time

Now the line below which an answer is dropped falls with the probability that the larger model is in time, from its recent times, which fade while it is passed over; and where answers take a third of the objective nothing is given up for silence. Ruled out: placement (the 11 servers shared the load within a third).

--- a/core/ladder/ladder.go
+++ b/core/ladder/ladder.go
@@ -1,12 +1,25 @@
 // Package ladder decides which model of a ladder, from the smallest to the
 // largest, answers a request, and whether a first answer is good enough to be
-// shown, by the model's own confidence in it.
+// shown, by the model's own confidence in it and by what a larger model can
+// still do for the request.
 package ladder
 
-// Line is the confidence, from 0 to 100, below which an answer of a smaller
-// model is dropped and a larger one asked. Trials on recorded days of two users
-// served best at 60; between 45 and 70 the result moved by less than 0.02.
-const Line = 60
+import (
+	"math"
+	"time"
+)
+
+const (
+	// margin is what an answer of a larger model must be expected to gain, as a
+	// part of a good answer in time: it costs more, and its prompt is read
+	// once more. With it an answer is dropped below a confidence of 60 when
+	// nothing is busy. Trials on recorded days of two users served best there;
+	// between 45 and 70 the result moved by less than 0.02.
+	margin = 0.4
+	// lateWorth is what a late answer is worth to callers, as a part of one in
+	// time: the users state 0.3 to 0.5.
+	lateWorth = 0.35
+)
 
 // Step is the place of a request on its ladder.
 type Step struct {
@@ -22,14 +35,32 @@
 // Largest reports whether there is no larger model.
 func (s Step) Largest() bool { return s.Index >= s.Top }
 
-// Escalate returns the next step if an answer of that confidence is to be
-// dropped. Models between the first and the largest are passed over: each more
-// run costs time and prompt memory again, and gains less than it costs. An
-// answer without a stated confidence is kept.
-func (s Step) Escalate(confidence int, stated bool) (Step, bool) {
-	if s.Largest() || !stated || confidence >= Line {
-		return s, false
+// Up returns the step to go to if an answer is dropped. Models between the first
+// and the largest are passed over: each more run costs time and prompt memory
+// again, and gains less than it costs.
+func (s Step) Up() Step { return Step{Index: s.Top, Top: s.Top} }
+
+// Line is the confidence, from 0 to 100, below which an answer is dropped, if a
+// larger model answers in time with a probability. When servers are busy that
+// one falls, and with it the line: the larger models are what costs places.
+func Line(inTime float64) float64 {
+	return 100 * (inTime + lateWorth*(1-inTime) - margin)
+}
+
+// InTime is the probability that an answer which usually takes a time comes
+// within what is left, with times spread as those of a queue (exponentially).
+func InTime(usual, left time.Duration) float64 {
+	switch {
+	case left <= 0:
+		return 0
+	case usual <= 0:
+		return 1
 	}
-	s.Index = s.Top
-	return s, true
+	return 1 - math.Exp(-float64(left)/float64(usual))
+}
+
+// Escalate reports whether an answer of that confidence is to be dropped. One
+// without a stated confidence is kept.
+func (s Step) Escalate(confidence int, stated bool, inTime float64) bool {
+	return !s.Largest() && stated && float64(confidence) < Line(inTime)
 }
--- a/core/ladder/ladder_test.go
+++ b/core/ladder/ladder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"ladderridge.example/core/ladder"
 )
@@ -15,18 +16,34 @@
 		want       bool
 	}{
 		{start, 0, true, true},
-		{start, ladder.Line - 1, true, true},
-		{start, ladder.Line, true, false},
+		{start, 59, true, true},
+		{start, 60, true, false},
 		{start, 0, false, false},
-		{ladder.Step{Index: 2, Top: 2}, 0, true, false},
+		{start.Up(), 0, true, false},
 		{ladder.Start(1), 0, true, false},
 	} {
-		next, up := c.step.Escalate(c.confidence, c.stated)
-		if up != c.want {
+		if up := c.step.Escalate(c.confidence, c.stated, 1); up != c.want {
 			t.Errorf("%+v: escalates %v", c, up)
 		}
-		if up && !next.Largest() {
-			t.Errorf("%+v: goes to %+v", c, next)
+	}
+	if !start.Up().Largest() {
+		t.Error("the next step is not the largest model")
+	}
+}
+
+func TestBusyServersLowerTheLine(t *testing.T) {
+	last := 101.0
+	for _, usual := range []time.Duration{0, 100 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second, time.Hour} {
+		line := ladder.Line(ladder.InTime(usual, 2*time.Second))
+		if line > last || (usual > 0 && line == last) {
+			t.Errorf("usual %v: the line is %v after %v", usual, line, last)
 		}
+		last = line
+	}
+	if last > 0 {
+		t.Errorf("with no hope to be in time answers are dropped below %v", last)
+	}
+	if ladder.Start(3).Escalate(0, true, ladder.InTime(time.Second, 0)) {
+		t.Error("an answer is dropped with no time left")
 	}
 }
--- a/daemon/exchange/patience.go
+++ b/daemon/exchange/patience.go
@@ -15,6 +15,9 @@
 	// patienceFactor is how many times the usual an answer may take before
 	// another server is asked.
 	patienceFactor = 8
+	// busyPart is the part of the objective, as a divisor, above which the usual
+	// time of an answer says that servers are busy.
+	busyPart = 3
 	// patienceLeft is the part of the time left that is never waited.
 	patienceLeft = 0.6
 	// silenceFactor is how many times the longest pause that keeps a stream in
@@ -91,9 +94,15 @@
 	return silenceFactor * j.route.Pause
 }
 
-// longest is the longest wait for the first part of an answer.
+// longest is the longest wait for the first part of an answer; 0 is no bound:
+// where answers usually take much of the objective, servers are busy, and asking
+// another one would only make them busier.
 func (j *job) longest() time.Duration {
-	usual := j.engine.pace.usual(j.route.Name + "/" + j.model())
+	now := time.Now()
+	usual := j.engine.pace.usual(j.route.Name+"/"+j.model(), now)
+	if usual > j.route.Objective/busyPart {
+		return 0
+	}
 	wait := max(patienceFactor*usual, j.route.Objective)
-	return min(wait, time.Duration(patienceLeft*float64(time.Until(j.end))))
+	return min(wait, time.Duration(patienceLeft*float64(j.end.Sub(now))))
 }
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -52,12 +52,19 @@
 	if j.begun || len(j.route.Ladder) == 0 || j.attempts >= j.route.Attempts || ctx.Err() != nil {
 		return j.step, false
 	}
-	next, up := j.step.Escalate(a.head.Confidence, a.head.Confident)
-	if !up || !j.engine.Budget.Spend(j.service, j.view.Daemons, time.Now()) {
+	now := time.Now()
+	if !j.step.Escalate(a.head.Confidence, a.head.Confident, j.inTime(j.step.Up(), now)) || !j.engine.Budget.Spend(j.service, j.view.Daemons, now) {
 		return j.step, false
 	}
 	j.paid = true
-	return next, true
+	return j.step.Up(), true
+}
+
+// inTime is the probability that a model of the ladder answers within the
+// route's objective.
+func (j *job) inTime(step ladder.Step, now time.Time) float64 {
+	usual := j.engine.pace.usual(j.route.Name+"/"+j.route.Ladder[step.Index], now)
+	return ladder.InTime(usual, j.request.Arrived.Add(j.route.Objective).Sub(now))
 }
 
 // passEvents passes events on until the stream's proper end.
@@ -136,6 +143,6 @@
 	between := t.last.Sub(t.first) / time.Duration(t.events-1)
 	kind := a.kind + "/tempo"
 	relative := j.engine.pace.relative(kind, between)
-	j.engine.pace.learn(kind, between)
+	j.engine.pace.learn(kind, between, t.last)
 	return relative >= slowFactor
 }
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -64,7 +64,7 @@
 func (j *job) wentWell(a *attempt, took time.Duration) {
 	a.relative = j.engine.pace.relative(a.kind, took)
 	a.server.Load.Answered(a.relative)
-	j.engine.pace.learn(a.kind, took)
+	j.engine.pace.learn(a.kind, took, time.Now())
 	j.report.First = time.Since(j.request.Arrived)
 }
 
