--- a/core/ladder/ladder.go
+++ b/core/ladder/ladder.go
@@ -40,11 +40,20 @@
 // again, and gains less than it costs.
 func (s Step) Up() Step { return Step{Index: s.Top, Top: s.Top} }
 
-// Line is the confidence, from 0 to 100, below which an answer is dropped, if a
-// larger model answers in time with a probability. When servers are busy that
-// one falls, and with it the line: the larger models are what costs places.
-func Line(inTime float64) float64 {
-	return 100 * (inTime + lateWorth*(1-inTime) - margin)
+// Load is how busy servers are, for a request.
+type Load struct {
+	// InTime is the probability that a larger model answers in time.
+	InTime float64
+	// Busy is the part of the objective that the smallest model usually takes:
+	// what a larger model takes of the servers, others wait for.
+	Busy float64
+}
+
+// Line is the confidence, from 0 to 100, below which an answer is dropped. When
+// servers are busy it falls, twice: a larger model is less likely in time, and
+// its run costs more of what others wait for.
+func Line(l Load) float64 {
+	return 100 * (l.InTime + lateWorth*(1-l.InTime) - margin - l.Busy)
 }
 
 // InTime is the probability that an answer which usually takes a time comes
@@ -61,6 +70,6 @@
 
 // Escalate reports whether an answer of that confidence is to be dropped. One
 // without a stated confidence is kept.
-func (s Step) Escalate(confidence int, stated bool, inTime float64) bool {
-	return !s.Largest() && stated && float64(confidence) < Line(inTime)
+func (s Step) Escalate(confidence int, stated bool, l Load) bool {
+	return !s.Largest() && stated && float64(confidence) < Line(l)
 }
--- a/core/ladder/ladder_test.go
+++ b/core/ladder/ladder_test.go
@@ -22,7 +22,7 @@
 		{start.Up(), 0, true, false},
 		{ladder.Start(1), 0, true, false},
 	} {
-		if up := c.step.Escalate(c.confidence, c.stated, 1); up != c.want {
+		if up := c.step.Escalate(c.confidence, c.stated, ladder.Load{InTime: 1}); up != c.want {
 			t.Errorf("%+v: escalates %v", c, up)
 		}
 	}
@@ -34,7 +34,7 @@
 func TestBusyServersLowerTheLine(t *testing.T) {
 	last := 101.0
 	for _, usual := range []time.Duration{0, 100 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second, time.Hour} {
-		line := ladder.Line(ladder.InTime(usual, 2*time.Second))
+		line := ladder.Line(ladder.Load{InTime: ladder.InTime(usual, 2*time.Second)})
 		if line > last || (usual > 0 && line == last) {
 			t.Errorf("usual %v: the line is %v after %v", usual, line, last)
 		}
@@ -43,7 +43,10 @@
 	if last > 0 {
 		t.Errorf("with no hope to be in time answers are dropped below %v", last)
 	}
-	if ladder.Start(3).Escalate(0, true, ladder.InTime(time.Second, 0)) {
+	if ladder.Line(ladder.Load{InTime: 1, Busy: 0.5}) >= ladder.Line(ladder.Load{InTime: 1}) {
+		t.Error("what others wait for does not count")
+	}
+	if ladder.Start(3).Escalate(0, true, ladder.Load{InTime: ladder.InTime(time.Second, 0)}) {
 		t.Error("an answer is dropped with no time left")
 	}
 }
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -53,18 +53,24 @@
 		return j.step, false
 	}
 	now := time.Now()
-	if !j.step.Escalate(a.head.Confidence, a.head.Confident, j.inTime(j.step.Up(), now)) || !j.engine.Budget.Spend(j.service, j.view.Daemons, now) {
+	if !j.step.Escalate(a.head.Confidence, a.head.Confident, j.load(now)) || !j.engine.Budget.Spend(j.service, j.view.Daemons, now) {
 		return j.step, false
 	}
 	j.paid = true
 	return j.step.Up(), true
 }
 
-// inTime is the probability that a model of the ladder answers within the
-// route's objective.
-func (j *job) inTime(step ladder.Step, now time.Time) float64 {
-	usual := j.engine.pace.usual(j.route.Name+"/"+j.route.Ladder[step.Index], now)
-	return ladder.InTime(usual, j.request.Arrived.Add(j.route.Objective).Sub(now))
+// load is how busy servers are, for deciding on a larger model.
+func (j *job) load(now time.Time) ladder.Load {
+	objective := j.route.Objective
+	usual := func(step ladder.Step) time.Duration {
+		return j.engine.pace.usual(j.route.Name+"/"+j.route.Ladder[step.Index], now)
+	}
+	l := ladder.Load{InTime: ladder.InTime(usual(j.step.Up()), j.request.Arrived.Add(objective).Sub(now))}
+	if objective > 0 {
+		l.Busy = float64(usual(j.step)) / float64(objective)
+	}
+	return l
 }
 
 // passEvents passes events on until the stream's proper end.
