A reader whose store falls silent is passed over in time

The age at which a reader is passed over now follows from the time in which a configuration must be in force: the store holds a call for a quarter of it, and what is older than two calls is read again. Ruled out: the reader's own knowledge (it was cut off, and so not bound).

--- a/daemon/knowledge/follow.go
+++ b/daemon/knowledge/follow.go
@@ -11,10 +11,13 @@
 
 // The rhythm of calls to the store.
 const (
-	// followFor is how long the store holds a call about the configuration
-	// that has nothing to tell. Each answer confirms what is known; keys may
-	// be used for some seconds after that, so several may be missed.
-	followFor = time.Second
+	// holdPart is the part of the time in which a configuration must be in
+	// force, as a divisor, for which the store holds a call about it that has
+	// nothing to tell. What a reader knows is then at most two calls old; a
+	// daemon that sees it grow older has time left to read for itself.
+	holdPart = 4
+	// standardInForce is that time if the settings name none.
+	standardInForce = 2 * time.Second
 	// followLong is how long it holds the other calls: what they tell need
 	// not be confirmed, and a failure of the first one ends them.
 	followLong = 6 * time.Second
@@ -29,6 +32,14 @@
 	gather = 150 * time.Millisecond
 )
 
+// hold is how long the store holds a call about the configuration.
+func (k *Keeper) hold() time.Duration {
+	if k.InForceWithin <= 0 {
+		return standardInForce / holdPart
+	}
+	return k.InForceWithin / holdPart
+}
+
 // follower keeps one topic up to date from the store.
 type follower struct {
 	topic relay.Topic
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -20,9 +20,6 @@
 const (
 	// tickEvery is the time between two looks at what is due.
 	tickEvery = 100 * time.Millisecond
-	// askAfter is the age from which any daemons are asked, beside the hall's
-	// reader: older than what a reader tells that the store answers.
-	askAfter = usefulAge + askEvery
 	// askPeers is how many daemons are asked then.
 	askPeers = 3
 	// lapseWait is how long a server may take to be listed again after the
@@ -49,7 +46,10 @@
 	Peers   Sender
 	// Self is this daemon's entry in the list of daemons.
 	Self Member
-	Log  log.Logger
+	// InForceWithin is how soon a configuration must be in force everywhere; 0
+	// is two seconds.
+	InForceWithin time.Duration
+	Log           log.Logger
 
 	// Lost and Regained count the times that the store stopped and began
 	// again to answer.
@@ -133,8 +133,9 @@
 	k.view.Store(&View{})
 	k.members.Store(&map[string]Member{})
 	k.reading.Store(true)
+	// The first one is about the configuration; Run sets its hold.
 	k.followers = []*follower{
-		{topic: relay.Operator, hold: followFor, wanted: k.reading.Load},
+		{topic: relay.Operator, wanted: k.reading.Load},
 		{topic: relay.Servers, hold: followLong, wanted: k.reading.Load},
 		{topic: relay.Members, hold: followLong, wanted: k.reading.Load},
 		{topic: relay.Progress, hold: followLong, wanted: func() bool { return k.reading.Load() && k.rollouts.open.Load() }},
@@ -162,7 +163,8 @@
 func (k *Keeper) Run(ctx context.Context) error { return k.run(ctx) }
 
 func (k *Keeper) loop(ctx context.Context) error {
-	k.readers.self = k.Self
+	k.readers.self, k.readers.usefulAge = k.Self, 2*k.hold()+usefulSlack
+	k.followers[0].hold = k.hold()
 	for _, f := range k.followers {
 		go k.follow(ctx, f)
 	}
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -94,7 +94,7 @@
 		}
 	}
 	others := k.others()
-	if now.Sub(k.topics[relay.Operator].confirmed) <= askAfter || now.Sub(k.askedAt) < askEvery/2 || len(others) == 0 {
+	if now.Sub(k.topics[relay.Operator].confirmed) <= k.readers.usefulAge+2*askEvery || now.Sub(k.askedAt) < askEvery/2 || len(others) == 0 {
 		return
 	}
 	k.askedAt = now
--- a/daemon/knowledge/readers.go
+++ b/daemon/knowledge/readers.go
@@ -23,9 +23,9 @@
 	// acquaintWithin is how long it has to answer the first time: all daemons
 	// of a hall that starts make their connections at once.
 	acquaintWithin = 2500 * time.Millisecond
-	// usefulAge is the age up to which a reader's knowledge is good enough; a
-	// reader that the store answers is never older than two calls.
-	usefulAge = 2*followFor + answerWithin
+	// usefulSlack is added to the age of two calls, up to which a reader's
+	// knowledge is good enough: a reader that the store answers is not older.
+	usefulSlack = 200 * time.Millisecond
 	// probeEvery is the time between two questions to a daemon that has not
 	// answered.
 	probeEvery = 2 * time.Second
@@ -35,6 +35,8 @@
 // otherwise. It belongs to the keeper's goroutine.
 type readers struct {
 	self Member
+	// usefulAge is the age up to which a reader's knowledge is good enough.
+	usefulAge time.Duration
 	// before are the daemons of the own hall that go before this one, in order.
 	before []Member
 	// silent are daemons that did not answer, or had nothing useful to tell.
@@ -108,7 +110,7 @@
 func (r *readers) told(id string, age time.Duration) {
 	delete(r.waiting, id)
 	r.acquainted[id] = true
-	if age <= usefulAge {
+	if age <= r.usefulAge {
 		delete(r.silent, id)
 	} else {
 		r.silent[id] = true
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -29,6 +29,9 @@
 	// it was last confirmed.
 	KeyAge time.Duration
 
+	// InForceWithin is how soon a changed configuration must be in force.
+	InForceWithin time.Duration
+
 	// RepeatRatio and RepeatSlack bound the repeats that all daemons together
 	// send to a service within RepeatWindow.
 	RepeatRatio  float64
@@ -65,6 +68,7 @@
 	{sectionDaemon, "peers", "", true, func(s *Gateway, v string) error { return setAddr(&s.Peers, v) }},
 	{"store", "url", "", true, func(s *Gateway, v string) error { return setURL(&s.StoreURL, v) }},
 	{"keys", "usable_for", "5000ms", false, func(s *Gateway, v string) error { return setDuration(&s.KeyAge, v, true) }},
+	{"config", "in_force_within", "2000ms", false, func(s *Gateway, v string) error { return setDuration(&s.InForceWithin, v, true) }},
 	{"repeats", "ratio", "0.5", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatRatio, v) }},
 	{"repeats", "slack", "20", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatSlack, v) }},
 	{"repeats", "window", "10s", false, func(s *Gateway, v string) error { return setDuration(&s.RepeatWindow, v, true) }},
@@ -99,12 +103,16 @@
 // Place is what a running process cannot change about itself.
 type Place struct {
 	ID, Hall, Callers, Readiness, Admin, Peers, StoreURL, LogLevel string
+
+	InForceWithin time.Duration
+	Capacity      int
 }
 
 // Places returns what a running process cannot change about itself.
 func Places(s *Gateway) Place {
 	return Place{
 		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
+		InForceWithin: s.InForceWithin, Capacity: s.Capacity(),
 	}
 }
 
