Chat API: what published client libraries send and need

Now content may be a list of parts, the closing chunk is named by the daemon and has an empty list of choices, all tokens are counted, and a wrong type is told by field and in the words of JSON. Each has a test that failed before.

--- a/daemon/front/read.go
+++ b/daemon/front/read.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -65,7 +66,7 @@
 	var req wire.ChatRequest
 	d := json.NewDecoder(bytes.NewReader(j.body))
 	if err := d.Decode(&req); err != nil {
-		return req, refuse(http.StatusBadRequest, BadRequest, "the body is not a chat request in JSON: "+err.Error())
+		return req, refuse(http.StatusBadRequest, BadRequest, "the body is not a chat request in JSON: "+jsonFault(err))
 	}
 	if d.More() {
 		return req, refuse(http.StatusBadRequest, BadRequest, "something follows the JSON object: send just one")
@@ -81,6 +82,30 @@
 	return req, nil
 }
 
+// jsonFault says what is wrong with a body in the words of the interface, not of
+// this program.
+func jsonFault(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if !errors.As(err, &wrong) {
+		return err.Error()
+	}
+	want := "an object"
+	switch wrong.Type.Kind() {
+	case reflect.String:
+		want = "a text"
+	case reflect.Int:
+		want = "a whole number"
+	case reflect.Bool:
+		want = "true or false"
+	case reflect.Slice:
+		want = "a list"
+	}
+	if wrong.Field == "" {
+		return "it must be " + want
+	}
+	return "the field " + wrong.Field + " must be " + want + ", not " + wrong.Value
+}
+
 // prefixBytes is how much of a prompt's beginning decides where its cache is.
 const prefixBytes = 1024
 
@@ -90,7 +115,7 @@
 	h.Reset()
 	left := prefixBytes
 	for _, m := range req.Messages {
-		part := m.Content[:min(left, len(m.Content))]
+		part := string(m.Content[:min(left, len(m.Content))])
 		_, _ = h.WriteString(m.Role)
 		_, _ = h.WriteString(part)
 		if left -= len(part); left <= 0 {
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -89,13 +89,24 @@
 	c.bill(c.sent.Ref, c.sent.Price)
 	c.claim.settle(http.StatusOK, "text/event-stream", nil)
 	if usage != nil {
-		_ = c.event(usage)
+		c.closingUsage(usage)
 	}
 	_ = c.event([]byte(wire.Terminator))
 	c.done(http.StatusOK)
 	return nil
 }
 
+// closingUsage sends the event that counts tokens. Client libraries want it to
+// look like the other events.
+func (c *chatJob) closingUsage(usage []byte) {
+	named, err := withFields(usage, field{"id", c.id}, field{"object", wire.ObjectChunk}, field{"model", c.sent.Ref.String()})
+	if err != nil {
+		c.front.Log.Warn().Str("request", c.id).Err(err).Msg("front: the count of tokens could not be named: it is passed on as it came")
+		named = usage
+	}
+	_ = c.event(named)
+}
+
 // resume goes on with a broken stream on the same version, at the token where
 // it broke, or ends it with an error event.
 func (c *chatJob) resume(a *attempt.Attempt, cause error) *refusal {
--- a/daemon/load/load.go
+++ b/daemon/load/load.go
@@ -172,7 +172,7 @@
 func (r *run) send(ctx context.Context, n int, pin *sessionPin) outcome {
 	body, err := json.Marshal(wire.ChatRequest{
 		Model: r.Model, Stream: r.Stream, MaxTokens: r.MaxTokens,
-		Messages: []wire.Message{{Role: "user", Content: fmt.Sprintf("question %d", n)}},
+		Messages: []wire.Message{{Role: "user", Content: wire.Text(fmt.Sprintf("question %d", n))}},
 	})
 	if err != nil {
 		return outcome{}
@@ -258,7 +258,7 @@
 		if len(chunk.Choices) == 0 {
 			continue
 		}
-		if !r.Echo && !strings.Contains(chunk.Choices[0].Delta.Content, out.id) {
+		if !r.Echo && !strings.Contains(string(chunk.Choices[0].Delta.Content), out.id) {
 			return
 		}
 		if out.tokens == 0 {
@@ -273,7 +273,7 @@
 	if json.NewDecoder(body).Decode(&answer) != nil || len(answer.Choices) == 0 {
 		return
 	}
-	if out.id != "" && !strings.Contains(answer.Choices[0].Message.Content, out.id) {
+	if out.id != "" && !strings.Contains(string(answer.Choices[0].Message.Content), out.id) {
 		return
 	}
 	out.tokens = answer.Usage.CompletionTokens
--- a/daemon/scenario/cluster_test.go
+++ b/daemon/scenario/cluster_test.go
@@ -457,7 +457,7 @@
 			continue
 		}
 		want := fmt.Sprintf("%s-%s-%s-%d ", ref.Model, ref.Version, a.header.Get(wire.HeaderRequest), next)
-		if got := chunk.Choices[0].Delta.Content; got != want {
+		if got := string(chunk.Choices[0].Delta.Content); got != want {
 			return fmt.Errorf("token %d is %q, want %q", next, got, want)
 		}
 		next++
--- a/daemon/scenario/input_test.go
+++ b/daemon/scenario/input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -50,6 +51,9 @@
 			t.Errorf("%s: %d %s %s, want %d %s not_run", name, a.status, a.code(), a.run(), in.status, in.code)
 		}
 	}
+	if a := c.do("entry-0", "POST", wire.PathChat, `{"model":"roster","messages":7}`); strings.Contains(a.body, "Go ") || !strings.Contains(a.body, "the field messages must be a list") {
+		t.Errorf("a wrong type: %s", a.body)
+	}
 	if a := cutShort(t, c.daemons["entry-0"].callers); !strings.Contains(a, "400") {
 		t.Errorf("a body cut short: %s", a)
 	}
@@ -60,6 +64,31 @@
 	}
 }
 
+// TestClientLibrariesUnderstandAnswers has what the published client of the chat
+// API sends and needs: content as a list of parts, a count of all tokens, and a
+// closing chunk that looks like the others.
+func TestClientLibrariesUnderstandAnswers(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	const parts = `{"model":"roster","max_tokens":2,"stream":%v,"messages":[{"role":"user","content":[{"type":"text","text":"hello"}]}]}`
+	a := c.do("entry-0", "POST", wire.PathChat, fmt.Sprintf(parts, false))
+	var whole wire.ChatAnswer
+	if err := json.Unmarshal([]byte(a.body), &whole); err != nil || a.status != 200 || whole.Usage.TotalTokens < whole.Usage.CompletionTokens {
+		t.Fatalf("%d %s, %v", a.status, a.body, err)
+	}
+	a = c.do("entry-0", "POST", wire.PathChat, fmt.Sprintf(parts, true))
+	last := ""
+	for line := range strings.Lines(a.body) {
+		if data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: "); ok && data != wire.Terminator {
+			last = data
+		}
+	}
+	var chunk map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(last), &chunk); err != nil || string(chunk["choices"]) != "[]" || chunk["id"] == nil || string(chunk["object"]) != `"chat.completion.chunk"` {
+		t.Errorf("the closing chunk is %s, %v", last, err)
+	}
+}
+
 // cutShort sends less of a body than it announces, and returns the status line.
 func cutShort(t *testing.T, addr string) string {
 	conn, err := net.Dial("tcp", addr)
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -265,7 +265,7 @@
 	}
 	prefix := ""
 	for _, m := range req.Messages {
-		prefix += m.Role + m.Content
+		prefix += m.Role + string(m.Content)
 	}
 	prefix = prefix[:min(len(prefix), prefixBytes)]
 	e.mu.Lock()
@@ -332,6 +332,7 @@
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, tokens []string, offset int, f EngineFault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	id := r.Header.Get(wire.HeaderRequest)
 	flush := http.NewResponseController(w)
 	for i := offset; i < len(tokens); i++ {
 		if f.CutAfter > 0 && i-offset >= f.CutAfter {
@@ -343,16 +344,21 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		chunk := wire.ChatChunk{Index: i, Choices: []wire.ChunkChoice{{Delta: wire.Message{Content: tokens[i]}}}}
+		chunk := wire.ChatChunk{ID: id, Object: wire.ObjectChunk, Index: i, Choices: []wire.ChunkChoice{{Delta: wire.Message{Content: wire.Text(tokens[i])}}}}
 		data, _ := json.Marshal(chunk)
 		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
 		_ = flush.Flush()
 		e.tokens.Add(1)
 	}
-	usage, _ := json.Marshal(wire.ChatChunk{Index: len(tokens), Usage: &wire.Usage{CompletionTokens: len(tokens)}})
+	usage, _ := json.Marshal(wire.ChatChunk{ID: id, Object: wire.ObjectChunk, Index: len(tokens), Choices: []wire.ChunkChoice{}, Usage: usageOf(tokens)})
 	_, _ = fmt.Fprintf(w, "data: %s\n\ndata: %s\n\n", usage, wire.Terminator)
 }
 
+// usageOf counts the tokens of an answer; the stand-in reads no prompt.
+func usageOf(tokens []string) *wire.Usage {
+	return &wire.Usage{CompletionTokens: len(tokens), TotalTokens: len(tokens)}
+}
+
 // engineAnswer has a field that ladderridge does not know.
 type engineAnswer struct {
 	wire.ChatAnswer
@@ -367,9 +373,9 @@
 	}
 	e.tokens.Add(int64(len(tokens)))
 	write(w, answer{status: http.StatusOK, body: engineAnswer{Fingerprint: fingerprint, ChatAnswer: wire.ChatAnswer{
-		Object:  "chat.completion",
-		Choices: []wire.Choice{{Message: wire.Message{Role: "assistant", Content: strings.Join(tokens, "")}, FinishReason: "stop"}},
-		Usage:   wire.Usage{CompletionTokens: len(tokens)},
+		Object:  wire.ObjectAnswer,
+		Choices: []wire.Choice{{Message: wire.Message{Role: "assistant", Content: wire.Text(strings.Join(tokens, ""))}, FinishReason: "stop"}},
+		Usage:   *usageOf(tokens),
 		Quality: e.quality(),
 	}}})
 }
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -2,6 +2,11 @@
 // callers and with backend servers. docs/API.md describes them.
 package wire
 
+import (
+	"encoding/json"
+	"errors"
+)
+
 // Paths towards callers and backend servers.
 const (
 	PathChat    = "/v1/chat/completions"
@@ -74,13 +79,46 @@
 	DeclinedNotLoaded = "not_loaded"
 )
 
+// The kinds of object in answers.
+const (
+	ObjectAnswer = "chat.completion"
+	ObjectChunk  = "chat.completion.chunk"
+)
+
 // Terminator is the data of the event that ends a complete stream.
 const Terminator = "[DONE]"
 
 // Message is one message of a chat.
 type Message struct {
 	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
+	Content Text   `json:"content"`
+}
+
+// Text is the text of a message. In requests it may also come as a list of
+// parts, of which those of type text count here; the body is passed on as it
+// came.
+type Text string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *Text) UnmarshalJSON(data []byte) error {
+	var plain *string
+	if err := json.Unmarshal(data, &plain); err == nil {
+		if plain != nil {
+			*t = Text(*plain)
+		}
+		return nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return errors.New("content must be a text or a list of parts")
+	}
+	*t = ""
+	for _, p := range parts {
+		*t += Text(p.Text)
+	}
+	return nil
 }
 
 // ChatRequest has the fields of a chat request that ladderridge looks at; the
