Broken connections do not speak against a version; failures are tried elsewhere

Only such answers count now, and answers that were dropped for a larger model's count as good ones. Besides, a request that a server failed goes to another server first.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,7 +4,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint
 LINT_VERSION := v2.15.0
-MODULES := core daemon
+MODULES := core daemon platform
 
 .PHONY: all build test lint fmt demo bench capacity policy fuzz clean
 
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"ladderridge.example/core/fault"
@@ -44,10 +45,21 @@
 	relative float64
 }
 
-// choose finds a server for the next attempt.
+// choose finds a server for the next attempt: one that has not failed the
+// request, or else one that has.
 func (j *job) choose(now time.Time) (*fleet.Server, bool) {
 	j.look()
-	want := fleet.Want{Service: j.service, Affinity: j.request.affinity(), Hall: j.engine.Hall, Avoid: j.avoid}
+	if len(j.failed) > 0 {
+		if s, ok := j.chooseBut(slices.Concat(j.avoid, j.failed), now); ok {
+			return s, true
+		}
+	}
+	return j.chooseBut(j.avoid, now)
+}
+
+// chooseBut finds a server that is not among those to avoid.
+func (j *job) chooseBut(avoid []string, now time.Time) (*fleet.Server, bool) {
+	want := fleet.Want{Service: j.service, Affinity: j.request.affinity(), Hall: j.engine.Hall, Avoid: avoid}
 	if j.version != "" {
 		want.Allowed = func(v string) bool { return v == j.version }
 		if s, ok := j.view.Servers.Choose(want, now); ok {
@@ -187,7 +199,6 @@
 	j.mayHaveRun = true
 	if j.live() {
 		j.blame(a, a.err, now)
-		j.observe(a, true, false)
 	}
 }
 
@@ -207,7 +218,9 @@
 // nothing about the server.
 func (j *job) live() bool { return j.end.IsZero() || time.Now().Before(j.end) }
 
-// observe tells what an answer says about the version that gave it.
+// observe tells what an answer says about the version that gave it. A broken
+// connection says something about a machine or the way to it, not about what
+// runs there, and is not told.
 func (j *job) observe(a *attempt, failed, slow bool) {
 	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Failed: failed, Slow: slow})
 }
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -113,9 +113,12 @@
 	accepted uint64
 	service  string
 	// end is when the request is given up, zero for never.
-	end   time.Time
-	step  ladder.Step
-	avoid []string
+	end  time.Time
+	step ladder.Step
+	// avoid are servers that declined the request or broke off, failed those
+	// that answered that they failed.
+	avoid  []string
+	failed []string
 	// attempts counts the servers that may have run the request.
 	attempts int
 	// sent counts the requests that have reached servers.
--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -383,3 +383,41 @@
 		}
 	})
 }
+
+// Broken connections do not speak against the version that runs at their other
+// end: a good one was once taken back since servers of it had crashed.
+func TestBrokenConnectionsDoNotSpeakAgainstAVersion(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", "s", "v1", func(net.Conn, arrival) bool { return false }))
+		b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Wait: time.Second})
+		b.known.set(routemap.New(parts(2, "k")), b.server("b", "s", "v1", events(1, 2, false)))
+		b.ask(t.Context(), exchange.Request{ID: "r", Path: "/stream/x", Key: "k", Wait: time.Second})
+		if len(b.known.facts) > 0 {
+			t.Errorf("they were told as %+v", b.known.facts)
+		}
+		b.known.set(routemap.New(parts(3, "k")), b.server("c", "s", "v1", whole(500, "")))
+		b.ask(t.Context(), exchange.Request{ID: "r", Path: "/stream/x", Key: "k", Wait: time.Second})
+		if len(b.known.facts) == 0 || !b.known.facts[0].Failed {
+			t.Errorf("a failure was told as %+v", b.known.facts)
+		}
+	})
+}
+
+// A request that a server failed is tried at another one, and at the same only
+// if there is no other.
+func TestFailedRequestIsTriedAtAnotherServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		grey, sound := b.server("a", "s", "v1", whole(500, "")), b.server("b", "s", "v1", whole(200, "ok"))
+		for range 5 {
+			// The sound one is busier.
+			sound.Load.Begin()
+		}
+		b.known.set(routemap.New(parts(1, "k")), grey, sound)
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Wait: time.Second})
+		if got.body.String() != "ok" || b.seen()[0].server != "a" {
+			t.Errorf("%v at %+v", got.outcome, b.seen())
+		}
+	})
+}
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -16,6 +16,7 @@
 	defer j.finish(a)
 	if next, up := j.mayEscalate(ctx, a); up {
 		j.note(a, fmt.Sprintf("dropped: confidence %d", a.head.Confidence))
+		j.observe(a, false, false)
 		j.step = next
 		j.report.Escalated = true
 		return nil, Full
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -34,6 +34,7 @@
 	w := &whole{status: a.reply.Status, header: a.reply.Header, body: body}
 	if w.status >= http.StatusInternalServerError {
 		a.server.Load.Failed()
+		j.failed = append(j.failed, a.server.ID)
 		j.observe(a, true, false)
 		j.note(a, fmt.Sprintf("status %d", w.status))
 		j.kept = w
@@ -54,7 +55,6 @@
 	j.avoid = append(j.avoid, a.server.ID)
 	if j.live() {
 		j.blame(a, err, time.Now())
-		j.observe(a, true, false)
 	}
 	return nil, Failed
 }
--- /dev/null
+++ b/daemon/settings/gateway_test.go
@@ -0,0 +1,53 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"ladderridge.example/daemon/settings"
+)
+
+const gatewayFile = `[daemon]
+id = entry-1
+hall = h
+callers = 10.0.0.1:1
+readiness = 10.0.0.1:2
+admin = 10.0.0.1:3
+peers = 10.0.0.1:4
+[store]
+url = http://10.0.0.9:5
+[keys]
+usable_for = 5000ms
+[vm]
+processor = 0.4
+link = 1000.0
+`
+
+func TestGatewaySettingsAreRead(t *testing.T) {
+	s, err := settings.ParseGateway("f", []byte(gatewayFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.KeyAge >= 5*time.Second || s.KeyAge < 4*time.Second || s.Processor != 0.4 || s.Grace <= 0 {
+		t.Errorf("%+v", s)
+	}
+	strong := *s
+	strong.Link, strong.Processor = 10000, 4
+	if strong.Capacity() <= s.Capacity() {
+		t.Error("a stronger VM has no more capacity")
+	}
+}
+
+func TestAllFaultsOfGatewaySettingsAreToldAtOnce(t *testing.T) {
+	bad := strings.NewReplacer("10.0.0.1:1", "nowhere", "5000ms", "soon", "[vm]", "[vm]\nspeed = 1", "id = entry-1\n", "").Replace(gatewayFile)
+	_, err := settings.ParseGateway("f", []byte(bad))
+	if err == nil {
+		t.Fatal("no fault was found")
+	}
+	for _, want := range []string{"callers", "usable_for", "speed", "id"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not told: %v", want, err)
+		}
+	}
+}
