A silent hall is tried by one request at a time

After its rest a hall is now tried by one request each 0.3 s until one is answered, and a request goes last to halls that were silent for it. Ruled out: faster time-outs (two lost packets in a row must be borne).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -86,6 +86,9 @@
 	Hall string
 	// Avoid are servers that the request has been to.
 	Avoid []string
+	// Silent are halls of which a server has timed out for the request: others
+	// go first.
+	Silent []string
 }
 
 // The bounds of the choice.
@@ -110,7 +113,7 @@
 		if !s.Usable() || slices.Contains(w.Avoid, s.ID) || (w.Allowed != nil && !w.Allowed(s.Version)) {
 			continue
 		}
-		if s.Load.Resting(now) {
+		if s.Load.Resting(now) || slices.Contains(w.Silent, s.Hall) {
 			last = append(last, s)
 			continue
 		}
@@ -122,14 +125,22 @@
 	if len(fit) == 0 {
 		return nil, false
 	}
+	s := pick(fit, w)
+	s.Load.hall.taken(now)
+	return s, true
+}
+
+// pick returns the preferred server if it is not much busier than the mean, and
+// else the one with the least work.
+func pick(fit []*Server, w Want) *Server {
 	if w.Affinity != 0 {
 		if s := preferred(fit, w.Affinity); withinBound(fit, s) {
-			return s, true
+			return s
 		}
 	}
 	return slices.MinFunc(fit, func(a, b *Server) int {
 		return cmp.Or(cmp.Compare(cost(a, w.Hall), cost(b, w.Hall)), cmp.Compare(score(a, w.Affinity), score(b, w.Affinity)))
-	}), true
+	})
 }
 
 // cost is the work that a request would wait behind, weighed by how slow the
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -163,3 +163,42 @@
 		t.Error("a server that timed out does not rest itself")
 	}
 }
+
+// After its rest a hall is tried by one request at a time.
+func TestHallIsTriedByOneRequestAtATime(t *testing.T) {
+	near, far := pool(4), pool(4)
+	for i, s := range far {
+		s.ID, s.Hall = "far-"+s.ID, "far"
+		if i < 3 {
+			s.Load.Silent(now)
+		}
+	}
+	all := append(near, far...)
+	later := now.Add(1500 * time.Millisecond)
+	tried := 0
+	for i := range uint64(200) {
+		s, ok := fleet.NewList(all).Choose(fleet.Want{Service: "s", Affinity: i + 1}, later)
+		if ok && s.Hall == "far" {
+			tried++
+		}
+	}
+	if tried != 1 {
+		t.Errorf("%d requests tried the hall at once", tried)
+	}
+}
+
+func TestHallThatWasSilentForTheRequestGoesLast(t *testing.T) {
+	near, far := pool(2), pool(2)
+	for _, s := range far {
+		s.ID, s.Hall = "far-"+s.ID, "far"
+	}
+	all := append(near, far...)
+	for i := range uint64(50) {
+		if s := choose(t, all, fleet.Want{Affinity: i + 1, Silent: []string{"far"}}); s.Hall == "far" {
+			t.Fatal("it was chosen")
+		}
+	}
+	if s := choose(t, far, fleet.Want{Silent: []string{"far"}}); s.Hall != "far" {
+		t.Error("without another it is not used")
+	}
+}
--- a/core/fleet/hall.go
+++ b/core/fleet/hall.go
@@ -25,6 +25,9 @@
 	// it requests try the hall again.
 	hallRestFloor   = time.Second
 	hallRestCeiling = 2 * time.Second
+	// hallProbeEvery is the time between two requests that try a hall after
+	// its rest, until one is answered.
+	hallProbeEvery = 300 * time.Millisecond
 )
 
 // NewHall returns a hall of which nothing has been seen.
@@ -47,6 +50,16 @@
 	h.until = now.Add(h.rest)
 }
 
+// taken notes that a request goes to the hall. If it tries whether the hall is
+// back, others wait for what comes of it.
+func (h *Hall) taken(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.timedOut) >= hallSilent && !now.Before(h.until) {
+		h.until = now.Add(hallProbeEvery)
+	}
+}
+
 func (h *Hall) answered() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -59,7 +59,7 @@
 
 // chooseBut finds a server that is not among those to avoid.
 func (j *job) chooseBut(avoid []string, now time.Time) (*fleet.Server, bool) {
-	want := fleet.Want{Service: j.service, Affinity: j.request.affinity(), Hall: j.engine.Hall, Avoid: avoid}
+	want := fleet.Want{Service: j.service, Affinity: j.request.affinity(), Hall: j.engine.Hall, Avoid: avoid, Silent: j.silent}
 	if j.version != "" {
 		want.Allowed = func(v string) bool { return v == j.version }
 		if s, ok := j.view.Servers.Choose(want, now); ok {
@@ -207,6 +207,7 @@
 	switch {
 	case channel.TimedOut(err):
 		a.server.Load.Silent(now)
+		j.silent = append(j.silent, a.server.Hall)
 	case fault.Is(err, channel.Unreachable):
 		a.server.Load.Unreachable(now)
 	default:
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -119,6 +119,8 @@
 	// that answered that they failed.
 	avoid  []string
 	failed []string
+	// silent are the halls of servers that timed out.
+	silent []string
 	// attempts counts the servers that may have run the request.
 	attempts int
 	// sent counts the requests that have reached servers.
