A caller that leaves is no failure of the server

What a request says of a server now counts only while its caller is there; such requests are logged as left. Ruled out: servers that closed (the connection was closed from this side).

--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -215,9 +215,9 @@
 	}
 }
 
-// live reports whether the request's time is not over: else a failure says
-// nothing about the server.
-func (j *job) live() bool { return j.end.IsZero() || time.Now().Before(j.end) }
+// live reports whether the request's time is not over and its caller there: else
+// a failure says nothing about the server.
+func (j *job) live() bool { return !j.left() && (j.end.IsZero() || time.Now().Before(j.end)) }
 
 // observe tells what an answer says about the version that gave it. A broken
 // connection says something about a machine or the way to it, not about what
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -87,9 +87,9 @@
 func (e *Engine) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
 	e.Open.Add(1)
 	defer e.Open.Add(-1)
-	j := &job{engine: e, request: r, sink: sink, after: r.After, report: Report{Request: r}}
+	j := &job{engine: e, request: r, sink: sink, after: r.After, report: Report{Request: r}, left: func() bool { return ctx.Err() != nil }}
 	out := j.serve(ctx)
-	if ctx.Err() != nil && !j.begun {
+	if _, whole := out.(Answered); j.left() && !whole {
 		out = Gone{}
 	}
 	if e.Observer != nil {
@@ -106,6 +106,9 @@
 	sink    Sink
 	report  Report
 
+	// left reports whether the caller has gone.
+	left func() bool
+
 	view   *knowledge.View
 	route  *routemap.Route
 	holder *routemap.Organisation
--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -421,3 +421,32 @@
 		}
 	})
 }
+
+// A caller that leaves says nothing about the server: callers that left once
+// made servers rest.
+func TestCallerThatLeavesIsNoFailureOfTheServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		for name, s := range map[string]script{
+			"before the head": silent,
+			"within a stream": func(c net.Conn, a arrival) bool {
+				events(1, 1, false)(c, a)
+				return silent(c, a)
+			},
+		} {
+			server := b.server(name, "s", "v1", s)
+			b.known.set(routemap.New(parts(1, "k")), server)
+			for range 5 {
+				ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+				got := b.ask(ctx, exchange.Request{ID: "r", Path: "/slow/x", Key: "k", Wait: 9 * time.Second})
+				cancel()
+				if got.outcome != (exchange.Gone{}) {
+					t.Errorf("%s: %v", name, got.outcome)
+				}
+			}
+			if server.Load.Resting(time.Now()) || server.Load.Slowness() != 1 {
+				t.Errorf("%s: the server rests %v, its slowness is %v", name, server.Load.Resting(time.Now()), server.Load.Slowness())
+			}
+		}
+	})
+}
