--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"ladderridge.example/daemon/knowledge"
 	"ladderridge.example/daemon/peer"
 	"ladderridge.example/daemon/settings"
+	"ladderridge.example/daemon/supervise"
 )
 
 // Engine serves the requests that a door has read.
@@ -80,23 +81,6 @@
 // New returns a daemon with its settings.
 func New(s *settings.Gateway) *Gateway { return &Gateway{Settings: s, reloads: make(chan struct{}, 1)} }
 
-// part adapts a part's Run to the supervisor.
-type part struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-// Serve runs the part. One that ends without an error has done its work.
-func (p part) Serve(ctx context.Context) error {
-	if err := p.run(ctx); err != nil {
-		return err
-	}
-	return suture.ErrDoNotRestart
-}
-
-// String names the part in the supervisor's messages.
-func (p part) String() string { return p.name }
-
 // Run runs the daemon until ctx ends, and then stops it as planned.
 func (g *Gateway) Run(ctx context.Context) error {
 	if err := g.build(); err != nil {
@@ -108,22 +92,9 @@
 			return err
 		}
 	}
-	// Parts outlive ctx until the planned stop is through.
-	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	ended := g.tree().ServeBackground(parts)
-	g.log.Info().Str("id", g.Settings.ID).Str("hall", g.Settings.Hall).Str("callers", g.Settings.Callers).Str("store", g.Settings.StoreURL).Dur("key_age", g.Settings.KeyAge).Msg("gateway: started")
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	g.stop()
-	cancel()
-	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
-	return nil
+	return supervise.Run(ctx, g.tree(), func() {
+		g.log.Info().Str("id", g.Settings.ID).Str("hall", g.Settings.Hall).Str("callers", g.Settings.Callers).Str("store", g.Settings.StoreURL).Dur("key_age", g.Settings.KeyAge).Msg("gateway: started")
+	}, g.stop)
 }
 
 // build puts the parts together.
@@ -185,15 +156,15 @@
 	}}
 	root := suture.New("gateway", spec)
 	coordination := suture.New("coordination", spec)
-	coordination.Add(part{"knowledge", g.keeper.Run})
-	coordination.Add(part{"peers", g.peers.Run})
+	coordination.Add(supervise.Part{Name: "knowledge", Run: g.keeper.Run})
+	coordination.Add(supervise.Part{Name: "peers", Run: g.peers.Run})
 	serving := suture.New("serving", spec)
-	serving.Add(part{"callers", g.callers.run})
-	serving.Add(part{"readiness", g.readiness.run})
-	serving.Add(part{"admin", g.admin.run})
-	serving.Add(part{"channels", g.sweep})
-	serving.Add(part{"reports", g.reporter.run})
-	serving.Add(part{"settings", g.watchSettings})
+	serving.Add(supervise.Part{Name: "callers", Run: g.callers.run})
+	serving.Add(supervise.Part{Name: "readiness", Run: g.readiness.run})
+	serving.Add(supervise.Part{Name: "admin", Run: g.admin.run})
+	serving.Add(supervise.Part{Name: "channels", Run: g.sweep})
+	serving.Add(supervise.Part{Name: "reports", Run: g.reporter.run})
+	serving.Add(supervise.Part{Name: "settings", Run: g.watchSettings})
 	root.Add(coordination)
 	root.Add(serving)
 	return root
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -24,25 +23,9 @@
 	"ladderridge.example/daemon/platform"
 	"ladderridge.example/daemon/record"
 	"ladderridge.example/daemon/settings"
+	"ladderridge.example/daemon/supervise"
 )
 
-// part adapts a part's Run to the supervisor.
-type part struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-// Serve runs the part. One that ends without an error has done its work.
-func (p part) Serve(ctx context.Context) error {
-	if err := p.run(ctx); err != nil {
-		return err
-	}
-	return suture.ErrDoNotRestart
-}
-
-// String names the part in the supervisor's messages.
-func (p part) String() string { return p.name }
-
 // sender carries the control state's messages to other daemons.
 type sender struct{ peers *peer.Transport }
 
@@ -82,22 +65,9 @@
 	if err := p.listen(ctx); err != nil {
 		return err
 	}
-	// Parts outlive ctx until the planned stop is through.
-	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	ended := p.tree().ServeBackground(parts)
-	p.log.Info().Str("id", p.Settings.ID).Str("hall", p.Settings.Hall).Msg("process: started")
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	p.stop()
-	cancel()
-	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
-	return nil
+	return supervise.Run(ctx, p.tree(), func() {
+		p.log.Info().Str("id", p.Settings.ID).Str("hall", p.Settings.Hall).Msg("process: started")
+	}, p.stop)
 }
 
 // build puts the parts together.
@@ -155,11 +125,11 @@
 	}}
 	root := suture.New("ladderridged", spec)
 	coordination := suture.New("coordination", spec)
-	coordination.Add(part{"control", p.control.Run})
-	coordination.Add(part{"peers", p.peers.Run})
+	coordination.Add(supervise.Part{Name: "control", Run: p.control.Run})
+	coordination.Add(supervise.Part{Name: "peers", Run: p.peers.Run})
 	serving := suture.New("serving", spec)
-	serving.Add(part{"front", p.front.Run})
-	serving.Add(part{"admin", p.admin.Run})
+	serving.Add(supervise.Part{Name: "front", Run: p.front.Run})
+	serving.Add(supervise.Part{Name: "admin", Run: p.admin.Run})
 	root.Add(coordination)
 	root.Add(serving)
 	return root
