Requests are weighed by their prompts

A request now weighs one more for each 2,000 tokens to be read. Ruled out: more servers in the choice (all share the load within a third).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -146,7 +146,7 @@
 // cost is the work that a request would wait behind, weighed by how slow the
 // server is.
 func cost(s *Server, hall string) float64 {
-	c := float64(s.Load.InFlight()+1) * s.Load.Slowness()
+	c := (s.Load.Work() + 1) * s.Load.Slowness()
 	if s.Hall != hall {
 		c += awayCost
 	}
@@ -170,10 +170,10 @@
 func withinBound(fit []*Server, s *Server) bool {
 	total := 0.0
 	for _, f := range fit {
-		total += float64(f.Load.InFlight())
+		total += f.Load.Work()
 	}
 	mean := total / float64(len(fit))
-	return float64(s.Load.InFlight())*s.Load.Slowness() <= affinitySlack*mean+affinityExtra
+	return s.Load.Work()*s.Load.Slowness() <= affinitySlack*mean+affinityExtra
 }
 
 // All returns the servers of all services.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -55,7 +55,7 @@
 		}
 	}
 	for range 10 {
-		first.Load.Begin()
+		first.Load.Begin(1)
 	}
 	if s := choose(t, servers, fleet.Want{Affinity: 42}); s == first {
 		t.Error("a server that is much busier than the others was chosen")
@@ -81,7 +81,7 @@
 	servers := pool(2)
 	servers[0].Load.Unreachable(now)
 	for range 5 {
-		servers[1].Load.Begin()
+		servers[1].Load.Begin(1)
 	}
 	if s := choose(t, servers, fleet.Want{}); s != servers[1] {
 		t.Error("a server that could not be reached was chosen")
@@ -106,7 +106,7 @@
 			spoil(servers[0].Load)
 			servers[1].Load.Answered(1)
 		}
-		servers[1].Load.Begin()
+		servers[1].Load.Begin(1)
 		if s := choose(t, servers, fleet.Want{}); s != servers[1] {
 			t.Errorf("%s: the bad server was chosen before one with a request more", name)
 		}
@@ -126,7 +126,7 @@
 		t.Error("another hall was chosen")
 	}
 	for range 5 {
-		servers[0].Load.Begin()
+		servers[0].Load.Begin(1)
 	}
 	if s := choose(t, servers, fleet.Want{Hall: "h"}); s != servers[1] {
 		t.Error("the own hall was chosen though it is busier")
@@ -202,3 +202,20 @@
 		t.Error("without another it is not used")
 	}
 }
+
+// A server that reads a long prompt is busier than one with several small
+// requests.
+func TestLongPromptsWeighMore(t *testing.T) {
+	servers := pool(2)
+	servers[0].Load.Begin(6)
+	for range 3 {
+		servers[1].Load.Begin(1)
+	}
+	if s := choose(t, servers, fleet.Want{}); s != servers[1] {
+		t.Error("the server with the long prompt was chosen")
+	}
+	servers[0].Load.End(6)
+	if s := choose(t, servers, fleet.Want{}); s != servers[0] {
+		t.Error("its end does not count")
+	}
+}
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -10,6 +10,8 @@
 type Load struct {
 	mu       sync.Mutex
 	inFlight int
+	// work is the sum of the weights of the requests under way.
+	work float64
 	// failures counts failures in a row; resting is until when the server gets
 	// no work if others are there.
 	failures int
@@ -51,18 +53,27 @@
 	return l.inFlight
 }
 
-// Begin counts a request that is sent.
-func (l *Load) Begin() {
+// Work is the sum of the weights of this daemon's requests under way there.
+func (l *Load) Work() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.work
+}
+
+// Begin counts a request that is sent, by its weight: 1 is a small one.
+func (l *Load) Begin(weight float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight++
+	l.work += weight
 }
 
-// End counts a request that has ended.
-func (l *Load) End() {
+// End counts a request that has ended, by the weight that it began with.
+func (l *Load) End(weight float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
+	l.work = max(0, l.work-weight)
 }
 
 // Slowness is how much longer than others the server takes, failures included.
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -117,7 +117,7 @@
 	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := j.startTimer(a, patience)
-	s.Load.Begin()
+	s.Load.Begin(j.request.weight())
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
 	if timer.stop() {
 		if a.err == nil {
@@ -236,7 +236,7 @@
 		a.reply.Close()
 	}
 	a.cancel()
-	a.server.Load.End()
+	a.server.Load.End(j.request.weight())
 }
 
 // note puts an attempt into the report.
--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -412,7 +412,7 @@
 		grey, sound := b.server("a", whole(500, "")), b.server("b", whole(200, "ok"))
 		for range 5 {
 			// The sound one is busier.
-			sound.Load.Begin()
+			sound.Load.Begin(1)
 		}
 		b.known.set(routemap.New(parts(1, "k")), grey, sound)
 		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Wait: time.Second})
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -72,6 +72,29 @@
 	return xxhash.Sum64String(r.Prompt[len(r.Prompt)-2].ID)
 }
 
+const (
+	// pieceTokens is about how much of a prompt a model server reads in one
+	// step, between which the tokens of all other requests wait.
+	pieceTokens = 2000
+	// sharedPart is the part of a shared prompt that is taken to be read anew:
+	// like prompts meet on one server, which mostly has it.
+	sharedPart = 0.2
+)
+
+// weight is how much a request is of a server's work: 1 and one more for each
+// piece of its prompt.
+func (r *Request) weight() float64 {
+	tokens := 0.0
+	for i, p := range r.Prompt {
+		if i == len(r.Prompt)-1 {
+			tokens += float64(p.Tokens)
+		} else {
+			tokens += sharedPart * float64(p.Tokens)
+		}
+	}
+	return 1 + tokens/pieceTokens
+}
+
 // Attempt is one request to one server, for a dialect to put into headers.
 type Attempt struct {
 	Request *Request
