A session moves only when it has paused

The requests of a session reach any daemon, so that no daemon alone can tell. Daemons now tell each other, by the readers of their halls, which of the sessions that would move first the old version has just served; those stay until they have paused. It is told on within the own hall only, once, and the backlog is bounded; the test of that takes all memory without the bound to the own hall.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -72,6 +72,14 @@
 	return share
 }
 
+// Candidate reports whether a session's hash falls to a new version from the
+// start of its roll-out.
+func Candidate(hash uint64) bool { return Chosen(hash, stages[0].share) }
+
+// Early reports whether sessions may not move yet: one that was served by the
+// old version a moment ago stays there until it has paused.
+func Early(age, within time.Duration) bool { return Share(age, within) <= stages[0].share }
+
 // Late reports whether the order's time is so nearly over that a version that
 // has all requests is completed whatever is still under way on the old one.
 func Late(age, within time.Duration) bool {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -47,6 +47,8 @@
 	// asker is told apart.
 	Nonce uint64
 	Have  []Have
+	// Sessions are hashes of sessions that an old version serves at the asker.
+	Sessions []uint64
 }
 
 // Known is what the answerer knows of a topic.
@@ -90,6 +92,8 @@
 	Known []Known
 	// Withdrawn are versions in roll-out that were found bad: SERVICE@VERSION.
 	Withdrawn []string
+	// Sessions are hashes of sessions that an old version serves.
+	Sessions []uint64
 }
 
 // Count is what one daemon has seen of a version's answers on one route since
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -117,6 +117,9 @@
 	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := j.startTimer(a, patience)
+	if j.route.Sticky {
+		j.engine.Knowledge.Ran(j.service, j.request.session(), s.Version)
+	}
 	s.Load.Begin(j.request.weight())
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
 	if timer.stop() {
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -17,6 +17,8 @@
 type Knowledge interface {
 	View() *knowledge.View
 	Observe(f knowledge.Fact)
+	// Ran notes which version serves a session.
+	Ran(service string, session uint64, version string)
 }
 
 // Engine serves requests. Set the exported fields, then Serve.
--- a/daemon/exchange/harness_test.go
+++ b/daemon/exchange/harness_test.go
@@ -67,6 +67,8 @@
 	k.facts = append(k.facts, f)
 }
 
+func (k *known) Ran(string, uint64, string) {}
+
 // set replaces the configuration, which is confirmed now.
 func (k *known) set(m *routemap.Map, servers ...*fleet.Server) {
 	k.mu.Lock()
--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -255,6 +255,8 @@
 type mesh struct {
 	mu      sync.Mutex
 	keepers map[string]*knowledge.Keeper
+	// sessions counts the sessions in all messages.
+	sessions int
 	// held are messages to a daemon that are kept back.
 	holding map[string]bool
 	held    map[string][]func()
@@ -268,6 +270,9 @@
 func (s sender) Send(id, _ string, m any) {
 	s.mesh.mu.Lock()
 	defer s.mesh.mu.Unlock()
+	if tell, ok := m.(relay.Tell); ok {
+		s.mesh.sessions += len(tell.Sessions)
+	}
 	k := s.mesh.keepers[id]
 	if k == nil {
 		return
@@ -305,11 +310,17 @@
 
 // daemon starts one.
 func (s *system) daemon(id string) *knowledge.Keeper {
+	s.t.Helper()
+	return s.daemonIn(id, "h")
+}
+
+// daemonIn starts one in a hall.
+func (s *system) daemonIn(id, hall string) *knowledge.Keeper {
 	s.t.Helper()
 	k := knowledge.New()
 	l := &link{rows: s.rows}
 	k.Store, k.Decoder, k.Peers = l, decoder{}, sender{s.mesh, id}
-	k.Self = knowledge.Member{ID: id, Hall: "h", Addr: id, Public: make([]byte, 32), Start: 1}
+	k.Self = knowledge.Member{ID: id, Hall: hall, Addr: id, Public: make([]byte, 32), Start: 1}
 	k.Log = log.Logger{Level: log.PanicLevel}
 	s.mesh.mu.Lock()
 	s.mesh.keepers[id] = k
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -49,7 +49,10 @@
 	// InForceWithin is how soon a configuration must be in force everywhere; 0
 	// is two seconds.
 	InForceWithin time.Duration
-	Log           log.Logger
+	// SessionPause is how long a session rests before it may move to a version in
+	// roll-out; 0 is five seconds.
+	SessionPause time.Duration
+	Log          log.Logger
 
 	// Lost and Regained count the times that the store stopped and began
 	// again to answer.
@@ -83,6 +86,12 @@
 	// toldBy is when a daemon last answered a question.
 	toldBy   map[string]time.Time
 	rollouts *rollouts
+	sessions *sessions
+	// hallSessions and awaySessions are sessions heard of since the last
+	// message about them, of this hall and of others.
+	hallSessions []uint64
+	awaySessions []uint64
+	sessionsAt   time.Time
 	// bad are rows that did not decode, by key, so that each is logged once.
 	bad map[string]uint64
 }
@@ -125,12 +134,12 @@
 		events: make(chan event, eventBacklog),
 		topics: map[relay.Topic]*topicState{}, loads: map[string]*fleet.Load{}, halls: map[string]*fleet.Hall{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, toldBy: map[string]time.Time{}, readers: newReaders(),
-		bad: map[string]uint64{}, rollouts: newRollouts(), nonce: rand.Uint64(),
+		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), nonce: rand.Uint64(),
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
 		k.topics[t] = newTopicState()
 	}
-	k.view.Store(&View{})
+	k.view.Store(&View{sessions: k.sessions})
 	k.members.Store(&map[string]Member{})
 	k.reading.Store(true)
 	// The first one is about the configuration; Run sets its hold.
@@ -163,6 +172,9 @@
 func (k *Keeper) Run(ctx context.Context) error { return k.run(ctx) }
 
 func (k *Keeper) loop(ctx context.Context) error {
+	if k.SessionPause > 0 {
+		k.sessions.pause = k.SessionPause
+	}
 	k.readers.self, k.readers.usefulAge = k.Self, 2*k.hold()+usefulSlack
 	k.followers[0].hold = k.hold()
 	for _, f := range k.followers {
@@ -307,6 +319,7 @@
 	k.askReader(now)
 	k.askAround(now)
 	k.tellNews(now)
+	k.tellSessions(now)
 	k.driveRollouts(ctx, now)
 	k.refresh()
 }
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -30,6 +30,9 @@
 		return
 	}
 	ask := k.question(relayed, now)
+	if !k.reading.Load() {
+		ask.Sessions = k.sessions.news(now)
+	}
 	for _, m := range due {
 		k.readers.ask(m.ID, now)
 		k.Peers.Send(m.ID, m.Addr, ask)
@@ -124,6 +127,7 @@
 		return
 	}
 	k.listeners[to] = now
+	k.askedSessions(m.Sessions, now)
 	tell := relay.Tell{Nonce: m.Nonce, Withdrawn: k.rollouts.withdrawnNames()}
 	for _, have := range m.Have {
 		t := k.topics[have.Topic]
@@ -211,6 +215,7 @@
 // that nobody has asked for confirms nothing.
 func (k *Keeper) told(from string, m relay.Tell, now time.Time) {
 	defer k.refresh()
+	k.toldSessions(from, m.Sessions, now)
 	for _, name := range m.Withdrawn {
 		k.rollouts.withdrawNamed(name)
 	}
--- a/daemon/knowledge/rollout_test.go
+++ b/daemon/knowledge/rollout_test.go
@@ -140,3 +140,69 @@
 		}
 	})
 }
+
+// A session that an old version has just served, at any daemon, stays there when
+// a roll-out begins, until it has paused; sessions once moved under way.
+func TestSessionMovesOnlyWhenItHasPaused(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		s.rows.set(relay.Servers, "old", "v1")
+		var keepers []*knowledge.Keeper
+		for i := range 3 {
+			keepers = append(keepers, s.daemon(fmt.Sprintf("d%d", i)))
+		}
+		pass(12 * time.Second)
+		keepers[2].Ran("s", lowest, "v1")
+		pass(1200 * time.Millisecond)
+		s.rows.set(relay.Servers, "new", "v2")
+		s.rows.set(relay.Operator, "order/s", `{"Version":"v2","Seconds":40}`)
+		pass(time.Second)
+		for i, k := range keepers {
+			if uses(k, lowest, "v2") {
+				t.Errorf("daemon %d moves a session under way", i)
+			}
+			if !uses(k, lowest+1, "v2") {
+				t.Errorf("daemon %d does not move one that is new", i)
+			}
+		}
+		// It goes on, and stays; then it pauses.
+		keepers[1].Ran("s", lowest, "v1")
+		pass(4500 * time.Millisecond)
+		if uses(keepers[0], lowest, "v2") {
+			t.Error("the session moved without a pause")
+		}
+		pass(3 * time.Second)
+		if !uses(keepers[0], lowest, "v2") {
+			t.Error("the session did not move after its pause")
+		}
+	})
+}
+
+// What is told of sessions dies out, also while all daemons read for themselves
+// and ask each other: it once went round in circles and grew.
+func TestNewsOfSessionsDiesOut(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		ids := []string{"a", "b", "c", "d"}
+		keepers := map[string]*knowledge.Keeper{}
+		for i, id := range ids {
+			keepers[id] = s.daemonIn(id, []string{"h", "far"}[i%2])
+		}
+		pass(12 * time.Second)
+		for _, id := range ids {
+			s.links[id].fail(errDown)
+		}
+		pass(8 * time.Second)
+		for _, id := range ids {
+			keepers[id].Ran("s", lowest, "v1")
+		}
+		pass(10 * time.Second)
+		s.mesh.mu.Lock()
+		defer s.mesh.mu.Unlock()
+		if s.mesh.sessions > 4*len(ids)*len(ids) {
+			t.Errorf("four sessions were told %d times", s.mesh.sessions)
+		}
+	})
+}
--- /dev/null
+++ b/daemon/knowledge/sessions.go
@@ -0,0 +1,155 @@
+package knowledge
+
+import (
+	"sync"
+	"time"
+
+	"ladderridge.example/core/canary"
+	"ladderridge.example/core/relay"
+)
+
+// sessions remembers which sessions were served by an old version a moment ago,
+// of those that a roll-out would move at its start. Daemons tell each other, as
+// the requests of a session reach any of them. It is safe for concurrent use.
+type sessions struct {
+	// pause is how long a session rests before it may move.
+	pause time.Duration
+
+	mu   sync.Mutex
+	last map[uint64]time.Time
+	// fresh are those served here, not told to others yet.
+	fresh map[uint64]bool
+}
+
+// standardPause is the pause if the settings name none.
+const standardPause = 5 * time.Second
+
+func newSessions() *sessions {
+	return &sessions{pause: standardPause, last: map[uint64]time.Time{}, fresh: map[uint64]bool{}}
+}
+
+// ran notes a session that an old version serves here.
+func (s *sessions) ran(hash uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last[hash] = now
+	s.fresh[hash] = true
+}
+
+// heard notes sessions that an old version serves elsewhere.
+func (s *sessions) heard(hashes []uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, hash := range hashes {
+		s.last[hash] = now
+	}
+}
+
+// active reports whether a session has not paused since an old version served it.
+func (s *sessions) active(hash uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.last[hash]
+	return ok && now.Sub(last) < s.pause
+}
+
+// news returns the sessions served here that others have not been told of, and
+// forgets those that have paused.
+func (s *sessions) news(now time.Time) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]uint64, 0, len(s.fresh))
+	for hash := range s.fresh {
+		out = append(out, hash)
+	}
+	clear(s.fresh)
+	for hash, last := range s.last {
+		if now.Sub(last) > s.pause {
+			delete(s.last, hash)
+		}
+	}
+	return out
+}
+
+// sessionsBacklog bounds the sessions that wait to be told on; further ones are
+// left out, and may then move a moment early.
+const sessionsBacklog = 4096
+
+// sessionsEvery is the time between two messages about sessions to daemons that
+// this one reads for, and to other halls.
+const sessionsEvery = 500 * time.Millisecond
+
+// Ran notes which version serves a session.
+func (k *Keeper) Ran(service string, hash uint64, version string) {
+	if !canary.Candidate(hash) {
+		return
+	}
+	r, ok := k.View().Rollout(service)
+	if ok && r.State == canary.Running && version == r.Order.Version {
+		return
+	}
+	k.sessions.ran(hash, time.Now())
+}
+
+// tellSessions tells of sessions: those of this hall to other halls and to the
+// daemons that this one reads for, those of other halls to the latter.
+func (k *Keeper) tellSessions(now time.Time) {
+	if !k.reading.Load() || now.Sub(k.sessionsAt) < sessionsEvery {
+		return
+	}
+	k.sessionsAt = now
+	own := append(k.sessions.news(now), k.hallSessions...)
+	all := append(own[:len(own):len(own)], k.awaySessions...)
+	k.hallSessions, k.awaySessions = nil, nil
+	if to := k.hallAudience(now); len(all) > 0 && len(to) > 0 {
+		k.Peers.SendAll(to, relay.Tell{Sessions: all})
+	}
+	if len(own) == 0 {
+		return
+	}
+	abroad := map[string]string{}
+	for _, m := range k.abroad() {
+		abroad[m.ID] = m.Addr
+	}
+	if len(abroad) > 0 {
+		k.Peers.SendAll(abroad, relay.Tell{Sessions: own})
+	}
+}
+
+// hallAudience are the daemons of this hall that this one reads for. Those of
+// other halls that ask here hear of sessions from their own readers; telling
+// them too would go round in circles.
+func (k *Keeper) hallAudience(now time.Time) map[string]string {
+	to := k.audience(now)
+	for id := range to {
+		if (*k.members.Load())[id].Hall != k.Self.Hall {
+			delete(to, id)
+		}
+	}
+	return to
+}
+
+// askedSessions takes the sessions that a daemon of this hall serves itself, as
+// it asks here: they are told on.
+func (k *Keeper) askedSessions(hashes []uint64, now time.Time) {
+	k.sessions.heard(hashes, now)
+	if k.reading.Load() {
+		k.hallSessions = appendUpTo(k.hallSessions, hashes)
+	}
+}
+
+// toldSessions takes the sessions that another daemon tells of. Those of other
+// halls are told on within this one; what comes from within has been told to
+// all by its reader, and telling it on would go round in circles.
+func (k *Keeper) toldSessions(from string, hashes []uint64, now time.Time) {
+	k.sessions.heard(hashes, now)
+	m, ok := (*k.members.Load())[from]
+	if ok && m.Hall != k.Self.Hall && k.reading.Load() {
+		k.awaySessions = appendUpTo(k.awaySessions, hashes)
+	}
+}
+
+// appendUpTo appends what fits into the backlog.
+func appendUpTo(to, hashes []uint64) []uint64 {
+	return append(to, hashes[:min(len(hashes), sessionsBacklog-len(to))]...)
+}
--- a/daemon/knowledge/view.go
+++ b/daemon/knowledge/view.go
@@ -25,6 +25,7 @@
 	withdrawn map[string]bool
 	// firstSeen is when a version of a service was first listed.
 	firstSeen map[string]time.Time
+	sessions  *sessions
 }
 
 // ConfigAge is how old the knowledge of the configuration is.
@@ -60,7 +61,7 @@
 		return isOld, isOld
 	case r.State == canary.Completed:
 		return isNew, isOld
-	case r.UsesNew(hash, now):
+	case r.UsesNew(hash, now) && !v.stays(r, hash, now):
 		return isNew, isOld
 	case r.Share(now) > 0:
 		return isOld, isNew
@@ -68,6 +69,12 @@
 	return isOld, isOld
 }
 
+// stays reports whether a session stays on the old version though its hash falls
+// to the new one: it is early, and the session has not paused.
+func (v *View) stays(r canary.Rollout, hash uint64, now time.Time) bool {
+	return canary.Early(now.Sub(r.Since), r.Order.Within) && v.sessions.active(hash, now)
+}
+
 // settled reports whether a version has been listed for so long that an order
 // for it would have arrived.
 func (v *View) settled(service, version string, now time.Time) bool {
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -32,6 +32,10 @@
 	// InForceWithin is how soon a changed configuration must be in force.
 	InForceWithin time.Duration
 
+	// SessionPause is how long a session rests before it may move to a version
+	// in roll-out.
+	SessionPause time.Duration
+
 	// RepeatRatio and RepeatSlack bound the repeats that all daemons together
 	// send to a service within RepeatWindow.
 	RepeatRatio  float64
@@ -69,6 +73,7 @@
 	{"store", "url", "", true, func(s *Gateway, v string) error { return setURL(&s.StoreURL, v) }},
 	{"keys", "usable_for", "5000ms", false, func(s *Gateway, v string) error { return setDuration(&s.KeyAge, v, true) }},
 	{"config", "in_force_within", "2000ms", false, func(s *Gateway, v string) error { return setDuration(&s.InForceWithin, v, true) }},
+	{"sessions", "pause", "5s", false, func(s *Gateway, v string) error { return setDuration(&s.SessionPause, v, true) }},
 	{"repeats", "ratio", "0.5", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatRatio, v) }},
 	{"repeats", "slack", "20", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatSlack, v) }},
 	{"repeats", "window", "10s", false, func(s *Gateway, v string) error { return setDuration(&s.RepeatWindow, v, true) }},
@@ -105,6 +110,7 @@
 	ID, Hall, Callers, Readiness, Admin, Peers, StoreURL, LogLevel string
 
 	InForceWithin time.Duration
+	SessionPause  time.Duration
 	Capacity      int
 }
 
@@ -112,7 +118,7 @@
 func Places(s *Gateway) Place {
 	return Place{
 		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
-		InForceWithin: s.InForceWithin, Capacity: s.Capacity(),
+		InForceWithin: s.InForceWithin, SessionPause: s.SessionPause, Capacity: s.Capacity(),
 	}
 }
 
