A short request is written before its answer is waited for

Traced by the test's own words: a second connection was opened where the first one should have been kept. It cost connections in the field and made the test's verdict depend on scheduling. Requests with bodies up to 2 KB are now written before the answer is read; behind longer ones the end of the write is waited for, 50 ms at most. Ruled out: a surplus answer taken for the second request's (its id was its own).

--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -36,6 +36,12 @@
 	probeAfter     = time.Second
 	probeEvery     = time.Second
 	probes         = 1
+	// shortBody is the length of a body that the system's buffers take at once,
+	// in bytes; it is written before the answer is waited for.
+	shortBody = 2 << 10
+	// writeGrace is how long the end of a longer write may be reported after
+	// the end of its answer, for the connection to be kept.
+	writeGrace = 50 * time.Millisecond
 	// surplusAnswers is how many answers to earlier requests are read past.
 	surplusAnswers = 2
 )
@@ -196,8 +202,12 @@
 	r := &Reply{pool: p, addr: x.Addr, channel: c, sent: make(chan written, 1)}
 	r.release = context.AfterFunc(ctx, c.close)
 	before := c.written.Load()
-	// A server may answer before it has read a long body.
-	go func() { r.sent <- written{err: c.writeRequest(x)} }()
+	if len(x.Body) <= shortBody {
+		r.sent <- written{err: c.writeRequest(x)}
+	} else {
+		// A server may answer before it has read a long body.
+		go func() { r.sent <- written{err: c.writeRequest(x)} }()
+	}
 	if err := r.head(x); err != nil {
 		r.Close()
 		if c.written.Load() == before {
@@ -288,13 +298,24 @@
 	}
 }
 
-// wasSent reports whether the request has left whole, without waiting.
+// wasSent reports whether the request has left whole. Behind a whole answer it
+// waits a moment for that: the answer may be read before the write has returned.
 func (r *Reply) wasSent() bool {
+	wait := time.Duration(0)
+	if r.whole {
+		wait = writeGrace
+	}
 	select {
 	case w := <-r.sent:
 		r.sent <- w
 		return w.err == nil
 	default:
+	}
+	select {
+	case w := <-r.sent:
+		r.sent <- w
+		return w.err == nil
+	case <-time.After(wait):
 		return false
 	}
 }
