Dead code of the gateway's parts out

Cause: reading the whole change once more. fleet.List.Find and Versions, a count of a connection's answers and two context parameters had no reader left; the first two stood in for lookups that knowledge.View does now. No behaviour changed; tests of the packages, platform and the linter pass.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -53,27 +53,6 @@
 // Service returns the servers of a service.
 func (l *List) Service(name string) []*Server { return l.byService[name] }
 
-// Find returns the server of that id.
-func (l *List) Find(service, id string) (*Server, bool) {
-	for _, s := range l.byService[service] {
-		if s.ID == id {
-			return s, true
-		}
-	}
-	return nil, false
-}
-
-// Versions returns the versions of a service's usable servers.
-func (l *List) Versions(service string) []string {
-	var out []string
-	for _, s := range l.byService[service] {
-		if s.Usable() && !slices.Contains(out, s.Version) {
-			out = append(out, s.Version)
-		}
-	}
-	return out
-}
-
 // Want is what a request wants of its server.
 type Want struct {
 	Service string
--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -32,7 +32,6 @@
 	// keeps the connection, 0 if it does not say.
 	rested time.Time
 	keep   time.Duration
-	served int
 }
 
 func newChannel(conn net.Conn) *channel {
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -287,7 +287,6 @@
 	r.closed = true
 	mine := r.release == nil || r.release()
 	if mine && r.whole && r.keepable && r.wasSent() && r.channel.read.Buffered() == 0 {
-		r.channel.served++
 		r.pool.keep(r.addr, r.channel)
 		return
 	}
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -198,7 +198,7 @@
 
 // wrote notes the outcome of a write. Whatever it was, the topic tells what
 // stands: a lost answer may have been a success.
-func (k *Keeper) wrote(_ context.Context, e wrote) {
+func (k *Keeper) wrote(e wrote) {
 	if e.err != nil {
 		k.Log.Warn().Str("service", e.service).Err(e.err).Msg("rollout: the state may not have been written")
 		return
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -188,7 +188,7 @@
 	for {
 		select {
 		case e := <-k.events:
-			k.handle(ctx, e)
+			k.handle(e)
 		case <-tick.C:
 			k.tick(ctx, time.Now())
 		case <-ctx.Done():
@@ -197,7 +197,7 @@
 	}
 }
 
-func (k *Keeper) handle(ctx context.Context, e event) {
+func (k *Keeper) handle(e event) {
 	switch e := e.(type) {
 	case paged:
 		k.paged(e, time.Now())
@@ -206,7 +206,7 @@
 	case observed:
 		k.rollouts.observe(e.fact)
 	case wrote:
-		k.wrote(ctx, e)
+		k.wrote(e)
 	}
 }
 
