A fault soak: real daemons as processes, faults from outside, promises checked

What it does: a seed draws daemons, halls and overlapping faults. Daemons run as processes; each way to the store, to servers, from callers (TCP) and between daemons (UDP) leads through a proxy that holds, delays, loses or resets. Callers keep connections until they break. Rules are checked from what callers and servers saw; those that name a time only with make soak. A daemon behind a forwarder needs to say where it is reached: the setting peers_reached_at.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,12 +1,12 @@
-# The targets are plain: build, test, lint, demo, bench, capacity, fuzz, policy.
+# The targets are plain: build, test, lint, demo, soak, bench, capacity, fuzz, policy.
 VERSION := $(shell cat version.txt)
 BIN := $(CURDIR)/bin
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint
 LINT_VERSION := v2.15.0
-MODULES := core daemon platform
+MODULES := core daemon platform soak
 
-.PHONY: all build test lint fmt demo bench capacity policy fuzz clean
+.PHONY: all build test lint fmt demo soak bench capacity policy fuzz clean
 
 all: build
 
@@ -29,6 +29,12 @@
 demo: build
 	BIN=$(BIN) demo/demo.sh
 
+# make soak runs fresh seeds and those that ever failed; SEED=n repeats one.
+SEEDS ?= 50
+KEEP ?= $(CURDIR)/bin/soak
+soak:
+	cd soak && go test -count=1 -v -timeout 90m -run TestSeeds $(if $(SEED),-soak.seed $(SEED),-soak.seeds $(SEEDS)) -soak.keep $(KEEP)
+
 bench:
 	measure/bench.sh
 
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -21,6 +21,9 @@
 	Readiness string
 	Admin     string
 	Peers     string
+	// PeersReachedAt is where other daemons reach Peers, if something stands in
+	// between that forwards; "" is Peers itself.
+	PeersReachedAt string
 
 	// StoreURL is where the platform's store is.
 	StoreURL string
@@ -70,6 +73,7 @@
 	{sectionDaemon, "readiness", "", true, func(s *Gateway, v string) error { return setAddr(&s.Readiness, v) }},
 	{sectionDaemon, "admin", "", true, func(s *Gateway, v string) error { return setAddr(&s.Admin, v) }},
 	{sectionDaemon, "peers", "", true, func(s *Gateway, v string) error { return setAddr(&s.Peers, v) }},
+	{sectionDaemon, "peers_reached_at", "", false, setReachedAt},
 	{"store", "url", "", true, func(s *Gateway, v string) error { return setURL(&s.StoreURL, v) }},
 	{"keys", "usable_for", "5000ms", false, func(s *Gateway, v string) error { return setDuration(&s.KeyAge, v, true) }},
 	{"config", "in_force_within", "2000ms", false, func(s *Gateway, v string) error { return setDuration(&s.InForceWithin, v, true) }},
@@ -107,7 +111,7 @@
 
 // Place is what a running process cannot change about itself.
 type Place struct {
-	ID, Hall, Callers, Readiness, Admin, Peers, StoreURL, LogLevel string
+	ID, Hall, Callers, Readiness, Admin, Peers, PeersReachedAt, StoreURL, LogLevel string
 
 	InForceWithin time.Duration
 	SessionPause  time.Duration
@@ -117,11 +121,26 @@
 // Places returns what a running process cannot change about itself.
 func Places(s *Gateway) Place {
 	return Place{
-		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
+		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, PeersReachedAt: s.PeersReachedAt, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
 		InForceWithin: s.InForceWithin, SessionPause: s.SessionPause, Capacity: s.Capacity(),
 	}
 }
 
+// PeerAddr is where other daemons reach this one.
+func (s *Gateway) PeerAddr() string {
+	if s.PeersReachedAt != "" {
+		return s.PeersReachedAt
+	}
+	return s.Peers
+}
+
+func setReachedAt(s *Gateway, v string) error {
+	if v == "" {
+		return nil
+	}
+	return setAddr(&s.PeersReachedAt, v)
+}
+
 func setRatio(to *float64, v string) error {
 	n, err := strconv.ParseFloat(v, 64)
 	if err != nil || n < 0 || n > 1e6 {
--- /dev/null
+++ b/soak/backend.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"ladderridge.example/platform/standin"
+)
+
+// backend is a backend server behind a link. When it crashes a new one takes its
+// place at the same address, under a new id.
+type backend struct {
+	site    *site
+	service string
+	hall    string
+	version string
+	link    *Link
+	server  *httptest.Server
+
+	mu      sync.Mutex
+	runner  *standin.Runner
+	starts  int
+	name    string
+	fault   standin.RunnerFault
+	present bool
+}
+
+// The work of backend servers.
+const (
+	slots       = 16
+	streamed    = 6
+	workTime    = 15 * time.Millisecond
+	modelPlain  = "api"
+	modelStream = "llm"
+	smallModel  = "small"
+	largeModel  = "large"
+)
+
+func newBackend(s *site, name, service, hall, version string) (*backend, error) {
+	b := &backend{site: s, service: service, hall: hall, version: version, name: name}
+	b.server = httptest.NewServer(b)
+	var err error
+	if b.link, err = NewLink(strings.TrimPrefix(b.server.URL, "http://")); err != nil {
+		return nil, err
+	}
+	return b, b.begin()
+}
+
+// begin starts a server anew, under a new id, and lists it.
+func (b *backend) begin() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.starts++
+	r := &standin.Runner{ID: fmt.Sprintf("%s-%d", b.name, b.starts), Slots: slots, Work: workTime}
+	if b.service == modelStream {
+		r.Events, r.Confidence = streamed, map[string]int{smallModel: 40, largeModel: 90}
+	}
+	r.Observe = func(run standin.Run) {
+		b.site.oracle.ran(Ran{Run: run, Server: r.ID, Service: b.service, Version: b.version, At: time.Now()})
+	}
+	r.Play(b.fault)
+	b.runner, b.present = r, true
+	return b.list(false)
+}
+
+// list writes the server's entry; b is locked.
+func (b *backend) list(leaving bool) error {
+	return b.site.store.SetServer(b.runner.ID, standin.Entry{
+		Service: b.service, Addr: b.link.Addr(), Hall: b.hall, Version: b.version, Slots: slots, Leaving: leaving,
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	runner, present := b.runner, b.present
+	b.mu.Unlock()
+	if !present {
+		panic(http.ErrAbortHandler)
+	}
+	runner.ServeHTTP(w, r)
+}
+
+// play sets what the server does instead of answering.
+func (b *backend) play(f standin.RunnerFault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault = f
+	b.runner.Play(f)
+}
+
+// lapseAfter is how long the entry of a server that has gone without a word
+// stays.
+const lapseAfter = 1500 * time.Millisecond
+
+// crash ends the server without a word; its entry goes later.
+func (b *backend) crash() {
+	b.mu.Lock()
+	id := b.runner.ID
+	b.present = false
+	b.mu.Unlock()
+	b.link.Refuse(true)
+	b.link.Reset()
+	time.AfterFunc(lapseAfter, func() { b.site.store.RemoveServer(id) })
+}
+
+// leave says that the server takes no new work; it serves on.
+func (b *backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.list(true); err == nil {
+		b.site.oracle.left(b.runner.ID, time.Now())
+	}
+}
+
+// renew puts a new server in the place of one that has left or crashed.
+func (b *backend) renew() {
+	b.mu.Lock()
+	id := b.runner.ID
+	b.mu.Unlock()
+	b.site.store.RemoveServer(id)
+	b.link.Refuse(false)
+	if err := b.begin(); err != nil {
+		b.site.oracle.found("SOAK", err.Error())
+	}
+}
+
+func (b *backend) close() {
+	b.link.Close()
+	b.server.CloseClientConnections()
+	b.server.Close()
+}
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,106 @@
+package soak_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"ladderridge.example/platform/standin"
+	"ladderridge.example/soak"
+)
+
+var start = time.Unix(1000, 0)
+
+// after is a time after the start.
+func after(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// good is a request that was served as it should be.
+func good() (soak.Ask, soak.Ran) {
+	a := soak.Ask{
+		ID: "a", Kind: standin.Unsafe, Service: "api", Method: http.MethodPost, Target: "/once/x", Key: "key-0", Body: "b",
+		Limit: 2 * time.Second, Life: 1, LifeAfter: 1, Sent: after(10), Ended: after(10.1),
+		Reply: standin.Reply{Status: http.StatusOK, Server: "s", Whole: true, Body: (&standin.Runner{ID: "s"}).Answer("a")},
+	}
+	r := soak.Ran{Run: standin.Run{ID: "a", Method: a.Method, Target: a.Target, Tenant: "org", Body: a.Body}, Server: "s", Service: "api", At: after(10.05)}
+	return a, r
+}
+
+// TestEachRuleNoticesItsFault spoils what was seen, one thing at a time.
+func TestEachRuleNoticesItsFault(t *testing.T) {
+	refused := standin.Reply{Status: http.StatusServiceUnavailable, Whole: true}
+	cut := standin.Reply{Err: errors.New("cut")}
+	stop := soak.Span{Daemon: 0, Trouble: soak.Terminate, From: after(9), To: after(12)}
+	for _, c := range []struct {
+		rule  string
+		spoil func(s *soak.Seen)
+	}{
+		{"", func(*soak.Seen) {}},
+		{"TWICE", func(s *soak.Seen) { s.Runs = append(s.Runs, s.Runs[0]) }},
+		{"REFUSED", func(s *soak.Seen) { s.Asks[0].Reply = refused }},
+		{"UNASKED", func(s *soak.Seen) { s.Runs[0].Run.ID = "b"; s.Asks[0].Reply = refused }},
+		{"UNASKED", func(s *soak.Seen) { s.Runs[0].Run.Body = "c" }},
+		{"UNASKED", func(s *soak.Seen) { s.Runs[0].Run.Tenant = "other" }},
+		{"ROUTE", func(s *soak.Seen) { s.Runs[0].Service = "llm" }},
+		{"KEY", func(s *soak.Seen) { s.Revoked["key-0"] = after(4.9) }},
+		{"", func(s *soak.Seen) { s.Revoked["key-0"] = after(5.1) }},
+		{"MIXED", func(s *soak.Seen) { s.Asks[0].Reply.Server = "t" }},
+		{"MIXED", func(s *soak.Seen) { s.Asks[0].Reply.Body = s.Asks[0].Reply.Body[:10] }},
+		{"", func(s *soak.Seen) { s.Asks[0].Reply.Body, s.Asks[0].Reply.Whole = s.Asks[0].Reply.Body[:10], false }},
+		{"MIXED", func(s *soak.Seen) { s.Asks[0].Reply.Body, s.Asks[0].Reply.Whole = "other", false }},
+		{"MIXED", func(s *soak.Seen) { s.Asks[0].Reply.Err = errors.New("the answer is to another request") }},
+		{"DENIED", func(s *soak.Seen) { s.Asks[0].Reply, s.Runs = standin.Reply{Status: http.StatusUnauthorized}, nil }},
+		{"BACKWARDS", func(s *soak.Seen) {
+			s.Asks[0].Added = 4
+			later := s.Asks[0]
+			later.ID, later.Sent, later.Ended, later.Reply = "later", after(11), after(11.1), standin.Reply{Status: http.StatusNotFound}
+			s.Asks = append(s.Asks, later)
+		}},
+		{"CONFIG", func(s *soak.Seen) {
+			s.Added[4] = after(7)
+			s.Asks[0].Added, s.Asks[0].Reply, s.Runs = 4, standin.Reply{Status: http.StatusNotFound}, nil
+		}},
+		{"", func(s *soak.Seen) {
+			s.Added[4] = after(7)
+			s.Asks[0].Added, s.Asks[0].Reply, s.Runs = 4, standin.Reply{Status: http.StatusNotFound}, nil
+			s.Spans = []soak.Span{{Daemon: 0, Trouble: soak.Pause, From: after(6), To: after(8)}}
+		}},
+		{"LEAVING", func(s *soak.Seen) { s.Left["s"] = after(7) }},
+		{"LOST", func(s *soak.Seen) { s.Asks[0].Reply, s.Spans = cut, []soak.Span{stop} }},
+		{"", func(s *soak.Seen) {
+			s.Asks[0].Reply, s.Spans = cut, []soak.Span{stop, {Daemon: 0, Trouble: soak.Kill, From: after(10)}}
+		}},
+		{"HELD", func(s *soak.Seen) { s.Asks[0].Ended = after(14) }},
+		{"RETURN", func(s *soak.Seen) { s.Settled, s.Asks[0].Reply = after(5), cut }},
+	} {
+		a, r := good()
+		s := soak.Seen{Asks: []soak.Ask{a}, Runs: []soak.Ran{r}, Revoked: map[string]time.Time{}, Added: map[uint64]time.Time{}, Left: map[string]time.Time{}}
+		c.spoil(&s)
+		found := append(soak.Check(s), soak.CheckBounds(s)...)
+		if c.rule == "" && len(found) > 0 {
+			t.Errorf("nothing is wrong, found: %v", found)
+		}
+		if c.rule != "" && (len(found) == 0 || found[0].Rule != c.rule) {
+			t.Errorf("want %s, found: %v", c.rule, found)
+		}
+	}
+}
+
+func TestSeedDecidesThePlan(t *testing.T) {
+	o := soak.Options{Seed: 7, Length: 20 * time.Second}
+	first, again := soak.NewPlan(o), soak.NewPlan(o)
+	if len(first.Faults) == 0 {
+		t.Fatal("no faults")
+	}
+	for i, f := range first.Faults {
+		if f != again.Faults[i] {
+			t.Errorf("%v, then %v", f, again.Faults[i])
+		}
+	}
+	o.Seed++
+	if other := soak.NewPlan(o); other.Faults[0] == first.Faults[0] {
+		t.Error("another seed brings the same")
+	}
+}
--- /dev/null
+++ b/soak/links_test.go
@@ -0,0 +1,120 @@
+package soak_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"ladderridge.example/soak"
+)
+
+// echo answers each connection with what it sends.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// say sends a word and reads it back.
+func say(t *testing.T, c net.Conn, word string) {
+	t.Helper()
+	if _, err := io.WriteString(c, word); err != nil {
+		t.Fatal(err)
+	}
+	hear(t, c, word)
+}
+
+func hear(t *testing.T, c net.Conn, word string) {
+	t.Helper()
+	got := make([]byte, len(word))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != word {
+		t.Fatalf("%q, %v", got, err)
+	}
+}
+
+func TestLinkHoldsAndLetsGo(t *testing.T) {
+	link, err := soak.NewLink(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	c := dial(t, link.Addr())
+	say(t, c, "one")
+	for _, d := range []soak.Direction{soak.Forth, soak.Back} {
+		link.Hold(d, true)
+		if _, err := io.WriteString(c, "held"); err != nil {
+			t.Fatal(err)
+		}
+		link.Hold(d, false)
+		hear(t, c, "held")
+	}
+}
+
+func TestLinkResetsAndRefuses(t *testing.T) {
+	link, err := soak.NewLink(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	c := dial(t, link.Addr())
+	say(t, c, "one")
+	link.Refuse(true)
+	link.Reset()
+	if _, err := c.Read(make([]byte, 1)); err == nil || err == io.EOF { //nolint:errorlint // Read returns io.EOF itself.
+		t.Errorf("the connection was not reset: %v", err)
+	}
+	if _, err := dial(t, link.Addr()).Read(make([]byte, 1)); err == nil {
+		t.Error("a new connection was not refused")
+	}
+	link.Refuse(false)
+	say(t, dial(t, link.Addr()), "two")
+}
+
+func TestDatagramsLoseWhatTheyAreTold(t *testing.T) {
+	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	proxy, err := soak.NewDatagrams(server.LocalAddr().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.Close()
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "udp", proxy.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "ping")
+	buf := make([]byte, 16)
+	n, from, err := server.ReadFromUDP(buf)
+	if err != nil || string(buf[:n]) != "ping" {
+		t.Fatalf("%q, %v", buf[:n], err)
+	}
+	_, _ = server.WriteToUDP([]byte("pong"), from)
+	hear(t, c, "pong")
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,93 @@
+// Package soak runs the real daemons as separate processes on one machine,
+// brings faults about from outside of them, and checks what callers and backend
+// servers see against what ladderridge promises.
+//
+// A run is drawn from a seed: how many daemons, which faults, when. The store
+// and the backend servers are stand-ins in the soak's own process; each way to
+// them, to the daemons and between the daemons leads through a proxy on
+// loopback that can hold, delay and break it.
+package soak
+
+import (
+	"context"
+	"time"
+
+	"ladderridge.example/core/fault"
+)
+
+// Kind says what sort of error the package met.
+type Kind string
+
+// The kinds of errors.
+const (
+	// NoStart is a daemon or stand-in that does not start.
+	NoStart Kind = "does not start"
+	// NoReturn is a daemon that does not serve again after the faults are over.
+	NoReturn Kind = "does not return"
+)
+
+// String names the kind.
+func (k Kind) String() string { return string(k) }
+
+// Error is the error type of this package.
+type Error = fault.Of[Kind]
+
+// Options say what is run.
+type Options struct {
+	// Program is the daemon's binary.
+	Program string
+	// Dir is an empty directory for settings and logs.
+	Dir  string
+	Seed uint64
+	// Daemons is how many run; 0 is drawn from the seed.
+	Daemons int
+	// Faults is how many faults come within Length; 0 is drawn from the seed.
+	Faults int
+	Length time.Duration
+	// Workers is how many callers ask at once; 0 is three for each daemon.
+	Workers int
+	// Bounds has the promises checked that name a time. They hold on a machine
+	// that has a processor for each process that needs one.
+	Bounds bool
+	// Liar makes one server break a promise, which the checks must notice.
+	Liar bool
+}
+
+// settleTime is how long after the last fault has ended requests still come: long
+// enough for daemons to be back and to serve as before.
+const settleTime = 5 * time.Second
+
+// returnWithin bounds the wait for daemons that start or come back.
+const returnWithin = 40 * time.Second
+
+// Run runs one seed and returns what was seen.
+func Run(ctx context.Context, o Options) (Report, error) {
+	plan := NewPlan(o)
+	s, err := newSite(o, plan)
+	if err != nil {
+		return Report{}, err
+	}
+	defer s.close()
+	if err := s.awaitReady(ctx, returnWithin); err != nil {
+		return Report{}, err
+	}
+	callers := newCallers(s, o)
+	callers.start(ctx)
+	s.play(ctx, plan)
+	back := s.awaitReady(ctx, returnWithin)
+	s.oracle.settled(time.Now())
+	wait(ctx, settleTime)
+	callers.stop()
+	if back != nil {
+		s.oracle.found("RETURN", back.Error())
+	}
+	return s.oracle.report(o, plan), nil
+}
+
+// wait waits for a time or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
