A store that is away is tried in turn, and who starts waits for the reader

A daemon that started followed all topics, and with it every other daemon's new entry, until it had found its reader: seven calls each. Now a daemon's turn to try the store comes with the age of what it knows, 0.45 s later for each daemon before it that answers or did until lately; the first one after a reader keeps its turn at once, so that a configuration is in force as soon as before. Of the topics only the operator's is tried while the store is away. After its first reading a daemon waits a moment for a reader. A stand-in of the tests told of a row as removed that had come back; the store tells the last change only.

--- a/daemon/knowledge/follow.go
+++ b/daemon/knowledge/follow.go
@@ -24,12 +24,15 @@
 	// callTimeout is what is added to that before a call counts as lost.
 	callTimeout = 900 * time.Millisecond
 	// pauseFloor and pauseCeiling bound the pause after a failed call, which
-	// doubles.
+	// doubles. It is drawn between a half of it and the whole.
 	pauseFloor   = 150 * time.Millisecond
 	pauseCeiling = time.Second
 	// gather is the pause after an answer with changes, so that more of them
 	// come with the next one: when many servers start, each would cost a call.
 	gather = 150 * time.Millisecond
+	// settle is the pause after all rows were read, in which this daemon finds
+	// out whether another one is there to follow them.
+	settle = 2*tickEvery + 50*time.Millisecond
 )
 
 // hold is how long the store holds a call about the configuration.
@@ -91,6 +94,11 @@
 			wait(ctx, tickEvery)
 			continue
 		}
+		if f.topic != relay.Operator && k.away.Load() {
+			hold = time.Millisecond
+			wait(ctx, tickEvery/2)
+			continue
+		}
 		at := time.Now()
 		page, whole, err := k.call(ctx, f, known, after, hold)
 		if ctx.Err() != nil {
@@ -105,13 +113,16 @@
 			// What has changed meanwhile is only safely known from all rows
 			// if the store says that its history is gone.
 			known = known && !isKind(err, HistoryLost)
-			wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+			wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause/2))))
 			// The next answer is wanted at once: it tells that the store is back.
 			pause, hold = min(2*pause, pauseCeiling), time.Millisecond
 			continue
 		}
 		known, after, pause, hold = true, page.Version, pauseFloor, f.hold
-		if !whole && len(page.Rows)+len(page.Removed) > 0 {
+		switch {
+		case whole:
+			wait(ctx, settle)
+		case len(page.Rows)+len(page.Removed) > 0:
 			wait(ctx, gather)
 		}
 	}
--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -80,7 +80,8 @@
 		}
 	}
 	for _, r := range s.removed {
-		if r.topic == topic && r.version > after {
+		// What was set again is there: the last change of a key stands.
+		if _, back := s.tables[topic][r.key]; r.topic == topic && r.version > after && !back {
 			p.Removed = append(p.Removed, r.key)
 		}
 	}
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -66,8 +66,10 @@
 	events  chan event
 	run     func(ctx context.Context) error
 
-	// reading tells that this daemon reads the store.
+	// reading tells that this daemon reads the store, away that the store does
+	// not answer it.
 	reading   atomic.Bool
+	away      atomic.Bool
 	readers   *readers
 	followers []*follower
 	// listeners are the daemons that this one reads for, by when they last
@@ -83,10 +85,8 @@
 	asked     map[uint64]time.Time
 	nonce     uint64
 	askedAt   time.Time
-	// toldBy is when a daemon last answered a question.
-	toldBy   map[string]time.Time
-	rollouts *rollouts
-	sessions *sessions
+	rollouts  *rollouts
+	sessions  *sessions
 	// hallSessions and awaySessions are sessions heard of since the last
 	// message about them, of this hall and of others.
 	hallSessions []uint64
@@ -133,7 +133,7 @@
 	k := &Keeper{
 		events: make(chan event, eventBacklog),
 		topics: map[relay.Topic]*topicState{}, loads: map[string]*fleet.Load{}, halls: map[string]*fleet.Hall{}, lapsed: map[string]time.Time{},
-		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, toldBy: map[string]time.Time{}, readers: newReaders(),
+		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), nonce: rand.Uint64(),
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
@@ -225,6 +225,9 @@
 		k.failed(e, t, now)
 		return
 	}
+	if e.topic == relay.Operator {
+		k.away.Store(false)
+	}
 	if !t.away.IsZero() {
 		k.Regained.Add(1)
 		k.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.away)).Uint64("version", e.page.Version).Msg("knowledge: the store answers again")
@@ -248,11 +251,7 @@
 		return
 	}
 	if e.topic == relay.Operator {
-		for _, f := range k.followers {
-			if f.topic != relay.Operator {
-				f.interrupt()
-			}
-		}
+		k.interruptOthers(now)
 	}
 	if t.away.IsZero() {
 		t.away = now
@@ -261,6 +260,21 @@
 	}
 }
 
+// interruptOthers ends the calls about all but the operator's topic, which alone
+// finds out when the store is back: what is missed meanwhile is missed in each.
+func (k *Keeper) interruptOthers(now time.Time) {
+	k.away.Store(true)
+	for _, f := range k.followers {
+		if f.topic == relay.Operator {
+			continue
+		}
+		f.interrupt()
+		if t := k.topics[f.topic]; t.away.IsZero() {
+			t.away = now
+		}
+	}
+}
+
 // learned works out what changed rows mean.
 func (k *Keeper) learned(topic relay.Topic, gone []string, newer bool, now time.Time) {
 	if topic == relay.Servers {
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -24,8 +24,8 @@
 	for _, id := range fresh {
 		k.Log.Warn().Str("reader", id).Msg("knowledge: the reader of this hall does not answer")
 	}
-	k.settleReading()
-	due := k.readers.due(now)
+	k.settleReading(now)
+	due := k.readers.due(now.Sub(k.topics[relay.Operator].confirmed), now)
 	if len(due) == 0 {
 		return
 	}
@@ -40,22 +40,33 @@
 }
 
 // settleReading begins or ends the reading of the store.
-func (k *Keeper) settleReading() {
-	reader, others := k.readers.reader()
-	if k.reading.Load() == !others {
+func (k *Keeper) settleReading(now time.Time) {
+	if !k.knowsAll() {
 		return
 	}
-	// Before the reader has told anything useful, this daemon goes on itself.
-	if others && !k.useful(time.Now()) {
+	age := now.Sub(k.topics[relay.Operator].confirmed)
+	reads := k.readers.mayRead(age, now)
+	reader, ok := k.readers.reader()
+	if k.reading.Load() && k.readers.met && !ok {
+		// It goes on until there is a reader.
+		reads = true
+	}
+	if k.reading.Load() == reads {
 		return
 	}
-	k.reading.Store(!others)
-	k.Log.Info().Bool("reading", !others).Str("reader", reader.ID).Msg("knowledge: who reads the store has changed")
-	if others {
+	k.reading.Store(reads)
+	k.Log.Info().Bool("reading", reads).Str("reader", reader.ID).Dur("age", age).Msg("knowledge: who reads the store has changed")
+	if !reads {
 		k.stopReading()
 	}
 }
 
+// knowsAll reports whether the rows of the topics that every daemon needs have
+// been read once.
+func (k *Keeper) knowsAll() bool {
+	return k.topics[relay.Operator].known && k.topics[relay.Servers].known && k.topics[relay.Members].known
+}
+
 // stopReading ends the calls to the store: whether it is away is now the
 // reader's to find out.
 func (k *Keeper) stopReading() {
@@ -70,13 +81,6 @@
 	}
 }
 
-// useful reports whether the reader has told this daemon what it knows.
-func (k *Keeper) useful(now time.Time) bool {
-	reader, ok := k.readers.reader()
-	at, told := k.toldBy[reader.ID]
-	return ok && told && now.Sub(at) < askEvery+answerWithin
-}
-
 // question makes a question about topics.
 func (k *Keeper) question(topics []relay.Topic, now time.Time) relay.Ask {
 	k.nonce++
@@ -240,7 +244,6 @@
 	for _, known := range m.Known {
 		if known.Topic == relay.Operator {
 			k.readers.told(from, now.Sub(asked.Add(-time.Duration(known.AgeMS)*time.Millisecond)))
-			k.toldBy[from] = now
 		}
 	}
 }
--- a/daemon/knowledge/readers.go
+++ b/daemon/knowledge/readers.go
@@ -9,9 +9,13 @@
 )
 
 // Who reads the store. In each data hall one daemon does, and tells the others:
-// the first one that answers, in the order of capacity and a hash of the ids. Nobody is
-// elected; a daemon that hears nothing from those before it reads for itself,
-// which costs calls and does no harm.
+// the first one that answers, in the order of capacity and a hash of the ids.
+// Nobody is elected; a daemon that hears nothing from those before it reads for
+// itself, which costs calls and does no harm.
+//
+// While the store does not answer the readers, the daemons of a hall try it one
+// after the other as what they know grows older: one that the store still serves
+// is found soon, and a store that is away for all is not asked by all.
 const (
 	// askEvery is the time between two questions to the hall's reader: what is
 	// known is older by it than at the reader.
@@ -29,6 +33,16 @@
 	// probeEvery is the time between two questions to a daemon that has not
 	// answered.
 	probeEvery = 2 * time.Second
+	// turnEvery is how much older what a daemon knows must be for each daemon
+	// that comes between the reader and itself, before it tries the store. In the
+	// five seconds for which a key passes, seven of a hall have tried.
+	turnEvery = 450 * time.Millisecond
+	// longGone is how long a daemon must have been silent for its turn to be
+	// passed over.
+	longGone = 5 * time.Second
+	// askOfMore is how many more daemons are asked at once when none is known to
+	// read.
+	askOfMore = 3
 )
 
 // readers decides whether this daemon reads the store, and whom it asks
@@ -39,17 +53,23 @@
 	usefulAge time.Duration
 	// before are the daemons of the own hall that go before this one, in order.
 	before []Member
-	// silent are daemons that did not answer, or had nothing useful to tell.
-	silent map[string]bool
+	// silent are daemons that did not answer, by since when; useless are those
+	// that answer and know nothing useful.
+	silent  map[string]time.Time
+	useless map[string]bool
 	// waiting is since when an answer of a daemon is due.
 	waiting map[string]time.Time
 	asked   map[string]time.Time
 	// acquainted are daemons that have answered since they last were silent.
 	acquainted map[string]bool
+	// met tells that a daemon has once told something useful.
+	met bool
+	// round moves the order in which daemons are asked.
+	round int
 }
 
 func newReaders() *readers {
-	return &readers{silent: map[string]bool{}, waiting: map[string]time.Time{}, asked: map[string]time.Time{}, acquainted: map[string]bool{}}
+	return &readers{silent: map[string]time.Time{}, useless: map[string]bool{}, waiting: map[string]time.Time{}, asked: map[string]time.Time{}, acquainted: map[string]bool{}}
 }
 
 // rank orders daemons for reading: the most capable first, then by hash.
@@ -68,27 +88,60 @@
 	slices.SortFunc(r.before, rank)
 }
 
-// reader returns the daemon that reads for this one; ok is false if this daemon
-// reads itself.
+// reader returns the daemon that reads for this one; ok is false if there is
+// none.
 func (r *readers) reader() (Member, bool) {
 	for _, m := range r.before {
-		if !r.silent[m.ID] {
+		if !r.isSilent(m.ID) && !r.useless[m.ID] {
 			return m, true
 		}
 	}
 	return Member{}, false
 }
 
-// due returns the daemons to ask now: the reader, and those that were silent
-// now and then.
-func (r *readers) due(now time.Time) []Member {
-	var out []Member
+func (r *readers) isSilent(id string) bool {
+	_, silent := r.silent[id]
+	return silent
+}
+
+// mayRead reports whether it is this daemon's turn to read the store, by the age
+// of what it knows.
+func (r *readers) mayRead(age time.Duration, now time.Time) bool {
+	if m, ok := r.reader(); ok && r.acquainted[m.ID] {
+		return false
+	}
+	answering, between := 0, -1
+	for _, m := range r.before {
+		since, silent := r.silent[m.ID]
+		if !silent {
+			answering++
+		}
+		if !silent || now.Sub(since) < longGone {
+			between++
+		}
+	}
+	if !r.met {
+		// At its start a daemon cannot tell which of the listed are there.
+		between = 0
+	}
+	return answering == 0 || age > r.usefulAge+time.Duration(between)*turnEvery
+}
+
+// due returns the daemons to ask now, by the age of what this one knows: the
+// reader, and those that were silent or useless now and then. Without a reader
+// that is known to answer, some of those whose turn to try the store has come are
+// asked as often as it would be.
+func (r *readers) due(age time.Duration, now time.Time) []Member {
 	reader, ok := r.reader()
+	settled := ok && r.acquainted[reader.ID]
+	trying := r.trying(age)
+	var out []Member
 	for _, m := range r.before {
 		every := probeEvery
-		if ok && m.ID == reader.ID {
+		switch {
+		case ok && m.ID == reader.ID, !settled && trying[m.ID]:
 			every = askEvery
-		} else if !r.silent[m.ID] {
+		case !r.isSilent(m.ID) && !r.useless[m.ID]:
 			continue
 		}
 		if now.Sub(r.asked[m.ID]) >= every {
@@ -98,6 +151,24 @@
 	return out
 }
 
+// trying returns askOfMore of the daemons whose turn to try the store has come,
+// other ones each time.
+func (r *readers) trying(age time.Duration) map[string]bool {
+	var turn []string
+	most := askOfMore + int(max(0, age-r.usefulAge)/turnEvery)
+	for _, m := range r.before {
+		if !r.isSilent(m.ID) && len(turn) < most {
+			turn = append(turn, m.ID)
+		}
+	}
+	out := map[string]bool{}
+	for range min(askOfMore, len(turn)) {
+		r.round++
+		out[turn[r.round%len(turn)]] = true
+	}
+	return out
+}
+
 // ask notes that a daemon is asked now.
 func (r *readers) ask(id string, now time.Time) {
 	r.asked[id] = now
@@ -109,12 +180,10 @@
 // told notes an answer and how old what it tells is.
 func (r *readers) told(id string, age time.Duration) {
 	delete(r.waiting, id)
+	delete(r.silent, id)
 	r.acquainted[id] = true
-	if age <= r.usefulAge {
-		delete(r.silent, id)
-	} else {
-		r.silent[id] = true
-	}
+	r.useless[id] = age > r.usefulAge
+	r.met = r.met || !r.useless[id]
 }
 
 // expire notes the daemons whose answer is overdue. It returns those that were
@@ -130,11 +199,11 @@
 		}
 		delete(r.waiting, id)
 		delete(r.acquainted, id)
-		if r.silent[id] {
+		if r.isSilent(id) {
 			still = append(still, id)
 			continue
 		}
-		r.silent[id] = true
+		r.silent[id] = now
 		fresh = append(fresh, id)
 	}
 	return fresh, still
