What an answer takes is predicted by the size of the request

Now times are fitted to the prompt's length, for each route and model, with the spread that was seen; servers and versions are called slow by the same measure.

--- a/core/ladder/ladder.go
+++ b/core/ladder/ladder.go
@@ -4,11 +4,6 @@
 // still do for the request.
 package ladder
 
-import (
-	"math"
-	"time"
-)
-
 const (
 	// margin is what an answer of a larger model must be expected to gain, as a
 	// part of a good answer in time: it costs more, and its prompt is read
@@ -56,18 +51,6 @@
 	return 100 * (l.InTime + lateWorth*(1-l.InTime) - margin - l.Busy)
 }
 
-// InTime is the probability that an answer which usually takes a time comes
-// within what is left, with times spread as those of a queue (exponentially).
-func InTime(usual, left time.Duration) float64 {
-	switch {
-	case left <= 0:
-		return 0
-	case usual <= 0:
-		return 1
-	}
-	return 1 - math.Exp(-float64(left)/float64(usual))
-}
-
 // Escalate reports whether an answer of that confidence is to be dropped. One
 // without a stated confidence is kept.
 func (s Step) Escalate(confidence int, stated bool, l Load) bool {
--- a/core/ladder/ladder_test.go
+++ b/core/ladder/ladder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"ladderridge.example/core/ladder"
 )
@@ -33,10 +32,10 @@
 
 func TestBusyServersLowerTheLine(t *testing.T) {
 	last := 101.0
-	for _, usual := range []time.Duration{0, 100 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second, time.Hour} {
-		line := ladder.Line(ladder.Load{InTime: ladder.InTime(usual, 2*time.Second)})
-		if line > last || (usual > 0 && line == last) {
-			t.Errorf("usual %v: the line is %v after %v", usual, line, last)
+	for _, inTime := range []float64{1, 0.99, 0.9, 0.5, 0.1, 0} {
+		line := ladder.Line(ladder.Load{InTime: inTime})
+		if line >= last {
+			t.Errorf("in time with %v: the line is %v after %v", inTime, line, last)
 		}
 		last = line
 	}
@@ -46,7 +45,7 @@
 	if ladder.Line(ladder.Load{InTime: 1, Busy: 0.5}) >= ladder.Line(ladder.Load{InTime: 1}) {
 		t.Error("what others wait for does not count")
 	}
-	if ladder.Start(3).Escalate(0, true, ladder.Load{InTime: ladder.InTime(time.Second, 0)}) {
+	if ladder.Start(3).Escalate(0, true, ladder.Load{InTime: 0}) {
 		t.Error("an answer is dropped with no time left")
 	}
 }
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -113,7 +113,7 @@
 // up after patience, if that is set and another attempt can be paid for.
 func (j *job) open(ctx context.Context, s *fleet.Server, patience time.Duration) *attempt {
 	a := &attempt{server: s, model: j.model(), sent: time.Now()}
-	a.kind = j.route.Name + "/" + a.model
+	a.kind = j.kind(a.model)
 	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := j.startTimer(a, patience)
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -37,7 +37,7 @@
 
 	// keyAge is how old the configuration may be for a key to pass.
 	keyAge atomic.Int64
-	pace   *pace
+	paces  *paces
 }
 
 // SetKeyAge sets how old the configuration may be for a key to pass; until it is
@@ -45,7 +45,7 @@
 func (e *Engine) SetKeyAge(d time.Duration) { e.keyAge.Store(int64(d)) }
 
 // New returns an engine that has served nothing yet.
-func New() *Engine { return &Engine{pace: newPace()} }
+func New() *Engine { return &Engine{paces: newPaces()} }
 
 // Report is what became of a request and why, for logs and metrics.
 type Report struct {
--- a/daemon/exchange/patience.go
+++ b/daemon/exchange/patience.go
@@ -99,7 +99,7 @@
 // another one would only make them busier.
 func (j *job) longest() time.Duration {
 	now := time.Now()
-	usual := j.engine.pace.usual(j.route.Name+"/"+j.model(), now)
+	usual := j.usual(now)
 	if usual > j.route.Objective/busyPart {
 		return 0
 	}
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -95,6 +95,15 @@
 	return 1 + tokens/pieceTokens
 }
 
+// size is the length of the prompt in pieces.
+func (r *Request) size() float64 {
+	tokens := 0
+	for _, p := range r.Prompt {
+		tokens += p.Tokens
+	}
+	return float64(tokens) / pieceTokens
+}
+
 // Attempt is one request to one server, for a dialect to put into headers.
 type Attempt struct {
 	Request *Request
--- a/daemon/exchange/run.go
+++ b/daemon/exchange/run.go
@@ -80,7 +80,7 @@
 	case Full:
 		// A place is free when a request ends; with all places taken that is
 		// after what one takes divided by their number, but others wait too.
-		return max(fullRetryFloor, min(fullRetryCeiling, j.engine.pace.usual(j.route.Name+"/"+j.model(), time.Now())))
+		return max(fullRetryFloor, min(fullRetryCeiling, j.usual(time.Now())))
 	case Late:
 		return 0
 	default:
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -64,16 +64,23 @@
 // load is how busy servers are, for deciding on a larger model.
 func (j *job) load(now time.Time) ladder.Load {
 	objective := j.route.Objective
-	usual := func(step ladder.Step) time.Duration {
-		return j.engine.pace.usual(j.route.Name+"/"+j.route.Ladder[step.Index], now)
-	}
-	l := ladder.Load{InTime: ladder.InTime(usual(j.step.Up()), j.request.Arrived.Add(objective).Sub(now))}
+	larger := j.engine.paces.of(j.kind(j.route.Ladder[j.step.Up().Index]))
+	l := ladder.Load{InTime: larger.Within(j.request.size(), j.request.Arrived.Add(objective).Sub(now), now)}
 	if objective > 0 {
-		l.Busy = float64(usual(j.step)) / float64(objective)
+		l.Busy = float64(j.engine.paces.of(j.kind(j.model())).Mean(now)) / float64(objective)
 	}
 	return l
 }
 
+// kind is what times are compared by: the route, and the model of a ladder.
+func (j *job) kind(model string) string { return j.route.Name + "/" + model }
+
+// usual is what the first part of an answer of the present model may be expected
+// to take, or 0 if that is not known.
+func (j *job) usual(now time.Time) time.Duration {
+	return j.engine.paces.of(j.kind(j.model())).Usual(j.request.size(), now)
+}
+
 // passEvents passes events on until the stream's proper end.
 func (j *job) passEvents(ctx context.Context, a *attempt, t *tempo) error {
 	events := newEventReader(a.reply)
@@ -157,7 +164,7 @@
 	}
 	between := t.last.Sub(t.first) / time.Duration(t.events-1)
 	kind := a.kind + "/tempo"
-	relative := j.engine.pace.relative(kind, between)
-	j.engine.pace.learn(kind, between, t.last)
+	relative := j.engine.paces.of(kind).Relative(0, between)
+	j.engine.paces.learn(kind, 0, between, t.last)
 	return relative >= slowFactor
 }
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -62,9 +62,9 @@
 // wentWell notes that the first part of a good answer came, or all of a plain
 // one.
 func (j *job) wentWell(a *attempt, took time.Duration) {
-	a.relative = j.engine.pace.relative(a.kind, took)
+	a.relative = j.engine.paces.of(a.kind).Relative(j.request.size(), took)
 	a.server.Load.Answered(a.relative)
-	j.engine.pace.learn(a.kind, took, time.Now())
+	j.engine.paces.learn(a.kind, j.request.size(), took, time.Now())
 	j.report.First = time.Since(j.request.Arrived)
 }
 
