One loop of attempts for chat and plain services, one way to servers for all

Cause: the chat API and plain services each had a loop of attempts and a claim around it, and reached servers by net/http, which sends some requests again by itself on a kept connection that broke; the routed engine had a ledger of its own of what may have run. Now chat and calls are the steps of one loop (front/attempts.go), all servers are reached over daemon/channel, and what may truthfully be said of a request after its attempts is one value, attempt.Ledger, for both engines. Found and mended: a repeatable request whose first answer broke off and whose second attempt was declined was called not run (the ledger's property test); an escaped path of a plain service was sent on unescaped. Left: the routed engine decides on other knowledge than the table's and keeps its own steps.

--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -3,12 +3,10 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -19,6 +17,7 @@
 	"ladderridge.example/core/attempt"
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/route"
+	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/wire"
 )
 
@@ -47,39 +46,18 @@
 
 const opSend = "send"
 
-// The bounds of connections to backend servers.
-const (
-	dialTimeout     = 2 * time.Second
-	idlePerServer   = 64
-	idleConnections = 4096
-	idleTimeout     = 90 * time.Second
-)
-
 // Client sends attempts. Use New.
 type Client struct {
+	// Channels are the connections to servers. Nothing is sent again on them
+	// behind the client's back.
+	Channels *channel.Pool
 	// CrossedAnswers counts answers that were dropped because they belonged to
 	// another attempt.
 	CrossedAnswers atomic.Int64
-
-	// repeatable uses connections again. The library may send a request again
-	// on a new connection when an idle one turns out to be closed.
-	repeatable *http.Transport
-	// once uses each connection for one request, so that the library never
-	// sends a request twice.
-	once *http.Transport
 }
 
 // New returns a client.
-func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		repeatable: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConns: idleConnections,
-			MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		},
-		once: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
-	}
-}
+func New() *Client { return &Client{Channels: channel.NewPool()} }
 
 // Exchange is one attempt's request.
 type Exchange struct {
@@ -88,8 +66,8 @@
 	Key     string
 	Server  *route.Server
 	Method  string
-	// Path has the query with it.
-	Path   string
+	// Target is the escaped path with its query.
+	Target string
 	Header http.Header
 	Body   []byte
 	// Once marks a request that must not be sent twice.
@@ -116,60 +94,57 @@
 type Reply struct {
 	Status int
 	Header http.Header
-	Body   io.ReadCloser
+	Body   io.Reader
 	// InFlight is the load that the server reported, or -1.
 	InFlight int
 
 	exchange *Exchange
+	answer   *channel.Reply
 }
 
+// onceRest is how long a connection may have rested that carries a request that
+// may not be sent twice: on one that rests longer, the server's close is likelier
+// to be on its way, and whether the request ran would then not be known.
+const onceRest = 2 * time.Second
+
 // Send sends an exchange. When it fails, the attempt's outcome says whether
 // the request may have run.
 func (c *Client) Send(ctx context.Context, x Exchange) (*Reply, error) {
-	r, err := newRequest(ctx, x)
-	if err != nil {
-		return nil, err
-	}
 	if err := x.Gate(); err != nil {
 		return nil, &Error{Op: opSend, Kind: Gated, Err: err}
 	}
 	if err := advance(x.Attempt, attempt.Pass, attempt.Send); err != nil {
 		return nil, err
 	}
-	transport := c.repeatable
-	if x.Once {
-		transport = c.once
-	}
 	x.Server.Load.InFlight.Add(1)
-	resp, err := transport.RoundTrip(r) //nolint:bodyclose // The Reply owns the body.
+	answer, err := c.Channels.Send(ctx, x.request())
 	if err != nil {
 		x.leave()
 		return nil, failed(x.Attempt, err)
 	}
-	reply := &Reply{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, InFlight: -1, exchange: &x}
-	if n, err := strconv.Atoi(resp.Header.Get(wire.HeaderLoad)); err == nil && n >= 0 {
+	reply := &Reply{Status: answer.Status, Header: answer.Header, Body: answer, InFlight: -1, exchange: &x, answer: answer}
+	if n, err := strconv.Atoi(answer.Header.Get(wire.HeaderLoad)); err == nil && n >= 0 {
 		reply.InFlight = n
 	}
 	return c.check(x, reply)
 }
 
-func newRequest(ctx context.Context, x Exchange) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, x.Method, "http://"+x.Server.Addr+x.Path, bytes.NewReader(x.Body))
-	if err != nil {
-		return nil, &Error{Op: opSend, Kind: Unreachable, Err: merry.Wrap(err)}
-	}
-	for name, values := range x.Header {
-		r.Header[name] = values
-	}
-	r.Header.Set(wire.HeaderAttempt, x.Attempt.ID)
-	r.Header.Set(wire.HeaderRequest, x.Request)
+// request is what is sent to the server.
+func (x *Exchange) request() channel.Request {
+	h := x.Header.Clone()
+	h.Set(wire.HeaderAttempt, x.Attempt.ID)
+	h.Set(wire.HeaderRequest, x.Request)
 	if x.Key != "" {
-		r.Header.Set(wire.HeaderKey, x.Key)
+		h.Set(wire.HeaderKey, x.Key)
 	}
 	if x.Offset > 0 {
-		r.Header.Set(wire.HeaderOffset, strconv.Itoa(x.Offset))
+		h.Set(wire.HeaderOffset, strconv.Itoa(x.Offset))
+	}
+	r := channel.Request{Addr: x.Server.Addr, Host: x.Server.Addr, Method: x.Method, Target: x.Target, Header: h, Body: x.Body, Sized: x.Method == http.MethodPost || x.Method == http.MethodPut}
+	if x.Once {
+		r.RestAtMost = onceRest
 	}
-	return r, nil
+	return r
 }
 
 func advance(a *attempt.Attempt, events ...attempt.Event) error {
@@ -181,19 +156,19 @@
 	return nil
 }
 
-// failed tells a server that was never reached from a lost answer.
+// failed tells a server that was sent nothing from a lost answer.
 func failed(a *attempt.Attempt, err error) error {
-	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	var e *channel.Error
+	if errors.As(err, &e) && e.Kind.NotRun() {
 		if e := a.On(attempt.Decline); e != nil {
 			return e
 		}
-		return &Error{Op: opSend, Kind: Unreachable, Err: merry.Wrap(err)}
+		return &Error{Op: opSend, Kind: Unreachable, Err: err}
 	}
 	if e := a.On(attempt.Lose); e != nil {
 		return e
 	}
-	return &Error{Op: opSend, Kind: Broken, Err: merry.Wrap(err)}
+	return &Error{Op: opSend, Kind: Broken, Err: err}
 }
 
 // check reads from the answer's head whether the server took the request on
@@ -234,7 +209,7 @@
 
 // close frees the connection and the server's place.
 func (r *Reply) close() {
-	_ = r.Body.Close()
+	r.answer.Close()
 	r.exchange.leave()
 }
 
@@ -254,7 +229,7 @@
 }
 
 // ReadAll reads a body to its proper end, at most limit bytes, and finishes
-// the attempt. net/http checks the body against its length or last chunk.
+// the attempt. The channel checks the body against its length or last chunk.
 func (r *Reply) ReadAll(limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err == nil && int64(len(data)) > limit {
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -69,6 +69,9 @@
 type Pool struct {
 	// Dial opens a connection; NewPool sets one over TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Listed, if set before Run, returns what tells whether a server is listed
+	// at an address.
+	Listed func() func(addr string) bool
 
 	// Opened counts new connections, Reused requests on kept ones, and Surplus
 	// the answers that belonged to no request.
@@ -136,6 +139,24 @@
 	p.idle[addr] = append(p.idle[addr], c)
 }
 
+// sweepEvery is the time between two looks at connections that rest.
+const sweepEvery = 2 * time.Second
+
+// Run closes connections that have rested too long or lead to servers that are
+// no longer listed, until ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.Sweep(p.Listed())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // Sweep closes connections that have rested too long, and all connections to
 // addresses that keep reports false for.
 func (p *Pool) Sweep(wanted func(addr string) bool) {
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	attempts "ladderridge.example/core/attempt"
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/daemon/channel"
@@ -172,9 +173,9 @@
 		return
 	}
 	a.head = j.engine.Dialect.Read(a.reply.Status, a.reply.Header)
-	j.sent++
 	if a.head.NotRun {
 		a.verdict = declined
+		j.made = j.made.With(attempts.NotRun)
 		j.avoid = append(j.avoid, a.server.ID)
 		if a.head.WrongServer {
 			a.server.Load.Unreachable(now)
@@ -182,8 +183,7 @@
 		return
 	}
 	a.verdict = answered
-	j.attempts++
-	j.mayHaveRun = true
+	j.made = j.made.With(attempts.Unknown)
 }
 
 func (j *job) judgeError(a *attempt, now time.Time) {
@@ -197,9 +197,7 @@
 		}
 		return
 	}
-	j.sent++
-	j.attempts++
-	j.mayHaveRun = true
+	j.made = j.made.With(attempts.Unknown)
 	if j.live() {
 		j.blame(a, a.err, now)
 	}
@@ -261,13 +259,13 @@
 	if ctx.Err() != nil || !j.live() {
 		return false
 	}
-	if j.mayHaveRun && !j.route.MayRepeat() {
+	if !j.made.MayRepeat(!j.route.MayRepeat()) {
 		return false
 	}
-	if j.attempts >= max(1, j.route.Attempts) || j.sent-j.attempts >= mostDeclined {
+	if j.made.Ran >= max(1, j.route.Attempts) || j.made.Declined >= mostDeclined {
 		return false
 	}
-	if j.sent == 0 || j.paid {
+	if j.made.Reached() == 0 || j.paid {
 		j.paid = false
 		return true
 	}
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	attempts "ladderridge.example/core/attempt"
 	"ladderridge.example/core/ladder"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/channel"
@@ -121,20 +122,17 @@
 	end  time.Time
 	step ladder.Step
 	// avoid are servers that declined the request or broke off, failed those
-	// that answered that they failed.
+	// that answered that they failed or were busy: they are taken if there is no
+	// other.
 	avoid  []string
 	failed []string
 	// silent are the other halls whose servers could not be reached or broke
 	// off, and any of which one timed out.
 	silent []string
-	// attempts counts the servers that may have run the request.
-	attempts int
-	// sent counts the requests that have reached servers.
-	sent int
+	// made is what is known after the attempts so far.
+	made attempts.Ledger
 	// paid tells that the next attempt has been taken from the budget.
 	paid bool
-	// mayHaveRun tells that a server has run it or may have.
-	mayHaveRun bool
 	// begun tells that the caller has a part of an answer.
 	begun bool
 	// after is the last event that the caller has.
--- a/daemon/exchange/patience.go
+++ b/daemon/exchange/patience.go
@@ -72,7 +72,7 @@
 // patience is how long an attempt may take to the head of its answer; 0 is as
 // long as the request has.
 func (j *job) patience() time.Duration {
-	if !j.mayRepeatAfterThis(j.attempts + 1) {
+	if !j.mayRepeatAfterThis(j.made.Ran + 1) {
 		return 0
 	}
 	return j.longest()
@@ -80,7 +80,7 @@
 
 // firstWait is how long a stream's first event may take after its head.
 func (j *job) firstWait() time.Duration {
-	if !j.mayRepeatAfterThis(j.attempts) {
+	if !j.mayRepeatAfterThis(j.made.Ran) {
 		return 0
 	}
 	return j.longest()
@@ -88,7 +88,7 @@
 
 // silence is how long a stream's server may be silent between two events.
 func (j *job) silence() time.Duration {
-	if !j.mayRepeatAfterThis(j.attempts) {
+	if !j.mayRepeatAfterThis(j.made.Ran) {
 		return 0
 	}
 	return silenceFactor * j.route.Pause
--- a/daemon/exchange/run.go
+++ b/daemon/exchange/run.go
@@ -68,7 +68,7 @@
 // truthful turns a refusal into a failure if the request may have run.
 func (j *job) truthful(out Outcome) Outcome {
 	refused, ok := out.(Refused)
-	if ok && j.mayHaveRun {
+	if ok && j.made.MayHaveRun() {
 		return Failure{Reason: refused.Reason}
 	}
 	return out
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -50,7 +50,7 @@
 
 // mayEscalate reports whether an answer is dropped for one of a larger model.
 func (j *job) mayEscalate(ctx context.Context, a *attempt) (ladder.Step, bool) {
-	if j.begun || len(j.route.Ladder) == 0 || j.attempts >= j.route.Attempts || ctx.Err() != nil {
+	if j.begun || len(j.route.Ladder) == 0 || j.made.Ran >= j.route.Attempts || ctx.Err() != nil {
 		return j.step, false
 	}
 	now := time.Now()
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -62,10 +62,15 @@
 // wentWell notes that the first part of a good answer came, or all of a plain
 // one.
 func (j *job) wentWell(a *attempt, took time.Duration) {
+	j.learn(a, took)
+	j.report.First = time.Since(j.request.Arrived)
+}
+
+// learn notes how long a server took for the first part of an answer.
+func (j *job) learn(a *attempt, took time.Duration) {
 	a.relative = j.engine.paces.of(a.kind).Relative(j.request.size(), took)
 	a.server.Load.Answered(a.relative)
 	j.engine.paces.learn(a.kind, j.request.size(), took, time.Now())
-	j.report.First = time.Since(j.request.Arrived)
 }
 
 // sendWhole sends a whole answer to the caller.
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -18,12 +19,11 @@
 type callJob struct {
 	*job
 	service string
-	path    string
-	query   string
-	rule    table.Call
-	once    bool
-	claim   *claimed
-	server  *route.Server
+	// path is the service's own, target the same as it came, with the query.
+	path   string
+	target string
+	rule   table.Call
+	server *route.Server
 }
 
 // call passes a call on to a plain service.
@@ -32,23 +32,31 @@
 		return out
 	}
 	name, path, _ := strings.Cut(strings.TrimPrefix(j.r.URL.Path, wire.PathService), "/")
-	c := &callJob{job: j, service: name, path: "/" + path, query: j.r.URL.RawQuery}
+	c := &callJob{job: j, service: name, path: "/" + path, target: serviceTarget(j.r.URL)}
 	j.rec.Service = name
 	if out := c.decide(); out != nil {
 		return out
 	}
-	c.once = c.rule.Once || j.r.Header.Get(wire.HeaderRepeat) == wire.RepeatNo
-	if c.once && j.key != "" {
-		var out *refusal
-		if c.claim, out = j.makeClaim(); c.claim == nil {
-			return out
-		}
+	j.once = c.rule.Once || j.r.Header.Get(wire.HeaderRepeat) == wire.RepeatNo
+	return c.serve(c)
+}
+
+// serviceTarget is what of a URL is the service's own, escaped as it came.
+func serviceTarget(u *url.URL) string {
+	_, path, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), wire.PathService), "/")
+	if u.RawQuery == "" {
+		return "/" + path
 	}
-	out := c.run()
-	c.claim.settleUnless(out)
-	return out
+	return "/" + path + "?" + u.RawQuery
 }
 
+// pool is the service that the attempts go to.
+func (c *callJob) pool() pool { return pool{service: c.service} }
+
+// resume ends a call whose answer broke off: the caller has had no part of it, as
+// answers are passed on whole.
+func (c *callJob) resume(cause error) *refusal { return c.failure(cause) }
+
 func (c *callJob) decide() *refusal {
 	view := c.front.Control.Snapshot().View
 	tenant := view.Table.Tenant(c.tenant.Organisation.Name)
@@ -72,30 +80,9 @@
 	return nil
 }
 
-// run makes attempts until one has answered or no more may be made.
-func (c *callJob) run() *refusal {
-	for {
-		a := c.newAttempt()
-		err := c.try(a)
-		if err == nil {
-			return nil
-		}
-		if out := c.again(a.Outcome(), err, c.once, pool{service: c.service}); out != nil {
-			return out
-		}
-		if out := c.decide(); out != nil {
-			return out.withRun(c.outcome(a.Outcome()))
-		}
-	}
-}
-
-func (c *callJob) try(a *attempt.Attempt) error {
-	path := c.path
-	if c.query != "" {
-		path += "?" + c.query
-	}
+func (c *callJob) try(a *attempt.Attempt) (*refusal, error) {
 	reply, err := c.exchange(backend.Exchange{
-		Attempt: a, Request: c.id, Key: c.key, Server: c.server, Method: c.r.Method, Path: path,
+		Attempt: a, Request: c.id, Key: c.key, Server: c.server, Method: c.r.Method, Target: c.target,
 		Header: passedHeaders(c.r.Header), Body: c.body, Once: c.once,
 		Gate: func() error {
 			view := c.front.Control.Snapshot().View
@@ -103,15 +90,15 @@
 		},
 	}, table.Ref{})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	data, err := reply.ReadAll(maxAnswer)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c.front.Control.Tell(control.Answered{Server: c.server.ID, InFlight: reply.InFlight})
 	c.answer(reply, data)
-	return nil
+	return nil, nil
 }
 
 // answer bills the call and passes the service's whole answer on.
--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -22,8 +22,6 @@
 	req     wire.ChatRequest
 	session session
 	prefix  uint64
-	once    bool
-	claim   *claimed
 	// sent is the version that the last attempt went to.
 	sent route.Send
 	// begun is when the request came.
@@ -42,23 +40,20 @@
 		return out
 	}
 	j.rec.Model = req.Model
-	c := &chatJob{job: j, req: req, prefix: prefix(req), once: j.r.Header.Get(wire.HeaderRepeat) == wire.RepeatNo, begun: time.Now()}
+	c := &chatJob{job: j, req: req, prefix: prefix(req), begun: time.Now()}
+	j.once = j.r.Header.Get(wire.HeaderRepeat) == wire.RepeatNo
 	if c.session, out = j.findSession(req.Model); out != nil {
 		return out
 	}
 	if out := c.decideFirst(); out != nil {
 		return out
 	}
-	if c.once && j.key != "" {
-		if c.claim, out = j.makeClaim(); c.claim == nil {
-			return out
-		}
-	}
-	out = c.run()
-	c.claim.settleUnless(out)
-	return out
+	return c.serve(c)
 }
 
+// pool is the version that the attempts go to.
+func (c *chatJob) pool() pool { return pool{ref: c.sent.Ref} }
+
 // decideFirst decides, and for a session named by its caller agrees on the
 // version before anything is sent.
 func (c *chatJob) decideFirst() *refusal {
@@ -105,26 +100,6 @@
 	return nil
 }
 
-// run makes attempts until one has answered or no more may be made.
-func (c *chatJob) run() *refusal {
-	for {
-		a := c.newAttempt()
-		out, err := c.try(a)
-		if err == nil {
-			return out
-		}
-		if c.answered {
-			return c.resume(a, err)
-		}
-		if out := c.again(a.Outcome(), err, c.once, pool{ref: c.sent.Ref}); out != nil {
-			return out
-		}
-		if out := c.decide(); out != nil {
-			return out.withRun(c.outcome(a.Outcome()))
-		}
-	}
-}
-
 // open sends an attempt that asks for the tokens from offset on. An engine that
 // says that it failed has not answered.
 func (c *chatJob) open(a *attempt.Attempt, offset int) (*backend.Reply, error) {
@@ -161,7 +136,7 @@
 func (c *chatJob) newExchange(a *attempt.Attempt, body []byte, offset int) backend.Exchange {
 	pinned := c.session.ref != (table.Ref{}) || offset > 0
 	return backend.Exchange{
-		Attempt: a, Request: c.id, Key: c.key, Server: c.sent.Server, Method: http.MethodPost, Path: wire.PathChat,
+		Attempt: a, Request: c.id, Key: c.key, Server: c.sent.Server, Method: http.MethodPost, Target: wire.PathChat,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Once: c.once, Offset: offset, NeedEcho: true,
 		Gate: c.gate(c.sent.Ref, c.sent.Server.ID, pinned),
 	}
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -150,8 +150,12 @@
 	avoid    []string
 	// answered tells that the caller has been sent a status.
 	answered bool
-	// mayHaveRun tells that an attempt ended with an unknown outcome.
-	mayHaveRun bool
+	// made is what is known after the attempts so far.
+	made attempt.Ledger
+	// once tells that the request may run once only; claim is its claim, if it
+	// needs one.
+	once  bool
+	claim *claimed
 	// keyRead tells that the record under the caller's key has been read.
 	keyRead bool
 }
--- a/daemon/front/send.go
+++ b/daemon/front/send.go
@@ -30,12 +30,11 @@
 	begun := time.Now()
 	x.Ended = func() {
 		now := time.Now()
-		j.front.waiting.served(j.pool(ref), now.Sub(begun), j.front.Control.Snapshot().View, now)
+		j.front.waiting.served(j.poolOf(ref), now.Sub(begun), j.front.Control.Snapshot().View, now)
 	}
 	s := route.Step{Kind: route.StepAttempt, Model: ref.Model, Version: ref.Version, Server: x.Server.ID, Text: x.Attempt.ID}
 	reply, err := j.front.Backend.Send(j.ctx, x)
 	if err != nil {
-		j.mayHaveRun = j.mayHaveRun || x.Attempt.Outcome() == attempt.Unknown
 		s.Text += " " + x.Attempt.State() + ": " + err.Error()
 		if !backend.Full(err) {
 			j.avoid = append(j.avoid, x.Server.ID)
@@ -46,8 +45,8 @@
 	return reply, err
 }
 
-// pool is where the request's attempts go.
-func (j *job) pool(ref table.Ref) pool {
+// poolOf is where an attempt at a version, or at the plain service, goes.
+func (j *job) poolOf(ref table.Ref) pool {
 	if ref == (table.Ref{}) {
 		return pool{service: j.rec.Service}
 	}
@@ -68,45 +67,32 @@
 // again prepares another attempt after a failed one: it waits for a place if
 // the server was full, and otherwise takes a retry. It returns the final answer
 // if there is to be none.
-func (j *job) again(last attempt.Outcome, err error, once bool, p pool) *refusal {
+func (j *job) again(err error, p pool) *refusal {
 	if backend.Full(err) && j.ctx.Err() == nil {
 		j.attempts--
 		if out := j.waitFor(p); out != nil {
-			return out.withRun(j.outcome(last))
+			return out.withRun(j.made.Outcome())
 		}
 		return nil
 	}
-	if !j.mayRetry(last, once) {
-		return j.failure(last, err)
+	if !j.mayRetry() {
+		return j.failure(err)
 	}
 	j.step(route.Step{Kind: route.StepRetry, Value: float64(j.attempts)})
 	return nil
 }
 
-// outcome is what may truthfully be said of the request after its attempts so
-// far: if any of them may have run, so may the request.
-func (j *job) outcome(last attempt.Outcome) attempt.Outcome {
-	j.mayHaveRun = j.mayHaveRun || last != attempt.NotRun
-	if j.mayHaveRun {
-		return attempt.Unknown
-	}
-	return attempt.NotRun
-}
-
 // mayRetry reports whether a failed attempt may be followed by another one.
-func (j *job) mayRetry(last attempt.Outcome, once bool) bool {
+func (j *job) mayRetry() bool {
 	if j.attempts >= maxAttempts || j.ctx.Err() != nil {
 		return false
 	}
-	if once && j.outcome(last) != attempt.NotRun {
-		return false
-	}
-	return j.front.retries.spend()
+	return j.made.MayRepeat(j.once) && j.front.retries.spend()
 }
 
 // failure turns the last attempt's error into the final answer.
-func (j *job) failure(last attempt.Outcome, err error) *refusal {
-	outcome := j.outcome(last)
+func (j *job) failure(err error) *refusal {
+	outcome := j.made.Outcome()
 	var gated *route.Error
 	switch {
 	case errors.As(err, &gated):
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -109,24 +109,25 @@
 
 // resume goes on with a broken stream on the same version, at the token where
 // it broke, or ends it with an error event.
-func (c *chatJob) resume(a *attempt.Attempt, cause error) *refusal {
+func (c *chatJob) resume(cause error) *refusal {
 	keep := c.sent.Ref
 	for {
 		var gone *callerGone
 		if errors.As(cause, &gone) || c.r.Context().Err() != nil {
 			return c.abandoned(cause)
 		}
-		if !c.mayRetry(a.Outcome(), c.once) {
-			return c.breakOff(c.failure(attempt.Unknown, cause))
+		if !c.mayRetry() {
+			return c.breakOff(c.failure(cause))
 		}
 		c.step(route.Step{Kind: route.StepResume, Model: keep.Model, Version: keep.Version, Value: float64(c.tokens), Text: cause.Error()})
 		if out := c.decideOn(keep); out != nil {
 			return c.breakOff(out.withRun(attempt.Unknown))
 		}
-		a = c.newAttempt()
+		a := c.newAttempt()
 		if cause = c.tryFrom(a, c.tokens); cause == nil {
 			return nil
 		}
+		c.made = c.made.With(a.Outcome())
 	}
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -115,6 +115,7 @@
 	g.keeper.InForceWithin, g.keeper.SessionPause = s.InForceWithin, s.SessionPause
 	g.keeper.Self = knowledge.Member{ID: s.ID, Hall: s.Hall, Addr: s.PeerAddr(), Public: keys.Public(), Start: g.Start, Capacity: s.Capacity()}
 	g.channels = channel.NewPool()
+	g.channels.Listed = g.listed
 	g.reporter = newReporter(g.log)
 	g.engine = exchange.New()
 	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
@@ -162,7 +163,7 @@
 	serving.Add(supervise.Part{Name: "callers", Run: g.callers.run})
 	serving.Add(supervise.Part{Name: "readiness", Run: g.readiness.run})
 	serving.Add(supervise.Part{Name: "admin", Run: g.admin.run})
-	serving.Add(supervise.Part{Name: "channels", Run: g.sweep})
+	serving.Add(supervise.Part{Name: "channels", Run: g.channels.Run})
 	serving.Add(supervise.Part{Name: "reports", Run: g.reporter.run})
 	serving.Add(supervise.Part{Name: "settings", Run: g.watchSettings})
 	root.Add(coordination)
@@ -170,24 +171,6 @@
 	return root
 }
 
-// sweepEvery is the time between two looks at connections that rest.
-const sweepEvery = 2 * time.Second
-
-// sweep closes connections that have rested too long or lead to servers that
-// are gone.
-func (g *Gateway) sweep(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			g.channels.Sweep(g.listed())
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // listed reports of an address whether a server is listed there.
 func (g *Gateway) listed() func(addr string) bool {
 	addrs := map[string]bool{}
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -82,6 +82,7 @@
 	p.records = record.NewLog()
 	tracer := record.NewTracer()
 	p.backend = backend.New()
+	p.backend.Channels.Listed = p.listed
 	p.claims = &claims.Store{Platform: client}
 	p.front = front.New()
 	p.control = control.New()
@@ -130,11 +131,29 @@
 	serving := suture.New("serving", spec)
 	serving.Add(supervise.Part{Name: "front", Run: p.front.Run})
 	serving.Add(supervise.Part{Name: "admin", Run: p.admin.Run})
+	serving.Add(supervise.Part{Name: "channels", Run: p.backend.Channels.Run})
 	root.Add(coordination)
 	root.Add(serving)
 	return root
 }
 
+// listed reports of an address whether a server is listed there.
+func (p *Process) listed() func(addr string) bool {
+	addrs := map[string]bool{}
+	view := p.control.Snapshot().View
+	for _, servers := range view.Engines {
+		for _, s := range servers {
+			addrs[s.Addr] = true
+		}
+	}
+	for _, servers := range view.Services {
+		for _, s := range servers {
+			addrs[s.Addr] = true
+		}
+	}
+	return func(addr string) bool { return addrs[addr] }
+}
+
 // stop ends the daemon without cutting a request: it says that it is not
 // ready, keeps accepting until the balancer has noticed, finishes what is
 // under way and hands over what the platform has not acknowledged.
