make demo runs gateways too

Cause: the demo showed table daemons alone; the path on a platform that hands out the configuration ran in tests only. Now a stand-in site (store, model servers, plain service) and callers of it are commands of ladderridge, and the demo runs two gateways, one of them stopped as planned while requests go on.

--- a/daemon/cmd/ladderridge/cmd_standin.go
+++ b/daemon/cmd/ladderridge/cmd_standin.go
@@ -19,7 +19,7 @@
 
 func standinCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "standin", Short: "Run a small stand-in for the platform, an engine or a plain service"}
-	cmd.AddCommand(standinPlatform(), standinEngine(), standinService(), standinFault())
+	cmd.AddCommand(standinPlatform(), standinEngine(), standinService(), standinFault(), standinSite(), standinCallers())
 	return cmd
 }
 
--- /dev/null
+++ b/daemon/cmd/ladderridge/cmd_standin_site.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"ladderridge.example/platform/standin"
+)
+
+// standinSite plays a platform for gateways: its store and its servers.
+func standinSite() *cobra.Command {
+	s := &standin.Site{}
+	var servers string
+	cmd := &cobra.Command{
+		Use:   "site",
+		Short: "A platform for gateways: its store, model servers and a plain service",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s.ServerAddrs = strings.Split(servers, ",")
+			return s.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&s.StoreAddr, "store", "127.0.0.1:9300", "address of the store")
+	cmd.Flags().StringVar(&servers, "servers", "127.0.0.1:9301,127.0.0.1:9302,127.0.0.1:9303", "addresses of the servers; the last one is the plain service")
+	cmd.Flags().StringVar(&s.Hall, "hall", "hall", "data hall of the servers")
+	return cmd
+}
+
+// standinCallers asks gateways of such a site.
+func standinCallers() *cobra.Command {
+	var targets string
+	var n int
+	cmd := &cobra.Command{
+		Use:   "callers",
+		Short: "Ask gateways of a stand-in site, and fail unless every answer is whole",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			t := standin.AskSite(cmd.Context(), strings.Split(targets, ","), n)
+			cmd.Printf("sent: %d, answered whole: %d, refused: %d\n", t.Sent, t.Whole, t.Refused)
+			if t.Whole != t.Sent {
+				return errors.New("not every answer is whole: see the gateways' logs for the requests' ids")
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&targets, "target", "127.0.0.1:8080", "addresses of the gateways")
+	cmd.Flags().IntVarP(&n, "requests", "n", 100, "how many requests")
+	return cmd
+}
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -152,6 +152,35 @@
 for pid in "${daemons[@]}"; do wait "$pid"; done
 daemons=()
 
+say "gateways: a platform that hands out the configuration, and a planned stop of one of two"
+start site "$bin/ladderridge" standin site --store 127.0.0.1:19300 --servers 127.0.0.1:19301,127.0.0.1:19302,127.0.0.1:19303
+for n in 1 2; do
+	cat >"$work/gateway-$n.ini" <<INI
+[daemon]
+id = gateway-$n
+hall = hall
+callers = 127.0.0.1:1931$n
+readiness = 127.0.0.1:1932$n
+admin = 127.0.0.1:1933$n
+peers = 127.0.0.1:1934$n
+[store]
+url = http://127.0.0.1:19300
+INI
+	"$bin/ladderridged" gateway check-config --config "$work/gateway-$n.ini"
+	"$bin/ladderridged" gateway --config "$work/gateway-$n.ini" >"$work/gateway-$n.log" 2>&1 &
+	daemons+=($!)
+	until_ok "$bin/ladderridge" standin callers --target 127.0.0.1:1931$n -n 2
+done
+"$bin/ladderridge" standin callers --target 127.0.0.1:19311,127.0.0.1:19312 -n 200
+"$bin/ladderridge" standin callers --target 127.0.0.1:19312 -n 200 &
+asking=$!
+kill -TERM "${daemons[0]}"
+wait "${daemons[0]}"
+wait "$asking"
+kill -TERM "${daemons[1]}"
+wait "${daemons[1]}"
+daemons=()
+
 say "the closing count"
 sent=0 whole=0 refused=0
 for name in voluntas-stream voluntas-session licence voluntas-after voluntas-last; do
