The larger model leaves a server on which the smaller one was slow

The head of the dropped answer is the freshest word there is of that server: if it took twice what was to be expected, the larger model goes to another server. Dropped answers also count in what times are expected. Test: exchange.TestLargerModelLeavesABusyServer, which fails with the factor out of reach.

--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -270,6 +270,42 @@
 	})
 }
 
+// A server on which the smaller model has just taken much longer than usual is
+// busy: the larger model goes to another one.
+func TestLargerModelLeavesABusyServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		var busy atomic.Bool
+		s := func(c net.Conn, a arrival) bool {
+			confidence := "Confidence: 90"
+			if busy.Load() && a.header.Get("Model") == "small" {
+				confidence = "Confidence: 10"
+				time.Sleep(90 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Millisecond)
+			return events(1, 2, true, confidence)(c, a)
+		}
+		first, second := b.server("a", s), b.server("b", s)
+		for range 5 {
+			// The second one has more to do, as far as this daemon knows.
+			second.Load.Begin(1)
+		}
+		b.known.set(routemap.New(parts(1, "k")), first, second)
+		ask := func() {
+			b.ask(t.Context(), exchange.Request{ID: "r", Path: "/ladder/x", Key: "k", Model: exchange.AnyModel, Wait: time.Second})
+		}
+		for range 20 {
+			ask()
+		}
+		busy.Store(true)
+		before := len(b.seen())
+		ask()
+		if seen := b.seen()[before:]; len(seen) != 2 || seen[0].server != "a" || seen[1].server != "b" {
+			t.Errorf("the servers saw %+v", seen)
+		}
+	})
+}
+
 func TestSureModelIsKept(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		b := newBench(t)
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -17,6 +17,10 @@
 	if next, up := j.mayEscalate(ctx, a); up {
 		j.note(a, fmt.Sprintf("dropped: confidence %d", a.head.Confidence))
 		j.observe(a, false, false)
+		j.learn(a, time.Since(a.sent))
+		if a.relative >= busyFactor {
+			j.failed = append(j.failed, a.server.ID)
+		}
 		j.step = next
 		j.report.Escalated = true
 		return nil, Full
@@ -43,6 +47,11 @@
 	return j.brokeOff(a, err)
 }
 
+// busyFactor is how many times the usual a smaller model takes on a server that is
+// busy right now, so that the larger one goes elsewhere. No other word of a
+// server's load is as fresh.
+const busyFactor = 2
+
 var (
 	errCallerGone = errors.New("the caller is gone")
 	errGap        = errors.New("an event is missing")
