--- a/daemon/knowledge/follow.go
+++ b/daemon/knowledge/follow.go
@@ -29,7 +29,11 @@
 	pauseCeiling = time.Second
 	// gather is the pause after an answer with changes, so that more of them
 	// come with the next one: when many servers start, each would cost a call.
-	gather = 150 * time.Millisecond
+	// Of servers and daemons it may be longer than of the configuration: a server
+	// that leaves must be known within two seconds, which leaves time for an
+	// answer and the news of it to be lost.
+	gather     = 150 * time.Millisecond
+	gatherLong = 400 * time.Millisecond
 	// settle is the pause after all rows were read, in which this daemon finds
 	// out whether another one is there to follow them.
 	settle = 2*tickEvery + 50*time.Millisecond
@@ -46,7 +50,10 @@
 // follower keeps one topic up to date from the store.
 type follower struct {
 	topic relay.Topic
-	hold  time.Duration
+	// hold is how long the store holds a call, gather how long changes are
+	// gathered after one.
+	hold   time.Duration
+	gather time.Duration
 	// wanted reports whether the topic is to be followed now.
 	wanted func() bool
 
@@ -123,7 +130,7 @@
 		case whole:
 			wait(ctx, settle)
 		case len(page.Rows)+len(page.Removed) > 0:
-			wait(ctx, gather)
+			wait(ctx, f.gather)
 		}
 	}
 }
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -144,10 +144,10 @@
 	k.reading.Store(true)
 	// The first one is about the configuration; Run sets its hold.
 	k.followers = []*follower{
-		{topic: relay.Operator, wanted: k.reading.Load},
-		{topic: relay.Servers, hold: followLong, wanted: k.reading.Load},
-		{topic: relay.Members, hold: followLong, wanted: k.reading.Load},
-		{topic: relay.Progress, hold: followLong, wanted: func() bool { return k.reading.Load() && k.rollouts.open.Load() }},
+		{topic: relay.Operator, gather: gather, wanted: k.reading.Load},
+		{topic: relay.Servers, hold: followLong, gather: gatherLong, wanted: k.reading.Load},
+		{topic: relay.Members, hold: followLong, gather: gatherLong, wanted: k.reading.Load},
+		{topic: relay.Progress, hold: followLong, gather: gather, wanted: func() bool { return k.reading.Load() && k.rollouts.open.Load() }},
 	}
 	k.run = func(ctx context.Context) error { return k.loop(ctx) }
 	return k
