Requests that share little stay in their hall

Now a prompt whose shared part is shorter than one step of a model server is placed within its hall; longer ones go where their part lies, as before. Ruled out: keeping all prompts in their hall (a long part would be read in each hall).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -63,6 +63,9 @@
 	Affinity uint64
 	// Hall is preferred while its servers are not much busier than others.
 	Hall string
+	// Near keeps a request with an affinity to its hall as well: what it shares
+	// is soon read again, and costs less than bytes between halls.
+	Near bool
 	// Avoid are servers that the request has been to.
 	Avoid []string
 	// Silent are halls of which a server has timed out for the request: others
@@ -113,7 +116,7 @@
 // else the one with the least work.
 func pick(fit []*Server, w Want) *Server {
 	if w.Affinity != 0 {
-		if s := preferred(fit, w.Affinity); withinBound(fit, s) {
+		if s := preferred(nearest(fit, w), w.Affinity); withinBound(fit, s) {
 			return s
 		}
 	}
@@ -122,6 +125,23 @@
 	})
 }
 
+// nearest returns the servers of the own hall, if that is wanted and it has some.
+func nearest(fit []*Server, w Want) []*Server {
+	if !w.Near {
+		return fit
+	}
+	var near []*Server
+	for _, s := range fit {
+		if s.Hall == w.Hall {
+			near = append(near, s)
+		}
+	}
+	if len(near) == 0 {
+		return fit
+	}
+	return near
+}
+
 // cost is the work that a request would wait behind, weighed by how slow the
 // server is.
 func cost(s *Server, hall string) float64 {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -133,6 +133,27 @@
 	}
 }
 
+func TestRequestThatSharesLittleStaysInItsHall(t *testing.T) {
+	servers := pool(8)
+	for _, s := range servers[:4] {
+		s.Hall = "other"
+	}
+	met := map[string]bool{}
+	for i := range uint64(200) {
+		s := choose(t, servers, fleet.Want{Affinity: i + 1, Hall: "h", Near: true})
+		if s.Hall != "h" {
+			t.Fatalf("%s of another hall was chosen", s.ID)
+		}
+		met[s.ID] = true
+	}
+	if len(met) != 4 {
+		t.Errorf("%d of the hall's 4 servers were chosen", len(met))
+	}
+	if s := choose(t, servers[:4], fleet.Want{Affinity: 1, Hall: "h", Near: true}); s.Hall != "other" {
+		t.Error("without a server in the hall none was chosen")
+	}
+}
+
 // When the way to a hall is cut, a few time-outs tell for all of its servers.
 func TestHallWhoseServersTimeOutRestsWhole(t *testing.T) {
 	near, far := pool(4), pool(4)
--- a/core/fleet/hall.go
+++ b/core/fleet/hall.go
@@ -13,8 +13,8 @@
 	// failed are the servers that could not be reached, broke off or timed out
 	// since one of the hall last answered.
 	failed map[*Load]bool
-	until    time.Time
-	rest     time.Duration
+	until  time.Time
+	rest   time.Duration
 }
 
 const (
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -60,7 +60,7 @@
 
 // chooseBut finds a server that is not among those to avoid.
 func (j *job) chooseBut(avoid []string, now time.Time) (*fleet.Server, bool) {
-	want := fleet.Want{Service: j.service, Affinity: j.request.affinity(), Hall: j.engine.Hall, Avoid: avoid, Silent: j.silent}
+	want := fleet.Want{Service: j.service, Affinity: j.request.affinity(), Hall: j.engine.Hall, Near: j.request.sharesLittle(), Avoid: avoid, Silent: j.silent}
 	if j.version != "" {
 		want.Allowed = func(v string) bool { return v == j.version }
 		if s, ok := j.view.Servers.Choose(want, now); ok {
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -104,6 +104,16 @@
 	return float64(tokens) / pieceTokens
 }
 
+// sharesLittle reports whether what other requests share of the prompt is read in
+// less than one step of a model server.
+func (r *Request) sharesLittle() bool {
+	tokens := 0
+	for _, p := range r.Prompt[:max(0, len(r.Prompt)-1)] {
+		tokens += p.Tokens
+	}
+	return tokens < pieceTokens
+}
+
 // Attempt is one request to one server, for a dialect to put into headers.
 type Attempt struct {
 	Request *Request
