A daemon that hears nobody reads the store in time

Cause, found by reading: with turns by age, a daemon that lost its way to the others but not to the store waited for the turns of all before it, up to 12 s in a hall of 30, and refused keys after five.

--- a/daemon/knowledge/calls_test.go
+++ b/daemon/knowledge/calls_test.go
@@ -132,3 +132,26 @@
 		}
 	})
 }
+
+// A daemon that hears nobody, but reaches the store, reads it while keys pass.
+func TestDaemonThatHearsNobodyReadsTheStore(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		all := s.hallOf(30)
+		pass(10 * time.Second)
+		s.mesh.mu.Lock()
+		for id := range all {
+			s.mesh.holding[id] = id == "d07" || id == "d19"
+		}
+		s.mesh.mu.Unlock()
+		for range 20 {
+			pass(500 * time.Millisecond)
+			for _, id := range []string{"d07", "d19"} {
+				if age := all[id].View().ConfigAge(time.Now()); age > 4*time.Second {
+					t.Errorf("%s takes the configuration for %v old", id, age)
+				}
+			}
+		}
+	})
+}
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -243,7 +243,7 @@
 	}
 	for _, known := range m.Known {
 		if known.Topic == relay.Operator {
-			k.readers.told(from, now.Sub(asked.Add(-time.Duration(known.AgeMS)*time.Millisecond)))
+			k.readers.told(from, now.Sub(asked.Add(-time.Duration(known.AgeMS)*time.Millisecond)), now)
 		}
 	}
 }
--- a/daemon/knowledge/readers.go
+++ b/daemon/knowledge/readers.go
@@ -40,6 +40,9 @@
 	// longGone is how long a daemon must have been silent for its turn to be
 	// passed over.
 	longGone = 5 * time.Second
+	// aloneAfter is how long nobody must have answered for a daemon to count on
+	// itself alone.
+	aloneAfter = 2 * answerWithin
 	// askOfMore is how many more daemons are asked at once when none is known to
 	// read.
 	askOfMore = 3
@@ -62,8 +65,10 @@
 	asked   map[string]time.Time
 	// acquainted are daemons that have answered since they last were silent.
 	acquainted map[string]bool
-	// met tells that a daemon has once told something useful.
-	met bool
+	// met tells that a daemon has once told something useful, heardAt when one
+	// last told anything.
+	met     bool
+	heardAt time.Time
 	// round moves the order in which daemons are asked.
 	round int
 }
@@ -120,8 +125,9 @@
 			between++
 		}
 	}
-	if !r.met {
-		// At its start a daemon cannot tell which of the listed are there.
+	if !r.met || now.Sub(r.heardAt) > aloneAfter {
+		// Which of the listed are there cannot be told, at the start and without
+		// an answer of anybody.
 		between = 0
 	}
 	return answering == 0 || age > r.usefulAge+time.Duration(between)*turnEvery
@@ -178,7 +184,8 @@
 }
 
 // told notes an answer and how old what it tells is.
-func (r *readers) told(id string, age time.Duration) {
+func (r *readers) told(id string, age time.Duration, now time.Time) {
+	r.heardAt = now
 	delete(r.waiting, id)
 	delete(r.silent, id)
 	r.acquainted[id] = true
