The gate is asked once the connection is there

The gate was asked before the connection came up; requests that were connecting when the process was stopped went out when it went on, without another look. Now the gate is the last moment before the first byte, and its error is an end of its own that proves that nothing ran. The test sent its requests before the stop had taken effect, too: it now waits until the system says that the process is stopped. Test: channel.TestGateIsTheLastMoment.

--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -110,14 +110,12 @@
 // Send sends an exchange. When it fails, the attempt's outcome says whether
 // the request may have run.
 func (c *Client) Send(ctx context.Context, x Exchange) (*Reply, error) {
-	if err := x.Gate(); err != nil {
-		return nil, &Error{Op: opSend, Kind: Gated, Err: err}
-	}
-	if err := advance(x.Attempt, attempt.Pass, attempt.Send); err != nil {
-		return nil, err
-	}
 	x.Server.Load.InFlight.Add(1)
 	answer, err := c.Channels.Send(ctx, x.request())
+	if fault.Is(err, channel.Gated) {
+		x.Server.Load.InFlight.Add(-1)
+		return nil, &Error{Op: opSend, Kind: Gated, Err: err}
+	}
 	if err != nil {
 		x.leave()
 		return nil, failed(x.Attempt, err)
@@ -140,7 +138,7 @@
 	if x.Offset > 0 {
 		h.Set(wire.HeaderOffset, strconv.Itoa(x.Offset))
 	}
-	r := channel.Request{Addr: x.Server.Addr, Host: x.Server.Addr, Method: x.Method, Target: x.Target, Header: h, Body: x.Body, Sized: x.Method == http.MethodPost || x.Method == http.MethodPut}
+	r := channel.Request{Gate: x.pass, Addr: x.Server.Addr, Host: x.Server.Addr, Method: x.Method, Target: x.Target, Header: h, Body: x.Body, Sized: x.Method == http.MethodPost || x.Method == http.MethodPut}
 	if x.Once {
 		r.RestAtMost = onceRest
 	}
@@ -156,6 +154,15 @@
 	return nil
 }
 
+// pass is the last moment before a byte leaves: the connection is there, which may
+// have taken as long as a pause of this process.
+func (x *Exchange) pass() error {
+	if err := x.Gate(); err != nil {
+		return err
+	}
+	return advance(x.Attempt, attempt.Pass, attempt.Send)
+}
+
 // failed tells a server that was sent nothing from a lost answer.
 func failed(a *attempt.Attempt, err error) error {
 	var e *channel.Error
--- a/daemon/channel/error.go
+++ b/daemon/channel/error.go
@@ -18,6 +18,8 @@
 	Unreachable Kind = "server unreachable"
 	// Unsent is a request of which no byte left this process.
 	Unsent Kind = "nothing was sent"
+	// Gated is a request that its sender stopped at the last moment.
+	Gated Kind = "stopped at the gate"
 	// Broken is an answer that broke off or never came: the request may have
 	// run.
 	Broken Kind = "answer broken"
@@ -30,7 +32,7 @@
 
 // NotRun reports whether an error of that kind proves that the server has not
 // run the request.
-func (k Kind) NotRun() bool { return k == Unreachable || k == Unsent }
+func (k Kind) NotRun() bool { return k == Unreachable || k == Unsent || k == Gated }
 
 // Error is the error type of this package.
 type Error = fault.Of[Kind]
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -60,6 +60,9 @@
 	// RestAtMost bounds how long the connection may have rested; 0 is the
 	// standard.
 	RestAtMost time.Duration
+	// Gate, if set, is asked once the connection is there, at the last moment
+	// before a byte leaves; its error stops the request.
+	Gate func() error
 	// Belongs reports whether an answer's head belongs to this request; nil is
 	// any.
 	Belongs func(http.Header) bool
@@ -220,6 +223,12 @@
 			return nil, err
 		}
 	}
+	if x.Gate != nil {
+		if err := x.Gate(); err != nil {
+			c.close()
+			return nil, &Error{Op: opExchange, Kind: Gated, Err: err}
+		}
+	}
 	r := &Reply{pool: p, addr: x.Addr, channel: c, sent: make(chan written, 1)}
 	r.release = context.AfterFunc(ctx, c.close)
 	before := c.written.Load()
--- a/daemon/channel/pool_test.go
+++ b/daemon/channel/pool_test.go
@@ -93,6 +93,33 @@
 	}
 }
 
+// The gate is asked once the connection is there: a process that was paused while
+// it came up once sent requests on that its gate would have stopped by then.
+func TestGateIsTheLastMoment(t *testing.T) {
+	arrived := make(chan error, 1)
+	addr := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		_, err := take(r)
+		arrived <- err
+	})
+	p := channel.NewPool()
+	x := request(addr, "a")
+	stop := errors.New("stop")
+	x.Gate = func() error {
+		if p.Opened.Load() != 1 {
+			t.Error("the gate was asked before there was a connection")
+		}
+		return stop
+	}
+	_, err := exchange(t, p, x)
+	var e *channel.Error
+	if !errors.As(err, &e) || e.Kind != channel.Gated || !e.Kind.NotRun() || !errors.Is(err, stop) {
+		t.Errorf("%v", err)
+	}
+	if err := <-arrived; err == nil {
+		t.Error("the server has the request")
+	}
+}
+
 func TestSurplusAnswerBelongsToNoRequest(t *testing.T) {
 	second := make(chan struct{})
 	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
--- a/daemon/scenario/cluster_test.go
+++ b/daemon/scenario/cluster_test.go
@@ -281,9 +281,24 @@
 
 func (c *cluster) signal(id string, sig syscall.Signal) {
 	c.t.Helper()
-	if err := c.daemons[id].cmd.Process.Signal(sig); err != nil {
+	p := c.daemons[id].cmd.Process
+	if err := p.Signal(sig); err != nil {
 		c.t.Fatal(err)
 	}
+	if sig == syscall.SIGSTOP {
+		c.await("the process is stopped", func() bool { return stopped(p.Pid) })
+	}
+}
+
+// stopped reports whether a process has stopped: the signal takes effect a moment
+// after it was sent.
+func stopped(pid int) bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return false
+	}
+	_, state, _ := strings.Cut(string(stat), ") ")
+	return strings.HasPrefix(state, "T")
 }
 
 // ended waits until a daemon's process is gone, however it ended.
