--- a/daemon/cmd/ladderridge/cmd_standin_site.go
+++ b/daemon/cmd/ladderridge/cmd_standin_site.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"ladderridge.example/platform/standin"
+	"ladderridge.example/daemon/standin"
 )
 
 // standinSite plays a platform for gateways: its store and its servers.
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -261,7 +261,7 @@
 }
 
 // interruptOthers ends the calls about all but the operator's topic, which alone
-// finds out when the store is back: what is missed meanwhile is missed in each.
+// is tried until the store answers again.
 func (k *Keeper) interruptOthers(now time.Time) {
 	k.away.Store(true)
 	for _, f := range k.followers {
--- a/platform/standin/site.go
+++ b/daemon/standin/site.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"time"
+
+	"ladderridge.example/platform/standin"
 )
 
-// Site is a small site for trying gateways out: a store, model servers and a
+// Site is a small site of the users' platform for trying gateways out: a store, model servers and a
 // plain service, with a configuration that routes to them.
 type Site struct {
 	// StoreAddr is where the store listens.
@@ -34,12 +36,12 @@
 
 // Run serves the site until ctx ends.
 func (s *Site) Run(ctx context.Context) error {
-	store := NewStore()
-	err := store.SetConfig(Config{
+	store := standin.NewStore()
+	err := store.SetConfig(standin.Config{
 		Number: 1, Host: SiteHost, Keys: map[string][]string{"site": {SiteKey}},
-		Routes: []Route{
-			{Name: "chat", Prefix: SiteChat, Kind: Streaming, Service: "models", Attempts: 3, Limit: siteLimit, Ladder: []string{"small", "large"}},
-			{Name: "call", Prefix: SiteCall, Kind: Unsafe, Service: "plain", Attempts: 1, Limit: siteLimit},
+		Routes: []standin.Route{
+			{Name: "chat", Prefix: SiteChat, Kind: standin.Streaming, Service: "models", Attempts: 3, Limit: siteLimit, Ladder: []string{"small", "large"}},
+			{Name: "call", Prefix: SiteCall, Kind: standin.Unsafe, Service: "plain", Attempts: 1, Limit: siteLimit},
 		},
 	})
 	if err != nil {
@@ -48,13 +50,13 @@
 	failed := make(chan error, 1+len(s.ServerAddrs))
 	go func() { failed <- serve(ctx, s.StoreAddr, store) }()
 	for i, addr := range s.ServerAddrs {
-		r := &Runner{ID: fmt.Sprintf("server-%d", i+1), Slots: siteSlots, Work: 5 * time.Millisecond}
+		r := &standin.Runner{ID: fmt.Sprintf("server-%d", i+1), Slots: siteSlots, Work: 5 * time.Millisecond}
 		service := "plain"
 		if i < len(s.ServerAddrs)-1 {
 			service = "models"
 			r.Events, r.Confidence = siteEvents, map[string]int{"small": 40, "large": 90}
 		}
-		if err := store.SetServer(r.ID, Entry{Service: service, Addr: addr, Hall: s.Hall, Version: "v1", Slots: siteSlots}); err != nil {
+		if err := store.SetServer(r.ID, standin.Entry{Service: service, Addr: addr, Hall: s.Hall, Version: "v1", Slots: siteSlots}); err != nil {
 			return err
 		}
 		go func() { failed <- serve(ctx, addr, r) }()
@@ -94,7 +96,7 @@
 	client := &http.Client{}
 	var out Tally
 	for i := range n {
-		c := Call{ID: fmt.Sprintf("ask-%d-%d", time.Now().UnixNano(), i), Method: http.MethodPost, Host: SiteHost, Target: SiteCall, Key: SiteKey, Body: "ask", Wait: siteLimit}
+		c := standin.Call{ID: fmt.Sprintf("ask-%d-%d", time.Now().UnixNano(), i), Method: http.MethodPost, Host: SiteHost, Target: SiteCall, Key: SiteKey, Body: "ask", Wait: siteLimit}
 		if i%2 == 0 {
 			c.Target, c.Model, c.Session = SiteChat, "*", fmt.Sprintf("session-%d", i%10)
 		}
