A version is not completed unseen; a bad one is taken back without waiting for readers

Cause: the soak's had a failing version completed. Two daemons had found it bad 0.7 s before all processes were killed, but as they did not read the store they left the writing to the readers, which were paused; the daemons that started then knew nothing of it, took the order up at 90% of its time, and one completed it within 0.6 s, while three others had just found it bad. Now a version is completed only after 30 of its answers were seen by daemons since they know the order, or three seconds; and who finds a version bad writes that after 0.7 s itself if no reader has.

--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -27,8 +27,16 @@
 	// has seen.
 	likelyReaders = 2
 	// bystanderWait is how long a daemon that does not read leaves the writing
-	// of states to those that do.
+	// of states to those that do; urgentWait is that for a version that is bad,
+	// long enough for a reader to hear of it and write.
 	bystanderWait = 3 * time.Second
+	urgentWait    = 700 * time.Millisecond
+	// provenAnswers is how many answers of a version daemons must have seen
+	// before it may be completed, which cannot be taken back: as many as tell a
+	// bad one for sure. provenAfter is how long a daemon must have known the
+	// order if fewer come.
+	provenAnswers = 30
+	provenAfter   = 3 * time.Second
 )
 
 // Observe takes what an answer says of a version in roll-out.
@@ -128,6 +136,8 @@
 	switch {
 	case k.rollouts.withdrawn[versionName(service, version)]:
 		next.State = canary.RolledBack
+	case !k.proven(service, now):
+		return
 	case r.Share(now) >= 1 && (canary.Late(now.Sub(r.Since), r.Order.Within) || k.nothingOld(service, own)):
 		next.State = canary.Completed
 	default:
@@ -139,6 +149,16 @@
 	k.writeInTurn(ctx, service, next, k.rollouts.seenAt[service+next.State.String()], now)
 }
 
+// proven reports whether enough was seen of a version since this process knows
+// the order: with all daemons started anew nobody remembers what was before.
+func (k *Keeper) proven(service string, now time.Time) bool {
+	seen := uint64(0)
+	for _, p := range k.rollouts.pairs(service) {
+		seen += p.New.Answers
+	}
+	return seen >= provenAnswers || now.Sub(k.rollouts.seenAt[service]) >= provenAfter
+}
+
 // storeSince is when the order was first seen, by the store's clock.
 func (k *Keeper) storeSince(service string, now time.Time) uint64 {
 	age := uint64(max(0, now.Sub(k.rollouts.byService[service].Since).Milliseconds()))
@@ -159,7 +179,7 @@
 	if began, busy := k.rollouts.busy[service]; busy && now.Sub(began) < 2*writeTimeout {
 		return
 	}
-	if now.Sub(due) < k.turnAfter() {
+	if now.Sub(due) < k.turnAfter(p.State) {
 		return
 	}
 	row, err := k.Decoder.WriteProgress(service, p)
@@ -179,9 +199,9 @@
 	}()
 }
 
-// turnAfter is how long this daemon leaves the writing to others: the readers
-// of the halls take turns, and other daemons come after them.
-func (k *Keeper) turnAfter() time.Duration {
+// turnAfter is how long this daemon leaves the writing of a state to others: the
+// readers of the halls take turns, and other daemons come after them.
+func (k *Keeper) turnAfter(state canary.State) time.Duration {
 	halls := []string{k.Self.Hall}
 	for _, m := range k.others() {
 		if !slices.Contains(halls, m.Hall) {
@@ -190,7 +210,11 @@
 	}
 	slices.Sort(halls)
 	wait := time.Duration(slices.Index(halls, k.Self.Hall)) * turnWait
-	if !k.reading.Load() {
+	switch {
+	case k.reading.Load():
+	case state == canary.RolledBack:
+		wait += urgentWait
+	default:
 		wait += bystanderWait
 	}
 	return wait
--- a/daemon/knowledge/readers.go
+++ b/daemon/knowledge/readers.go
@@ -112,6 +112,9 @@
 // mayRead reports whether it is this daemon's turn to read the store, by the age
 // of what it knows.
 func (r *readers) mayRead(age time.Duration, now time.Time) bool {
+	if r.met && now.Sub(r.heardAt) > aloneAfter {
+		return true
+	}
 	if m, ok := r.reader(); ok && r.acquainted[m.ID] {
 		return false
 	}
@@ -125,9 +128,8 @@
 			between++
 		}
 	}
-	if !r.met || now.Sub(r.heardAt) > aloneAfter {
-		// Which of the listed are there cannot be told, at the start and without
-		// an answer of anybody.
+	if !r.met {
+		// At its start a daemon cannot tell which of the listed are there.
 		between = 0
 	}
 	return answering == 0 || age > r.usefulAge+time.Duration(between)*turnEvery
--- a/daemon/knowledge/rollout_test.go
+++ b/daemon/knowledge/rollout_test.go
@@ -206,3 +206,60 @@
 		}
 	})
 }
+
+// When all daemons start anew near the end of an order, nobody remembers what was
+// seen of the version: it is not completed before something has been. A version
+// that failed was once completed a tenth of a second after such a start.
+func TestVersionIsNotCompletedUnseen(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, before := rollout(t, 3, 10)
+		pass(5500 * time.Millisecond)
+		for i := range before {
+			id := fmt.Sprintf("d%d", i)
+			s.mesh.mu.Lock()
+			delete(s.mesh.keepers, id)
+			s.mesh.mu.Unlock()
+			s.links[id].fail(errDown)
+		}
+		var after []*knowledge.Keeper
+		for i := range 3 {
+			after = append(after, s.daemon(fmt.Sprintf("e%d", i)))
+		}
+		pass(2500 * time.Millisecond)
+		for _, k := range after {
+			for range 10 {
+				k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: true})
+			}
+		}
+		pass(5 * time.Second)
+		if p := s.progress(); p.State != canary.RolledBack {
+			t.Errorf("the state is %v", p)
+		}
+	})
+}
+
+// A version that is found bad is taken back soon, also while the daemons that
+// write states are paused.
+func TestBadVersionIsTakenBackWithoutReaders(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, keepers := rollout(t, 3, 20)
+		for i, k := range keepers {
+			if k.Calls.Load() > 20 {
+				// It reads for the others, and is paused.
+				id := fmt.Sprintf("d%d", i)
+				s.links[id].silence(true)
+				s.mesh.mu.Lock()
+				s.mesh.holding[id] = true
+				s.mesh.mu.Unlock()
+				continue
+			}
+			for range 10 {
+				k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: true})
+			}
+		}
+		pass(time.Second)
+		if p := s.progress(); p.State != canary.RolledBack {
+			t.Errorf("the state is %v", p)
+		}
+	})
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -133,7 +133,7 @@
 	var seeds []uint64
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) == 0 || fields[0] == "#" {
+		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
 			continue
 		}
 		seed, err := strconv.ParseUint(fields[0], 10, 64)
