--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -37,7 +37,6 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	life    int
-	paused  bool
 	downFor time.Duration
 	ended   bool
 	// exited is closed when the process has ended for good.
@@ -127,7 +126,7 @@
 		_ = d.cmd.Wait()
 		d.mu.Lock()
 		down := max(restartAfter, d.downFor)
-		d.cmd, d.downFor, d.paused = nil, 0, false
+		d.cmd, d.downFor = nil, 0
 		d.mu.Unlock()
 		time.Sleep(down)
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -67,18 +67,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{oracle: newOracle(), store: standin.NewStore(), cancel: cancel, config: firstConfig()}
 	s.server = httptest.NewServer(s.store)
-	if err := s.build(o, p); err != nil {
+	if err := s.build(ctx, o, p); err != nil {
 		s.close()
 		return nil, err
 	}
-	for _, d := range s.daemons {
-		go d.run(ctx)
-		go d.watchReady(ctx)
-	}
 	return s, nil
 }
 
-func (s *site) build(o Options, p Plan) error {
+// build starts the servers and then the daemons.
+func (s *site) build(ctx context.Context, o Options, p Plan) error {
 	if err := s.store.SetConfig(s.config); err != nil {
 		return &Error{Op: "write configuration", Kind: NoStart, Err: err}
 	}
@@ -102,6 +99,8 @@
 			return err
 		}
 		s.daemons = append(s.daemons, d)
+		go d.run(ctx)
+		go d.watchReady(ctx)
 	}
 	return nil
 }
