News of sessions goes to the reader alone

A daemon that asks those that were silent whether they are back, every two seconds, sent the news of the sessions it had served since its last question with that one, and so lost it: their sessions were moved by daemons that had not heard of them. Ruled out: the turns at the store (the test fails with the store sound). Test: knowledge.TestNewsOfSessionsGoesToTheReaderAlone, which failed first (4 moves of 120).

--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -30,12 +30,15 @@
 		return
 	}
 	ask := k.question(relayed, now)
-	if !k.reading.Load() {
-		ask.Sessions = k.sessions.news(now)
-	}
+	reader, ok := k.readers.reader()
 	for _, m := range due {
 		k.readers.ask(m.ID, now)
-		k.Peers.Send(m.ID, m.Addr, ask)
+		to := ask
+		if ok && m.ID == reader.ID && !k.reading.Load() {
+			// Only the reader tells sessions on; others may not even be there.
+			to.Sessions = k.sessions.news(now)
+		}
+		k.Peers.Send(m.ID, m.Addr, to)
 	}
 }
 
--- a/daemon/knowledge/rollout_test.go
+++ b/daemon/knowledge/rollout_test.go
@@ -263,3 +263,42 @@
 		}
 	})
 }
+
+// A daemon that asks around for one that is gone does not lose the news of its
+// sessions with the questions: sessions of a hall once moved under way while its
+// first daemon was gone.
+func TestNewsOfSessionsGoesToTheReaderAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, keepers := rollout(t, 4, 60)
+		gone := ""
+		for i, k := range keepers {
+			if k.Calls.Load() > 15 {
+				gone = fmt.Sprintf("d%d", i)
+			}
+		}
+		s.mesh.mu.Lock()
+		delete(s.mesh.keepers, gone)
+		s.mesh.mu.Unlock()
+		s.links[gone].fail(errDown)
+		pass(5 * time.Second)
+		var left []*knowledge.Keeper
+		for i, k := range keepers {
+			if fmt.Sprintf("d%d", i) != gone {
+				left = append(left, k)
+			}
+		}
+		const served = 40
+		for i := range uint64(served) {
+			left[i%3].Ran("s", lowest+i, "v1")
+			pass(100 * time.Millisecond)
+		}
+		pass(900 * time.Millisecond)
+		for i := range uint64(served) {
+			for n, k := range left {
+				if uses(k, lowest+i, "v2") {
+					t.Errorf("daemon %d moves session %d, which daemon %d has just served", n, i, i%3)
+				}
+			}
+		}
+	})
+}
