Keys that are replaced one after the other are read again

The remaining files had the same time and were never read. Now the time of each file counts. Gateways make their keys at the start and are not concerned. Test: it looks at the keys after each file is replaced; with the old code it fails each time.

--- a/daemon/peer/keys.go
+++ b/daemon/peer/keys.go
@@ -34,13 +34,19 @@
 	Key         string
 	Authority   string
 
-	mu     sync.Mutex
-	read   time.Time
+	mu sync.Mutex
+	// read are the times of the files when they were last read.
+	read   fileTimes
 	pair   *tls.Certificate
 	pool   *x509.CertPool
 	broken error
 }
 
+// fileTimes are when the certificate, the key and the authority were written. All
+// of them count: files are replaced one after the other, and may have like times
+// when that is done.
+type fileTimes [3]time.Time
+
 // Load reads the files; call it once before use, to find faults early.
 func (k *Keys) Load() error {
 	_, _, err := k.current()
@@ -53,7 +59,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	changed := k.changed()
-	if k.pair != nil && !changed.After(k.read) {
+	if k.pair != nil && changed == k.read {
 		return k.pair, k.pool, nil
 	}
 	pair, pool, err := k.load()
@@ -67,15 +73,15 @@
 	return k.pair, k.pool, nil
 }
 
-// changed is when the newest of the files was written.
-func (k *Keys) changed() time.Time {
-	var newest time.Time
-	for _, name := range []string{k.Certificate, k.Key, k.Authority} {
-		if info, err := os.Stat(name); err == nil && info.ModTime().After(newest) {
-			newest = info.ModTime()
+// changed is when the files were written; a file that is not there has no time.
+func (k *Keys) changed() fileTimes {
+	var out fileTimes
+	for i, name := range []string{k.Certificate, k.Key, k.Authority} {
+		if info, err := os.Stat(name); err == nil {
+			out[i] = info.ModTime()
 		}
 	}
-	return newest
+	return out
 }
 
 func (k *Keys) load() (*tls.Certificate, *x509.CertPool, error) {
--- a/daemon/peer/transport_test.go
+++ b/daemon/peer/transport_test.go
@@ -116,12 +116,17 @@
 	}
 }
 
-// TestKeysAreReloaded replaces a daemon's keys and authority while it runs.
+// TestKeysAreReloaded replaces a daemon's keys and authority while it runs. It
+// looks at them after each file, as a connection may that comes in between: keys
+// that did not fit together were once kept for good.
 func TestKeysAreReloaded(t *testing.T) {
 	old, fresh := authority(t, "a"), authority(t, "a", "b")
 	a := newEnd(t, old, "a")
 	later := time.Now().Add(time.Hour)
 	for _, name := range []string{"a.pem", "a.key", keys.AuthorityFile} {
+		if err := a.Keys.(*peer.Keys).Load(); err != nil {
+			t.Fatal(err)
+		}
 		data, err := os.ReadFile(filepath.Join(fresh, name))
 		if err != nil {
 			t.Fatal(err)
