--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,7 +110,7 @@
 	default:
 		t.Skip("no seeds are asked for: make soak")
 	}
-	runAll(t, seeds)
+	runAll(t, seeds, *lengthFlag)
 }
 
 // TestSeedsThatFailed runs the seeds that ever failed, once fresh ones are asked
@@ -119,33 +119,38 @@
 	if *seedsFlag == 0 {
 		t.Skip("no seeds are asked for: make soak")
 	}
-	runAll(t, failedSeeds(t))
+	for seed, length := range failedSeeds(t) {
+		runAll(t, []uint64{seed}, length)
+	}
 }
 
-// failedSeeds reads the seeds of the list.
-func failedSeeds(t *testing.T) []uint64 {
+// failedSeeds reads the seeds of the list, each with the length of its run: the
+// plan is drawn for that.
+func failedSeeds(t *testing.T) map[uint64]time.Duration {
 	t.Helper()
 	file, err := os.Open("seeds.txt")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer file.Close()
-	var seeds []uint64
+	seeds := map[uint64]time.Duration{}
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+		if len(fields) < 2 || strings.HasPrefix(fields[0], "#") {
 			continue
 		}
 		seed, err := strconv.ParseUint(fields[0], 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
-		seeds = append(seeds, seed)
+		if seeds[seed], err = time.ParseDuration(fields[1]); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return seeds
 }
 
-func runAll(t *testing.T, seeds []uint64) {
+func runAll(t *testing.T, seeds []uint64, length time.Duration) {
 	t.Helper()
 	places := make(chan struct{}, *atOnceFlag)
 	var running sync.WaitGroup
@@ -153,7 +158,7 @@
 		places <- struct{}{}
 		running.Go(func() {
 			defer func() { <-places }()
-			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: *lengthFlag, Bounds: true})
+			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true})
 			if len(report.Findings) > 0 {
 				t.Errorf("make soak SEED=%d repeats this", seed)
 			}
