--- a/GNUmakefile
+++ b/GNUmakefile
@@ -21,7 +21,7 @@
 	GOBIN=$(TOOLS) GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 lint: $(LINT)
-	for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+	for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 fmt: $(LINT)
 	for m in $(MODULES); do (cd $$m && $(LINT) fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
