What stood twice stands once: the rest of a connection, tokens of parts, what the checks gather

Cause: backend and exchange each had the bound on a connection's rest for requests that may not be sent twice; two functions added up the tokens of a prompt's parts; both checks of the soak gathered runs by request. Behaviour and bounds are the same; no test changed.

--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -102,11 +101,6 @@
 	answer   *channel.Reply
 }
 
-// onceRest is how long a connection may have rested that carries a request that
-// may not be sent twice: on one that rests longer, the server's close is likelier
-// to be on its way, and whether the request ran would then not be known.
-const onceRest = 2 * time.Second
-
 // Send sends an exchange. When it fails, the attempt's outcome says whether
 // the request may have run.
 func (c *Client) Send(ctx context.Context, x Exchange) (*Reply, error) {
@@ -140,7 +134,7 @@
 	}
 	r := channel.Request{Gate: x.pass, Addr: x.Server.Addr, Host: x.Server.Addr, Method: x.Method, Target: x.Target, Header: h, Body: x.Body, Sized: x.Method == http.MethodPost || x.Method == http.MethodPut}
 	if x.Once {
-		r.RestAtMost = onceRest
+		r.RestAtMost = channel.OnceRest
 	}
 	return r
 }
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -46,6 +46,11 @@
 	surplusAnswers = 2
 )
 
+// OnceRest is how long a connection may have rested that carries a request that
+// may not be sent twice: on one that rests longer, the server's close is likelier
+// to be on its way, and whether the request ran would then not be known.
+const OnceRest = 2 * time.Second
+
 // Request is one request to a server.
 type Request struct {
 	Addr   string
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -152,16 +152,11 @@
 		Body: r.Body, Sized: r.Sized, Belongs: func(h http.Header) bool { return j.engine.Dialect.Belongs(r.ID, h) },
 	}
 	if !j.route.MayRepeat() {
-		x.RestAtMost = onceRest
+		x.RestAtMost = channel.OnceRest
 	}
 	return x
 }
 
-// onceRest is how long a connection may have rested that carries a request that
-// may not be repeated: on one that rests longer, the server's close is likelier
-// to be on its way, and whether the request ran would then not be known.
-const onceRest = 2 * time.Second
-
 // urgency is the rank of the request, from 0 to 9.
 func (j *job) urgency() int { return min(9, max(0, j.route.RankFor(j.holder))) }
 
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -95,23 +95,22 @@
 	return 1 + tokens/pieceTokens
 }
 
-// size is the length of the prompt in pieces.
-func (r *Request) size() float64 {
-	tokens := 0
-	for _, p := range r.Prompt {
-		tokens += p.Tokens
+// tokens is the length of some parts of a prompt.
+func tokens(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
 	}
-	return float64(tokens) / pieceTokens
+	return sum
 }
 
+// size is the length of the prompt in pieces.
+func (r *Request) size() float64 { return float64(tokens(r.Prompt)) / pieceTokens }
+
 // sharesLittle reports whether what other requests share of the prompt is read in
 // less than one step of a model server.
 func (r *Request) sharesLittle() bool {
-	tokens := 0
-	for _, p := range r.Prompt[:max(0, len(r.Prompt)-1)] {
-		tokens += p.Tokens
-	}
-	return tokens < pieceTokens
+	return tokens(r.Prompt[:max(0, len(r.Prompt)-1)]) < pieceTokens
 }
 
 // Attempt is one request to one server, for a dialect to put into headers.
--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -39,10 +39,7 @@
 
 // CheckBounds looks for broken promises that name a time.
 func CheckBounds(s Seen) []Finding {
-	c := &checker{seen: s, runs: map[string][]Ran{}, asks: map[string]Ask{}}
-	for _, r := range s.Runs {
-		c.runs[r.Run.ID] = append(c.runs[r.Run.ID], r)
-	}
+	c := newChecker(s)
 	for _, a := range s.Asks {
 		c.inForce(a)
 		c.leaving(a)
--- a/soak/check.go
+++ b/soak/check.go
@@ -11,13 +11,7 @@
 
 // Check looks for broken promises that hold at any time, whatever happens.
 func Check(s Seen) []Finding {
-	c := &checker{seen: s, runs: map[string][]Ran{}, asks: map[string]Ask{}}
-	for _, r := range s.Runs {
-		c.runs[r.Run.ID] = append(c.runs[r.Run.ID], r)
-	}
-	for _, a := range s.Asks {
-		c.asks[a.ID] = a
-	}
+	c := newChecker(s)
 	for _, r := range s.Runs {
 		c.run(r)
 	}
@@ -44,6 +38,17 @@
 	findings []Finding
 }
 
+func newChecker(s Seen) *checker {
+	c := &checker{seen: s, runs: map[string][]Ran{}, asks: map[string]Ask{}}
+	for _, r := range s.Runs {
+		c.runs[r.Run.ID] = append(c.runs[r.Run.ID], r)
+	}
+	for _, a := range s.Asks {
+		c.asks[a.ID] = a
+	}
+	return c
+}
+
 func (c *checker) found(rule, format string, args ...any) {
 	c.findings = append(c.findings, Finding{Rule: rule, Text: fmt.Sprintf(format, args...)})
 }
