--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -2,9 +2,10 @@
 // which requests go to the new version when, what the answers of all daemons
 // say about it, and when it is done or taken back.
 //
-// The share of the new version is a function of the order's age alone, and a
-// request falls to a version by the hash of its session: daemons agree without
-// a word, and a session moves to the new version at most once.
+// The share of the new version is a function of the order's age and of one
+// figure that is fixed at its start, and a request falls to a version by the hash
+// of its session: daemons agree without a word, and a session moves to the new
+// version at most once.
 package canary
 
 import (
@@ -47,47 +48,78 @@
 	SinceMS uint64
 	// Order is the number of the order that it belongs to.
 	Order uint64
+	// First is the share of the sessions that the new version has until it is
+	// opened to all.
+	First float64
 }
 
-// stage is a share of the requests from a part of the order's time on.
-type stage struct {
-	from  float64
-	share float64
+// Exposure bounds the requests that a version may get before it is known to be
+// good: a share of all requests of its service, and some more.
+type Exposure struct {
+	Share float64
+	// Slack is a number of requests.
+	Slack float64
 }
 
-// stages keep a small share until half of the time is over, since a bad
-// version must not see many requests and sessions may not move before that.
-// Then the share grows in steps that let a version that fails only under load
-// show it; the last step leaves time for what is under way on the old version.
-var stages = []stage{{0, 0.08}, {0.54, 0.2}, {0.62, 0.5}, {0.70, 1}}
-
-// Share is the part of the sessions that belongs to the new version.
-func Share(age, within time.Duration) float64 {
-	share := 0.0
-	for _, s := range stages {
-		if age >= time.Duration(s.from*float64(within)) {
-			share = s.share
-		}
+const (
+	// openFrom is the part of the order's time from which the new version has all
+	// sessions. A version may be bad in a way that shows only later, or under a
+	// load that does not come; whatever it is, what is open until the deadline
+	// must fit into the exposure. The rest of the time is for what is under way on
+	// the old version to end.
+	openFrom = 0.89
+	// exposureUsed is the part of the exposure that is planned for: the traffic
+	// may be larger when the version is open than it was before.
+	exposureUsed = 0.88
+	// leastFirst and mostFirst bound the first share.
+	leastFirst = 0.01
+	mostFirst  = 0.2
+	// unpausedFor is the part of the order's time in which sessions move only when
+	// they have paused.
+	unpausedFor = 0.54
+)
+
+// First is the share of the sessions that the new version gets until it is opened
+// to all, with the number of requests that are expected in the order's time; 0 is
+// unknown. It is what the exposure leaves: few requests are told from the usual
+// only by a larger share of them.
+func (e Exposure) First(requests float64) float64 {
+	share := e.Share
+	if requests > 0 {
+		share += e.Slack / requests
+	}
+	return min(mostFirst, max(leastFirst, (exposureUsed*share-(1-openFrom))/openFrom))
+}
+
+// share is the part of the sessions that belongs to the new version at an age.
+func share(first float64, age, within time.Duration) float64 {
+	switch {
+	case age < 0:
+		return 0
+	case age < part(openFrom, within):
+		return first
 	}
-	return share
+	return 1
 }
 
-// Candidate reports whether a session's hash falls to a new version from the
-// start of its roll-out.
-func Candidate(hash uint64) bool { return Chosen(hash, stages[0].share) }
+// part is a part of a time.
+func part(of float64, d time.Duration) time.Duration { return time.Duration(of * float64(d)) }
+
+// Candidate reports whether a session's hash may fall to a new version before it
+// is opened to all.
+func Candidate(hash uint64) bool { return Chosen(hash, mostFirst) }
 
 // Early reports whether sessions may not move yet: one that was served by the
 // old version a moment ago stays there until it has paused.
-func Early(age, within time.Duration) bool { return Share(age, within) <= stages[0].share }
+func Early(age, within time.Duration) bool { return age < part(unpausedFor, within) }
 
 // Late reports whether the order's time is so nearly over that a version that
 // has all requests is completed whatever is still under way on the old one.
-func Late(age, within time.Duration) bool {
-	return age >= time.Duration(lateFrom*float64(within))
-}
+func Late(age, within time.Duration) bool { return age >= within-writeTime }
 
-// lateFrom is the part of the order's time from which it is late.
-const lateFrom = 0.9
+// writeTime is the time that is left for a state to be written in time: readers of
+// the store take turns, and one or two may be gone.
+const writeTime = 900 * time.Millisecond
 
 // scale is the number of sessions' slots that shares are cut into.
 const scale = 1 << 16
@@ -104,8 +136,10 @@
 	State State
 	// Since is when the order was first seen by any daemon.
 	Since time.Time
-	// Started tells that all daemons agree on Since.
+	// Started tells that all daemons agree on Since and First.
 	Started bool
+	// First is the share until the version is opened to all.
+	First float64
 }
 
 // Share is the new version's part at a time.
@@ -116,7 +150,7 @@
 	case r.State == RolledBack || !r.Started:
 		return 0
 	}
-	return Share(now.Sub(r.Since), r.Order.Within)
+	return share(r.First, now.Sub(r.Since), r.Order.Within)
 }
 
 // UsesNew reports whether a request of that hash goes to the new version.
@@ -130,5 +164,5 @@
 	if r.UsesNew(hash, now) {
 		side = "new"
 	}
-	return fmt.Sprintf("%s of %s: %s, share %.2f", side, r.Order.Version, r.State, r.Share(now))
+	return fmt.Sprintf("%s of %s: %s, share %.3f", side, r.Order.Version, r.State, r.Share(now))
 }
--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -1,6 +1,7 @@
 package canary_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,27 +11,56 @@
 
 const within = 20 * time.Second
 
-func TestShareOnlyGrowsAndStaysSmallForTheFirstHalf(t *testing.T) {
-	last := 0.0
+// started is a roll-out with a first share.
+func started(first float64) canary.Rollout {
+	return canary.Rollout{Order: canary.Order{Version: "v2", Within: within}, Since: time.Unix(0, 0), Started: true, First: first}
+}
+
+func TestShareOnlyGrowsAndStaysSmallUntilTheEnd(t *testing.T) {
+	r, last := started(0.05), 0.0
 	for age := time.Duration(0); age < within; age += 100 * time.Millisecond {
-		share := canary.Share(age, within)
+		share := r.Share(r.Since.Add(age))
 		if share < last {
 			t.Fatalf("the share falls at %v", age)
 		}
-		if age <= within/2 && share > 0.1 {
+		if age <= within*4/5 && share > 0.05 {
 			t.Fatalf("the share is %v at %v", share, age)
 		}
 		last = share
 	}
-	if last != 1 || canary.Share(within*4/5, within) != 1 {
+	if last != 1 || r.Share(r.Since.Add(within*9/10)) != 1 {
 		t.Error("the version does not get all requests in time")
 	}
 }
 
+// Whatever a version does, the requests that it gets until the deadline stay
+// within what is allowed, also with somewhat more traffic at the end.
+func TestExposureIsNeverPassed(t *testing.T) {
+	const more = 1.1
+	for _, allowed := range []canary.Exposure{{Share: 0.15, Slack: 30}, {Share: 0.2}, {Share: 0.13, Slack: 100}} {
+		for _, requests := range []float64{0, 50, 400, 1000, 5000, 100000} {
+			r := started(allowed.First(requests))
+			got, all := 0.0, 0.0
+			const steps = 10000
+			for i := range steps {
+				at := within * time.Duration(i) / steps
+				n := max(requests, 1) / steps
+				if i > steps/2 {
+					n *= more
+				}
+				got, all = got+n*r.Share(r.Since.Add(at)), all+n
+			}
+			if got > allowed.Share*all+allowed.Slack {
+				t.Errorf("%+v, %v requests: the version gets %.0f of %.0f", allowed, requests, got, all)
+			}
+		}
+	}
+}
+
 func TestSessionsMoveOnceAndAlikeEverywhere(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	start := time.Unix(0, 0)
-	r := canary.Rollout{Order: canary.Order{Version: "v2", Within: within}, Since: start, Started: true}
+	r := started(0.1)
 	for range 200 {
 		hash, moved := rng.Uint64(), 0
 		last := r.UsesNew(hash, start)
@@ -51,12 +81,21 @@
 	if r.UsesNew(0, r.Since.Add(within)) {
 		t.Error("before all daemons agree on its start")
 	}
-	r.Started, r.State = true, canary.RolledBack
+	r.Started, r.First, r.State = true, 0.1, canary.RolledBack
 	if r.UsesNew(0, r.Since.Add(within)) {
 		t.Error("after its roll-back")
 	}
 }
 
+// judge judges the answers of a new version's servers, all alike, by those of the
+// old one.
+func judge(old, fresh canary.Counts) string {
+	return canary.Evidence{Old: old, New: map[string]canary.Counts{"": fresh}}.Judge().Why
+}
+
+// on is what was seen on a route.
+func on(route string, c canary.Count) canary.Counts { return canary.Counts{route: c} }
+
 // sample draws counts of answers of which a share is bad.
 func sample(rng *rand.Rand, answers uint64, share float64) canary.Count {
 	c := canary.Count{Answers: answers}
@@ -72,8 +111,7 @@
 	rng := rand.New(rand.NewPCG(3, 4))
 	for _, usual := range []float64{0, 0.01, 0.14} {
 		for range 500 {
-			p := canary.Pair{New: sample(rng, 120, usual), Old: sample(rng, 1200, usual)}
-			if why := canary.Judge(map[string]canary.Pair{"r": p}); why != "" {
+			if why := judge(on("r", sample(rng, 1200, usual)), on("r", sample(rng, 120, usual))); why != "" {
 				t.Fatalf("usual share %v: %s", usual, why)
 			}
 		}
@@ -85,8 +123,7 @@
 	for _, usual := range []float64{0, 0.01, 0.14} {
 		late := 0
 		for range 100 {
-			p := canary.Pair{New: sample(rng, 60, usual+0.35), Old: sample(rng, 600, usual)}
-			if canary.Judge(map[string]canary.Pair{"r": p}) == "" {
+			if judge(on("r", sample(rng, 600, usual)), on("r", sample(rng, 60, usual+0.35))) == "" {
 				late++
 			}
 		}
@@ -97,15 +134,81 @@
 }
 
 func TestVersionThatIsBadOnOneRouteIsFound(t *testing.T) {
-	routes := map[string]canary.Pair{
-		"bad":  {New: canary.Count{Answers: 30, Failed: 15}, Old: canary.Count{Answers: 300}},
-		"good": {New: canary.Count{Answers: 300}, Old: canary.Count{Answers: 3000}},
-	}
-	if canary.Judge(routes) == "" {
+	old := canary.Counts{"bad": {Answers: 300}, "good": {Answers: 3000}}
+	fresh := canary.Counts{"bad": {Answers: 30, Failed: 15}, "good": {Answers: 300}}
+	if judge(old, fresh) == "" {
 		t.Error("it was not found")
 	}
-	slow := map[string]canary.Pair{"r": {New: canary.Count{Answers: 30, Slow: 15}, Old: canary.Count{Answers: 300, Slow: 3}}}
-	if canary.Judge(slow) == "" {
-		t.Error("a slow one was not found")
+}
+
+// A single server that fails does not speak for its version: it is set aside, and
+// the version is bad if another one fails as well.
+func TestVersionIsNotCondemnedByOneServer(t *testing.T) {
+	bad := on("r", canary.Count{Answers: 40, Failed: 20})
+	e := canary.Evidence{Old: on("r", canary.Count{Answers: 600, Failed: 6}), New: map[string]canary.Counts{"a": bad, "b": on("r", canary.Count{Answers: 10})}}
+	v := e.Judge()
+	if v.Why != "" || len(v.Aside) != 1 || v.Aside[0] != "a" {
+		t.Errorf("one server: %+v", v)
+	}
+	e.New["b"] = on("r", canary.Count{Answers: 12, Failed: 5})
+	if e.Judge().Why == "" {
+		t.Error("two servers: the version is kept")
+	}
+}
+
+// spread draws counts of relative times that spread by a factor, of which a share
+// is slower by another.
+func spread(rng *rand.Rand, answers int, factor, share, slower float64) canary.Paces {
+	var p canary.Paces
+	for range answers {
+		relative := math.Exp(rng.NormFloat64() * math.Log(factor))
+		if rng.Float64() < share {
+			relative *= slower
+		}
+		p = p.With(relative)
+	}
+	return p
+}
+
+// paced judges relative times of first parts.
+func paced(fresh, old canary.Paces) string {
+	return judge(on("r", canary.Count{First: old}), on("r", canary.Count{First: fresh}))
+}
+
+func TestSlowVersionsAreFound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 8))
+	for _, c := range []struct{ share, slower float64 }{{0.3, 8}, {0.5, 5}, {1, 5}} {
+		for _, factor := range []float64{1.5, 2} {
+			late := 0
+			for range 200 {
+				if paced(spread(rng, 60, factor, c.share, c.slower), spread(rng, 500, factor, 0, 1)) == "" {
+					late++
+				}
+			}
+			if late > 20 {
+				t.Errorf("%v times for a share of %v, spread %v: %d of 200 were not found after 60 answers", c.slower, c.share, factor, late)
+			}
+		}
+	}
+}
+
+func TestVersionsThatAreALittleSlowerAreKept(t *testing.T) {
+	rng := rand.New(rand.NewPCG(9, 10))
+	for _, factor := range []float64{1.5, 2, 2.5} {
+		for range 500 {
+			if why := paced(spread(rng, 120, factor, 0.3, 1.5), spread(rng, 500, factor, 0, 1)); why != "" {
+				t.Fatalf("spread %v: %s", factor, why)
+			}
+		}
+	}
+}
+
+func TestAnswersNotAwaitedCountOnlyIfSlow(t *testing.T) {
+	var p canary.Paces
+	if p.WithAtLeast(2) != p || p.WithAtLeast(0) != p {
+		t.Error("one that was ended early counts")
+	}
+	if p.WithAtLeast(9) != p.With(9) {
+		t.Error("one that took several times the usual does not count")
 	}
 }
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"ladderridge.example/core/evidence"
 )
@@ -10,71 +11,152 @@
 type Count struct {
 	Answers uint64
 	Failed  uint64
-	// Slow answers took several times as long as the like of the other version.
-	Slow uint64
+	// First are the times to the first part of an answer, Between those between
+	// the events of a stream.
+	First   Paces
+	Between Paces
 }
 
 // Plus adds two counts.
 func (c Count) Plus(d Count) Count {
-	return Count{Answers: c.Answers + d.Answers, Failed: c.Failed + d.Failed, Slow: c.Slow + d.Slow}
+	return Count{Answers: c.Answers + d.Answers, Failed: c.Failed + d.Failed, First: c.First.Plus(d.First), Between: c.Between.Plus(d.Between)}
 }
 
-// Pair has the counts of the new and the old version on one route.
-type Pair struct {
-	New Count
-	Old Count
+// Counts are what has been seen of a version, by route.
+type Counts map[string]Count
+
+// Plus adds what else has been seen.
+func (c Counts) Plus(d Counts) Counts {
+	out := maps.Clone(c)
+	if out == nil {
+		out = Counts{}
+	}
+	for route, n := range d {
+		out[route] = out[route].Plus(n)
+	}
+	return out
+}
+
+// all is the sum over the routes.
+func (c Counts) all() Count {
+	var out Count
+	for _, n := range c {
+		out = out.Plus(n)
+	}
+	return out
+}
+
+// Evidence is what has been seen of both versions of a service.
+type Evidence struct {
+	Old Counts
+	// New has the counts of each server of the new version; "" has those of
+	// servers that are not told apart.
+	New map[string]Counts
 }
 
 // The bounds of the judgement.
 const (
-	// worse is how much larger than the old version's share of bad answers a
-	// bad version's is: versions that are bad fail a fifth of their requests or
-	// more, while the share of an old one is known to a few in a hundred.
+	// worse is how much larger than the old version's share of failures a bad
+	// version's is: versions that are bad fail a fifth of their requests or more,
+	// while the share of an old one is known to a few in a hundred.
 	worse = 0.15
-	// least is the smallest share of bad answers a good version is tested
-	// against: nothing fails never.
+	// least is the smallest share of failures a good version is tested against:
+	// nothing fails never.
 	least = 0.02
-	// threshold is the log likelihood ratio that condemns a version; a good one
+	// condemned is the log likelihood ratio that condemns a version; a good one
 	// comes to it once in more than e^9 (8,000) judgements.
-	threshold = 9
-	// prior is how many answers the old version's share is taken to rest on
-	// beside those seen, at the share `least`.
+	condemned = 9
+	// suspected is the ratio at which one server is set aside, so that another one
+	// confirms or clears the version.
+	suspected = 6
+	// confirmed is the least ratio without the worst server: one that is broken or
+	// slow itself does not speak for its version.
+	confirmed = 3
+	// prior is how many answers the old version's shares are taken to rest on
+	// beside those seen.
 	prior = 20
 )
 
-// Judge returns why a version is bad, or "". The routes are judged each for
-// itself and together: a version may be bad on a single one.
-func Judge(routes map[string]Pair) string {
-	var all Pair
-	for name, p := range routes {
-		if why := judge(p); why != "" {
-			return why + " on " + name
+// Verdict is what evidence says of a new version.
+type Verdict struct {
+	// Why says why the version is bad, or "".
+	Why string
+	// Aside are servers that look bad themselves: others speak for the version.
+	Aside []string
+}
+
+// Judge weighs the evidence. The routes are judged each for itself and together,
+// since a version may be bad on a single one.
+func (e Evidence) Judge() Verdict {
+	var v Verdict
+	worst, worstRatio := "", 0.0
+	all := Counts{}
+	for server, counts := range e.New {
+		all = all.Plus(counts)
+		if server == "" {
+			continue
+		}
+		ratio, _ := e.ratio(counts)
+		if ratio >= suspected {
+			v.Aside = append(v.Aside, server)
+		}
+		if ratio > worstRatio {
+			worst, worstRatio = server, ratio
 		}
-		all.New, all.Old = all.New.Plus(p.New), all.Old.Plus(p.Old)
 	}
-	return judge(all)
+	ratio, why := e.ratio(all)
+	if ratio < condemned || !e.confirmed(worst) {
+		return v
+	}
+	v.Why = why
+	return v
 }
 
-func judge(p Pair) string {
-	if why := test(p.New.Answers, p.New.Failed, p.Old.Answers, p.Old.Failed); why != "" {
-		return "failures: " + why
+// confirmed reports whether more than one server speaks against the version.
+func (e Evidence) confirmed(worst string) bool {
+	if worst == "" {
+		return true
 	}
-	if why := test(p.New.Answers, p.New.Slow, p.Old.Answers, p.Old.Slow); why != "" {
-		return "slow answers: " + why
+	rest := Counts{}
+	for server, counts := range e.New {
+		if server != worst {
+			rest = rest.Plus(counts)
+		}
 	}
-	return ""
+	ratio, _ := e.ratio(rest)
+	return ratio >= confirmed
 }
 
-// test weighs the new version's share of bad answers: is it the old one's, or
-// that much worse?
-func test(answers, bad, oldAnswers, oldBad uint64) string {
-	good := max(least, (float64(oldBad)+least*prior)/(float64(oldAnswers)+prior))
-	if good+worse >= 1 {
-		return ""
+// ratio is the largest log likelihood ratio of a bad version against a good one,
+// over the routes and the ways of being bad, and what it rests on.
+func (e Evidence) ratio(counts Counts) (most float64, why string) {
+	most, why = ratio(counts.all(), e.Old.all())
+	for route, n := range counts {
+		if r, w := ratio(n, e.Old[route]); r > most {
+			most, why = r, w+" on "+route
+		}
 	}
-	t := evidence.Test{Good: good, Bad: good + worse, Threshold: threshold}.WithCounts(answers, bad)
-	if !t.Alarmed() {
-		return ""
+	return most, why
+}
+
+func ratio(fresh, old Count) (most float64, why string) {
+	most, why = failureRatio(fresh, old), "failures"
+	if r := paceRatio(fresh.First, old.First); r > most {
+		most, why = r, "slow first parts"
+	}
+	if r := paceRatio(fresh.Between, old.Between); r > most {
+		most, why = r, "slow streams"
+	}
+	return most, fmt.Sprintf("%s: of %d answers %d failed and %d and %d were several times slower than usual; of the old version's %d, %d and %d and %d",
+		why, fresh.Answers, fresh.Failed, fresh.First.slow(), fresh.Between.slow(), old.Answers, old.Failed, old.First.slow(), old.Between.slow())
+}
+
+// failureRatio weighs the new version's share of failures: is it the old one's,
+// or that much worse?
+func failureRatio(fresh, old Count) float64 {
+	good := max(least, (float64(old.Failed)+least*prior)/(float64(old.Answers)+prior))
+	if good+worse >= 1 {
+		return 0
 	}
-	return fmt.Sprintf("%d of %d answers bad, %d of %d of the old version", bad, answers, oldBad, oldAnswers)
+	return evidence.Test{Good: good, Bad: good + worse}.WithCounts(fresh.Answers, fresh.Failed).Sum
 }
--- /dev/null
+++ b/core/canary/paces.go
@@ -0,0 +1,134 @@
+package canary
+
+import "math"
+
+// PaceBins is how many bins Paces has.
+const PaceBins = 11
+
+// Paces counts answers by how long they took in terms of what the settled
+// version takes for the like. Each bin is half as wide again as the one before
+// it; the first and the last are open.
+type Paces [PaceBins]uint64
+
+const (
+	// binFactor is the width of a bin, as a factor.
+	binFactor = 1.5
+	// usualBin is the bin that begins at 1.
+	usualBin = 4
+	// slowBin is the first bin of answers that are several times slower than
+	// usual, 3.4 times here.
+	slowBin = usualBin + 3
+)
+
+// bin is the bin of a relative time.
+func bin(relative float64) int {
+	at := usualBin + int(math.Floor(math.Log(relative)/math.Log(binFactor)))
+	return min(PaceBins-1, max(0, at))
+}
+
+// With returns the counts with an answer that took a relative time; 0 is not
+// known and counts nothing.
+func (p Paces) With(relative float64) Paces {
+	if relative > 0 {
+		p[bin(relative)]++
+	}
+	return p
+}
+
+// WithAtLeast returns the counts with an answer that was not awaited longer than
+// a relative time. It says something only if that was slow already.
+func (p Paces) WithAtLeast(relative float64) Paces {
+	if relative <= 0 || bin(relative) < slowBin {
+		return p
+	}
+	return p.With(relative)
+}
+
+// Plus adds two counts.
+func (p Paces) Plus(q Paces) Paces {
+	for i := range p {
+		p[i] += q[i]
+	}
+	return p
+}
+
+// total is the number of answers.
+func (p Paces) total() uint64 {
+	sum := uint64(0)
+	for _, n := range p {
+		sum += n
+	}
+	return sum
+}
+
+// slow is the number of answers that took several times the usual.
+func (p Paces) slow() uint64 {
+	sum := uint64(0)
+	for _, n := range p[slowBin:] {
+		sum += n
+	}
+	return sum
+}
+
+// usualShares is the share of answers in each bin that is expected before any
+// were seen: times are spread evenly by factors, by about two up and down.
+var usualShares = [PaceBins]float64{0.02, 0.05, 0.11, 0.2, 0.24, 0.18, 0.1, 0.05, 0.025, 0.015, 0.01}
+
+// shares is the expected share of answers in each bin.
+func (p Paces) shares() [PaceBins]float64 {
+	var out [PaceBins]float64
+	n := float64(p.total()) + prior
+	for i := range p {
+		out[i] = (float64(p[i]) + prior*usualShares[i]) / n
+	}
+	return out
+}
+
+// slowness is a way in which answers may be slower: a share of them, by a number
+// of bins.
+type slowness struct {
+	share float64
+	bins  int
+}
+
+var (
+	// fair are the ways of a good version: its servers have read little yet, and
+	// all of its answers may take up to 2.3 times the usual.
+	fair = []slowness{{0, 0}, {0.4, 1}, {1, 1}, {1, 2}}
+	// foul are those of a bad one, of which some answers take several times the
+	// usual, 3.4 or 7.6 times here. Which and how much is not known beforehand.
+	foul = []slowness{{0.2, 3}, {0.4, 3}, {0.8, 3}, {0.2, 5}, {0.4, 5}, {0.8, 5}}
+)
+
+// slower returns the shares of the bins if answers are slower.
+func slower(usual [PaceBins]float64, by slowness) [PaceBins]float64 {
+	var out [PaceBins]float64
+	for i, q := range usual {
+		out[i] += (1 - by.share) * q
+		out[min(PaceBins-1, i+by.bins)] += by.share * q
+	}
+	return out
+}
+
+// likeliest is the log likelihood of the counts under the likeliest of some ways.
+func (p Paces) likeliest(usual [PaceBins]float64, ways []slowness) float64 {
+	most := math.Inf(-1)
+	for _, way := range ways {
+		shares, sum := slower(usual, way), 0.0
+		for i, n := range p {
+			if n > 0 {
+				sum += float64(n) * math.Log(shares[i])
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// paceRatio is the log likelihood ratio of a new version that is several times
+// slower against one that is as the old one or a little slower. The old one's own
+// spread of times tells how likely either is.
+func paceRatio(fresh, old Paces) float64 {
+	usual := old.shares()
+	return fresh.likeliest(usual, foul) - fresh.likeliest(usual, fair)
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -58,6 +58,9 @@
 	Service string
 	// Allowed reports whether a version may be used; nil allows all.
 	Allowed func(version string) bool
+	// Part is the part of the allowed servers that is used, the same ones by all
+	// daemons; 0 is all.
+	Part float64
 	// Affinity is a hash of what the request shares with earlier ones, such as
 	// a session's prompt; 0 is nothing.
 	Affinity uint64
@@ -68,6 +71,8 @@
 	Near bool
 	// Avoid are servers that the request has been to.
 	Avoid []string
+	// Aside are servers that go last, as those do that have just failed.
+	Aside []string
 	// Silent are halls of which a server has timed out for the request: others
 	// go first.
 	Silent []string
@@ -95,7 +100,7 @@
 		if !s.Usable() || slices.Contains(w.Avoid, s.ID) || (w.Allowed != nil && !w.Allowed(s.Version)) {
 			continue
 		}
-		if s.Load.Resting(now) || slices.Contains(w.Silent, s.Hall) {
+		if s.Load.Resting(now) || slices.Contains(w.Silent, s.Hall) || slices.Contains(w.Aside, s.ID) {
 			last = append(last, s)
 			continue
 		}
@@ -107,11 +112,23 @@
 	if len(fit) == 0 {
 		return nil, false
 	}
-	s := pick(fit, w)
+	s := pick(few(fit, w.Part), w)
 	s.Load.hall.taken(now)
 	return s, true
 }
 
+// few returns a part of the servers by a draw that all daemons make alike. It is
+// rounded down: each of them has the load that it would have with all requests.
+func few(fit []*Server, part float64) []*Server {
+	n := max(1, int(part*float64(len(fit))))
+	if part <= 0 || n >= len(fit) {
+		return fit
+	}
+	fit = slices.Clone(fit)
+	slices.SortFunc(fit, func(a, b *Server) int { return cmp.Compare(score(a, 0), score(b, 0)) })
+	return fit[:n]
+}
+
 // pick returns the preferred server if it is not much busier than the mean, and
 // else the one with the least work.
 func pick(fit []*Server, w Want) *Server {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -258,3 +258,33 @@
 		t.Error("its end does not count")
 	}
 }
+
+// A part of the servers is the same one for all prompts, and goes round those
+// that rest.
+func TestPartOfTheServersIsTheSameForAll(t *testing.T) {
+	used := func(servers []*fleet.Server, part float64) map[string]bool {
+		out := map[string]bool{}
+		for i := range uint64(200) {
+			out[choose(t, servers, fleet.Want{Affinity: i + 1, Part: part}).ID] = true
+		}
+		return out
+	}
+	servers := pool(12)
+	small, larger := used(servers, 0.08), used(servers, 0.5)
+	if len(small) != 1 || len(larger) != 6 {
+		t.Fatalf("%d and %d servers were used", len(small), len(larger))
+	}
+	for id := range small {
+		if !larger[id] {
+			t.Errorf("%s is not among the larger part", id)
+		}
+	}
+	for _, s := range servers {
+		if small[s.ID] {
+			s.Load.Unreachable(now)
+		}
+	}
+	if rest := used(servers, 0.08); len(rest) != 1 {
+		t.Errorf("%d servers were used while one rests", len(rest))
+	}
+}
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -3,11 +3,16 @@
 import (
 	"sync"
 	"time"
+
+	"ladderridge.example/core/prompts"
 )
 
 // Load is what this daemon's requests have seen of a server. It is safe for
 // concurrent use.
 type Load struct {
+	// Prompts is what the server has probably read.
+	Prompts *prompts.Memory
+
 	mu       sync.Mutex
 	inFlight int
 	// work is the sum of the weights of the requests under way.
@@ -44,7 +49,7 @@
 
 // NewLoad returns the load of a server that has served nothing yet. All servers
 // of a data hall share one Hall.
-func NewLoad(hall *Hall) *Load { return &Load{slowness: 1, hall: hall} }
+func NewLoad(hall *Hall) *Load { return &Load{Prompts: prompts.NewMemory(), slowness: 1, hall: hall} }
 
 // InFlight is the number of this daemon's requests under way there.
 func (l *Load) InFlight() int {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -3,7 +3,11 @@
 // daemon has seen of a version that is being rolled out.
 package relay
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"ladderridge.example/core/canary"
+)
 
 // Topic names a set of rows of the store.
 type Topic string
@@ -103,9 +107,13 @@
 	Service string
 	Version string
 	Route   string
+	// Server is set for a version in roll-out while few of its servers are used.
+	Server  string
 	Answers uint64
 	Failed  uint64
-	Slow    uint64
+	// First and Between count by relative times, as canary.Paces does.
+	First   canary.Paces
+	Between canary.Paces
 }
 
 // Evidence is all that a daemon, or a whole data hall, has seen of roll-outs. It
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -44,6 +44,11 @@
 	// relative is how long the first part took in terms of the usual, 0 if that
 	// is not known.
 	relative float64
+	// reads is how much of the prompt the server probably has to read, in pieces.
+	reads float64
+	// first is how long the first part took in terms of what the settled version
+	// takes for the like, 0 if that is not known.
+	first float64
 }
 
 // choose finds a server for the next attempt: one that has not failed the
@@ -71,11 +76,11 @@
 		j.report.Rollout = r.Describe(j.request.session(), now)
 	}
 	first, second := j.view.Versions(j.service, j.request.session(), now)
-	want.Allowed = first
+	want.Allowed, want.Part, want.Aside = first.Allows, first.Part, first.Aside
 	if s, ok := j.view.Servers.Choose(want, now); ok {
 		return s, true
 	}
-	want.Allowed = second
+	want.Allowed, want.Part, want.Aside = second.Allows, second.Part, second.Aside
 	return j.view.Servers.Choose(want, now)
 }
 
@@ -121,6 +126,8 @@
 	if j.route.Sticky {
 		j.engine.Knowledge.Ran(j.service, j.request.session(), s.Version)
 	}
+	a.reads = float64(s.Load.Prompts.Missing(a.model, j.request.Prompt, a.sent)) / pieceTokens
+	s.Load.Prompts.Read(a.model, j.request.Prompt, a.sent)
 	s.Load.Begin(j.request.weight())
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
 	if timer.stop() {
@@ -132,6 +139,9 @@
 	}
 	j.judge(a)
 	if a.verdict != answered {
+		if timer.stop() || ctx.Err() != nil {
+			j.observeEnded(a)
+		}
 		j.finish(a)
 	}
 	return a
@@ -222,10 +232,21 @@
 // observe tells what an answer says about the version that gave it. A broken
 // connection says something about a machine or the way to it, not about what
 // runs there, and is not told.
-func (j *job) observe(a *attempt, failed, slow bool) {
-	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Failed: failed, Slow: slow})
+func (j *job) observe(a *attempt, failed bool, between float64) {
+	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID, Failed: failed, First: a.first, Between: between})
+}
+
+// observeEnded tells of an answer that was not awaited longer: the slowest ones
+// would not count otherwise.
+func (j *job) observeEnded(a *attempt) {
+	least := j.engine.paces.of(a.settled()).Relative(a.reads, time.Since(a.sent))
+	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID, First: least, Ended: true})
 }
 
+// settled is the kind that times of the versions are kept by that are not in
+// roll-out.
+func (a *attempt) settled() string { return a.kind + "/settled" }
+
 // finish ends an attempt: the server has its place back.
 func (j *job) finish(a *attempt) {
 	if a.ended {
--- a/daemon/exchange/budget.go
+++ b/daemon/exchange/budget.go
@@ -86,6 +86,25 @@
 	b.window(service).slot(b.number(now)).requests++
 }
 
+// Rate is how many requests for a service came a second, within the window; 0 is
+// unknown.
+func (b *Budget) Rate(service string, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	n, requests := b.number(now), 0
+	for _, s := range w.slots {
+		if n-s.number < budgetSlots-2 {
+			requests += s.requests
+		}
+	}
+	since := min(b.Window, now.Sub(b.first))
+	if since <= 0 {
+		return 0
+	}
+	return float64(requests) / since.Seconds()
+}
+
 // Spend takes a repeat from the budget if it has one left.
 func (b *Budget) Spend(service string, daemons int, now time.Time) bool {
 	b.mu.Lock()
--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,8 +14,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/prompts"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/exchange"
+	"ladderridge.example/daemon/knowledge"
 )
 
 // parts is a configuration with one route of each kind.
@@ -390,9 +393,9 @@
 	})
 }
 
-// A stream whose first event takes long, as on a server that the prompt is new
-// to, does not speak against a version; one whose events come slowly does.
-func TestSlownessIsToldByTheTimeBetweenEvents(t *testing.T) {
+// What an answer says of its version: how long its first event took and how long
+// its events, each in terms of the usual.
+func TestSlownessIsToldOfFirstPartsAndOfEvents(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		b := newBench(t)
 		first, between := 10*time.Millisecond, 5*time.Millisecond
@@ -400,26 +403,82 @@
 			time.Sleep(first)
 			return paced(6, between)(c, a)
 		}))
-		ask := func() bool {
+		ask := func() knowledge.Fact {
 			b.ask(t.Context(), exchange.Request{ID: "r", Path: "/slow/x", Key: "k", Wait: 9 * time.Second})
-			return b.known.facts[len(b.known.facts)-1].Slow
+			return b.known.facts[len(b.known.facts)-1]
 		}
 		for range 20 {
-			if ask() {
-				t.Fatal("a usual answer counts as slow")
+			if f := ask(); f.First > 2 || f.Between > 2 {
+				t.Fatalf("a usual answer counts as slow: %+v", f)
 			}
 		}
 		first = 150 * time.Millisecond
-		if ask() {
-			t.Error("a late first event counts as slow")
+		if f := ask(); f.First < 4 || f.Between > 2 {
+			t.Errorf("a late first event counts as %+v", f)
 		}
 		first, between = 10*time.Millisecond, 40*time.Millisecond
-		if !ask() {
-			t.Error("slow events do not count as slow")
+		if f := ask(); f.First > 2 || f.Between < 4 {
+			t.Errorf("slow events count as %+v", f)
 		}
 	})
 }
 
+// A prompt that the server has to read takes longer than one that it has read,
+// which does not speak against its version.
+func TestPromptThatIsNewToTheServerMayTakeLonger(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		read := map[string]bool{}
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", func(c net.Conn, a arrival) bool {
+			time.Sleep(10 * time.Millisecond)
+			if prompt := a.header.Get("Id"); !read[prompt] {
+				read[prompt] = true
+				time.Sleep(100 * time.Millisecond)
+			}
+			return paced(6, 5*time.Millisecond)(c, a)
+		}))
+		ask := func(prompt string) knowledge.Fact {
+			long := []prompts.Part{{ID: prompt, Tokens: 20000}}
+			b.ask(t.Context(), exchange.Request{ID: prompt, Path: "/slow/x", Key: "k", Wait: 9 * time.Second, Prompt: long})
+			return b.known.facts[len(b.known.facts)-1]
+		}
+		for i := range 60 {
+			ask(fmt.Sprint("p", i/4))
+		}
+		if f := ask("new"); f.First > 2 {
+			t.Errorf("a prompt that is new counts as %+v", f)
+		}
+		if f := ask("new"); f.First > 2 {
+			t.Errorf("one that is read counts as %+v", f)
+		}
+	})
+}
+
+// An answer that is not awaited to its deadline says that it is slow.
+func TestAnswerThatDoesNotComeCountsAsSlow(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		first := 10 * time.Millisecond
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", func(c net.Conn, a arrival) bool {
+			time.Sleep(first)
+			return paced(6, time.Millisecond)(c, a)
+		}))
+		ask := func() knowledge.Fact {
+			b.ask(t.Context(), exchange.Request{ID: "r", Path: "/slow/x", Key: "k", Wait: time.Second})
+			return b.known.facts[len(b.known.facts)-1]
+		}
+		for range 20 {
+			ask()
+		}
+		first = 3 * time.Second
+		if f := ask(); !f.Ended || f.First < 8 {
+			t.Errorf("it counts as %+v", f)
+		}
+		// The server ends as well.
+		time.Sleep(first)
+	})
+}
+
 // Broken connections do not speak against the version that runs at their other
 // end: a good one was once taken back since servers of it had crashed.
 func TestBrokenConnectionsDoNotSpeakAgainstAVersion(t *testing.T) {
--- a/daemon/exchange/pace.go
+++ b/daemon/exchange/pace.go
@@ -7,11 +7,6 @@
 	"ladderridge.example/core/pace"
 )
 
-// slowFactor is how many times the usual an answer takes to count as slow: bad
-// versions take several times as long, while answers of a good one that queue for
-// a moment take two or three times.
-const slowFactor = 4
-
 // paces are what the first parts of answers take, by their kind. They are safe
 // for concurrent use.
 type paces struct {
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -12,14 +12,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/prompts"
 )
 
-// Part is a part of a prompt, which other requests may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Request is a caller's request as a door has read it. It is never changed.
 type Request struct {
 	// ID is the caller's own name for this attempt of its.
@@ -45,7 +40,7 @@
 	// Session is the caller's name for what belongs together, or "".
 	Session string
 	// Prompt has the parts in order; the last one is the request's own.
-	Prompt []Part
+	Prompt []prompts.Part
 	// After is the last event of a stream that the caller has, or -1.
 	After int64
 }
@@ -95,22 +90,13 @@
 	return 1 + tokens/pieceTokens
 }
 
-// tokens is the length of some parts of a prompt.
-func tokens(parts []Part) int {
-	sum := 0
-	for _, p := range parts {
-		sum += p.Tokens
-	}
-	return sum
-}
-
 // size is the length of the prompt in pieces.
-func (r *Request) size() float64 { return float64(tokens(r.Prompt)) / pieceTokens }
+func (r *Request) size() float64 { return float64(prompts.Tokens(r.Prompt)) / pieceTokens }
 
 // sharesLittle reports whether what other requests share of the prompt is read in
 // less than one step of a model server.
 func (r *Request) sharesLittle() bool {
-	return tokens(r.Prompt[:max(0, len(r.Prompt)-1)]) < pieceTokens
+	return prompts.Tokens(r.Prompt[:max(0, len(r.Prompt)-1)]) < pieceTokens
 }
 
 // Attempt is one request to one server, for a dialect to put into headers.
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -16,8 +16,8 @@
 	defer j.finish(a)
 	if next, up := j.mayEscalate(ctx, a); up {
 		j.note(a, fmt.Sprintf("dropped: confidence %d", a.head.Confidence))
-		j.observe(a, false, false)
 		j.learn(a, time.Since(a.sent))
+		j.observe(a, false, 0)
 		if a.relative >= busyFactor {
 			j.failed = append(j.failed, a.server.ID)
 		}
@@ -37,13 +37,16 @@
 	err := j.passEvents(ctx, a, &t)
 	switch {
 	case err == nil:
-		j.observe(a, false, t.slow(j, a))
+		j.observe(a, false, t.between(j, a))
 		j.note(a, "whole")
 		return Answered{Status: a.reply.Status}, ""
 	case errors.Is(err, errCallerGone):
 		j.note(a, "caller gone")
 		return Gone{}, ""
 	}
+	if t.events == 0 && (errors.Is(err, errSilent) || ctx.Err() != nil) {
+		j.observeEnded(a)
+	}
 	return j.brokeOff(a, err)
 }
 
@@ -163,17 +166,11 @@
 	t.events++
 }
 
-// slow reports whether a whole stream was several times slower than usual. The
-// first event says little: it takes long where the prompt is new to the server,
-// as all prompts are to the servers of a new version. So the time between
-// events counts, and the first one only in short streams, by the objective.
-func (t *tempo) slow(j *job, a *attempt) bool {
+// between is how long the time between the events of a whole stream was in terms
+// of what the settled version takes, 0 if that is not known.
+func (t *tempo) between(j *job, a *attempt) float64 {
 	if t.events < tempoEvents {
-		return a.relative >= slowFactor && t.first.Sub(a.sent) > j.route.Objective/2
+		return 0
 	}
-	between := t.last.Sub(t.first) / time.Duration(t.events-1)
-	kind := a.kind + "/tempo"
-	relative := j.engine.paces.of(kind).Relative(0, between)
-	j.engine.paces.learn(kind, 0, between, t.last)
-	return relative >= slowFactor
+	return j.compare(a, a.settled()+"/between", 0, t.last.Sub(t.first)/time.Duration(t.events-1))
 }
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -35,7 +35,7 @@
 	if w.status >= http.StatusInternalServerError {
 		a.server.Load.Failed()
 		j.failed = append(j.failed, a.server.ID)
-		j.observe(a, true, false)
+		j.observe(a, true, 0)
 		j.note(a, fmt.Sprintf("status %d", w.status))
 		j.kept = w
 		if ctx.Err() != nil {
@@ -44,7 +44,7 @@
 		return nil, Failed
 	}
 	j.wentWell(a, took)
-	j.observe(a, false, a.relative >= slowFactor)
+	j.observe(a, false, 0)
 	j.note(a, fmt.Sprintf("status %d", w.status))
 	return j.sendWhole(w), ""
 }
@@ -71,6 +71,17 @@
 	a.relative = j.engine.paces.of(a.kind).Relative(j.request.size(), took)
 	a.server.Load.Answered(a.relative)
 	j.engine.paces.learn(a.kind, j.request.size(), took, time.Now())
+	a.first = j.compare(a, a.settled(), a.reads, took)
+}
+
+// compare returns how long something took in terms of what the settled version
+// takes, 0 if that is not known, and learns from what that version took.
+func (j *job) compare(a *attempt, kind string, size float64, took time.Duration) float64 {
+	relative := j.engine.paces.of(kind).Relative(size, took)
+	if !j.view.InRollout(j.service, a.server.Version) {
+		j.engine.paces.learn(kind, size, took, time.Now())
+	}
+	return relative
 }
 
 // sendWhole sends a whole answer to the caller.
@@ -95,6 +106,6 @@
 		return Broken{Reason: Failed}, ""
 	}
 	j.wentWell(a, time.Since(a.sent))
-	j.observe(a, false, a.relative >= slowFactor)
+	j.observe(a, false, 0)
 	return Answered{Status: a.reply.Status}, ""
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
+	"ladderridge.example/core/canary"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/exchange"
 	"ladderridge.example/daemon/knowledge"
@@ -121,6 +122,8 @@
 	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
 	g.engine.Hall, g.engine.Observer = s.Hall, g.reporter.report
 	g.engine.Budget = &exchange.Budget{}
+	g.keeper.Exposure = canary.Exposure{Share: s.ExposureShare, Slack: s.ExposureSlack}
+	g.keeper.Rate = func(service string) float64 { return g.engine.Budget.Rate(service, time.Now()) }
 	g.apply(s)
 	g.registry = g.metrics()
 	g.callers = newServer(s.Callers, g.Platform.Door(Port{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing}))
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -124,15 +124,12 @@
 func (k *Keeper) drive(ctx context.Context, service string, r canary.Rollout, own map[string]int, now time.Time) {
 	version := r.Order.Version
 	if !r.Started {
-		k.writeInTurn(ctx, service, canary.Progress{State: canary.Running, Version: version, SinceMS: k.storeSince(service, now), Order: r.Order.Number}, k.rollouts.seenAt[service], now)
+		p := canary.Progress{State: canary.Running, Version: version, SinceMS: k.storeSince(service, now), Order: r.Order.Number, First: k.firstShare(r.Order)}
+		k.writeInTurn(ctx, service, p, k.rollouts.seenAt[service], now)
 		return
 	}
-	if why := canary.Judge(k.rollouts.pairs(service)); why != "" && k.rollouts.withdraw(service, version) {
-		k.Log.Warn().Str("service", service).Str("version", version).Str("why", why).Dur("age", now.Sub(r.Since)).Msg("rollout: the version is bad: it gets nothing more")
-		k.tellEvidence(own, now)
-		k.tellWithdrawn(now)
-	}
-	next := canary.Progress{Version: version, SinceMS: k.storeSince(service, now), Order: r.Order.Number}
+	k.judge(service, r, own, now)
+	next := canary.Progress{Version: version, SinceMS: k.storeSince(service, now), Order: r.Order.Number, First: r.First}
 	switch {
 	case k.rollouts.withdrawn[versionName(service, version)]:
 		next.State = canary.RolledBack
@@ -149,12 +146,42 @@
 	k.writeInTurn(ctx, service, next, k.rollouts.seenAt[service+next.State.String()], now)
 }
 
+// firstShare is the share of the sessions that a new version begins with, by how
+// many requests are expected in the order's time.
+func (k *Keeper) firstShare(o canary.Order) float64 {
+	requests := 0.0
+	if k.Rate != nil {
+		requests = k.Rate(o.Service) * float64(k.view.Load().Daemons) * o.Within.Seconds()
+	}
+	return k.Exposure.First(requests)
+}
+
+// judge weighs what all daemons have seen of a version.
+func (k *Keeper) judge(service string, r canary.Rollout, own map[string]int, now time.Time) {
+	version := r.Order.Version
+	verdict := k.rollouts.evidence(service).Judge()
+	for _, id := range verdict.Aside {
+		if !slices.Contains(k.rollouts.aside[service], id) {
+			k.rollouts.aside[service] = append(slices.Clone(k.rollouts.aside[service]), id)
+			k.Log.Warn().Str("service", service).Str("version", version).Str("server", id).Dur("age", now.Sub(r.Since)).Msg("rollout: a server of the version looks bad: others are asked")
+		}
+	}
+	if verdict.Why == "" || !k.rollouts.withdraw(service, version) {
+		return
+	}
+	k.Log.Warn().Str("service", service).Str("version", version).Str("why", verdict.Why).Dur("age", now.Sub(r.Since)).Msg("rollout: the version is bad: it gets nothing more")
+	k.tellEvidence(own, now)
+	k.tellWithdrawn(now)
+}
+
 // proven reports whether enough was seen of a version since this process knows
 // the order: with all daemons started anew nobody remembers what was before.
 func (k *Keeper) proven(service string, now time.Time) bool {
 	seen := uint64(0)
-	for _, p := range k.rollouts.pairs(service) {
-		seen += p.New.Answers
+	for _, counts := range k.rollouts.evidence(service).New {
+		for _, n := range counts {
+			seen += n.Answers
+		}
 	}
 	return seen >= provenAnswers || now.Sub(k.rollouts.seenAt[service]) >= provenAfter
 }
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"ladderridge.example/core/canary"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/relay"
 )
@@ -52,7 +54,12 @@
 	// SessionPause is how long a session rests before it may move to a version in
 	// roll-out; 0 is five seconds.
 	SessionPause time.Duration
-	Log          log.Logger
+	// Exposure bounds what a new version may get before it is known to be good.
+	Exposure canary.Exposure
+	// Rate is how many requests for a service this daemon gets a second; nil is
+	// unknown.
+	Rate func(service string) float64
+	Log  log.Logger
 
 	// Lost and Regained count the times that the store stopped and began
 	// again to answer.
@@ -204,7 +211,7 @@
 	case heard:
 		k.heard(e, time.Now())
 	case observed:
-		k.rollouts.observe(e.fact)
+		k.rollouts.observe(e.fact, time.Now())
 	case wrote:
 		k.wrote(e)
 	}
@@ -318,7 +325,7 @@
 	v.ConfigAt = k.topics[relay.Operator].confirmed
 	v.ServersAt = k.topics[relay.Servers].confirmed
 	v.Daemons = max(1, len(*k.members.Load()))
-	v.rollouts, v.withdrawn, v.firstSeen = k.rollouts.snapshot(), k.rollouts.withdrawnCopy(), k.firstSeen
+	v.rollouts, v.withdrawn, v.aside, v.firstSeen = k.rollouts.snapshot(), k.rollouts.withdrawnCopy(), maps.Clone(k.rollouts.aside), k.firstSeen
 	k.view.Store(&v)
 }
 
--- a/daemon/knowledge/rollout_test.go
+++ b/daemon/knowledge/rollout_test.go
@@ -39,7 +39,7 @@
 // uses reports whether a session's first choice is a version.
 func uses(k *knowledge.Keeper, hash uint64, version string) bool {
 	first, _ := k.View().Versions("s", hash, time.Now())
-	return first(version)
+	return first.Allows(version)
 }
 
 const (
@@ -309,9 +309,9 @@
 func TestSessionsStayWhenOneOrderFollowsAnother(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		s, keepers := rollout(t, 3, 20)
-		pass(12 * time.Second)
+		pass(16500 * time.Millisecond)
 		keepers[1].Ran("s", lowest, "v2")
-		pass(1800 * time.Millisecond)
+		pass(2000 * time.Millisecond)
 		if p := s.progress(); p.State != canary.Completed {
 			t.Fatalf("the first order is %v", p)
 		}
--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -14,8 +14,17 @@
 	Service string
 	Version string
 	Route   string
-	Failed  bool
-	Slow    bool
+	// Server gave the answer.
+	Server string
+	Failed bool
+	// First is how long the first part of the answer took in terms of what the
+	// settled version takes for the like, Between that for the events of a
+	// stream; 0 is not known.
+	First   float64
+	Between float64
+	// Ended tells that the answer was not awaited: First is the least that it
+	// would have taken.
+	Ended bool
 }
 
 // rollouts are the orders that a daemon knows, and what is seen of them. All
@@ -33,8 +42,10 @@
 	told      map[source]relay.Evidence
 	toldAt    map[source]time.Time
 	withdrawn map[string]bool
-	sequence  uint64
-	sentAt    time.Time
+	// aside are the servers that look bad, by service.
+	aside    map[string][]string
+	sequence uint64
+	sentAt   time.Time
 	// busy are services whose state is being written, by when that began.
 	busy map[string]time.Time
 	// clockMS is the store's clock at clockAt.
@@ -54,13 +65,15 @@
 	service string
 	version string
 	route   string
+	// server is set for a version in roll-out while few of its servers are used.
+	server string
 }
 
 func newRollouts() *rollouts {
 	return &rollouts{
 		byService: map[string]canary.Rollout{}, rows: map[string]uint64{}, own: map[countKey]canary.Count{},
 		told: map[source]relay.Evidence{}, toldAt: map[source]time.Time{}, withdrawn: map[string]bool{},
-		busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
+		aside: map[string][]string{}, busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
 	}
 }
 
@@ -83,6 +96,7 @@
 	}
 	r.byService[o.Service] = canary.Rollout{Order: o, Since: now}
 	r.seenAt[o.Service] = now
+	delete(r.aside, o.Service)
 	for _, state := range []canary.State{canary.Completed, canary.RolledBack} {
 		// What was due of an earlier order is not due of this one.
 		delete(r.seenAt, o.Service+state.String())
@@ -106,7 +120,7 @@
 		return false
 	}
 	r.rows[service] = row
-	was.Started = true
+	was.Started, was.First = true, p.First
 	was.State = max(was.State, p.State)
 	was.Since = now.Add(-time.Duration(int64(r.storeClock(now))-int64(p.SinceMS)) * time.Millisecond)
 	r.byService[service] = was
@@ -139,19 +153,26 @@
 func (r *rollouts) withdrawnCopy() map[string]bool { return maps.Clone(r.withdrawn) }
 
 // observe counts an answer.
-func (r *rollouts) observe(f Fact) {
-	if o, ok := r.byService[f.Service]; !ok || o.State != canary.Running {
+func (r *rollouts) observe(f Fact, now time.Time) {
+	o, ok := r.byService[f.Service]
+	if !ok || o.State != canary.Running {
 		return
 	}
 	key := countKey{service: f.Service, version: f.Version, route: f.Route}
+	if f.Version == o.Order.Version && o.Share(now) < 1 {
+		key.server = f.Server
+	}
 	c := r.own[key]
+	if f.Ended {
+		c.First = c.First.WithAtLeast(f.First)
+		r.own[key] = c
+		return
+	}
 	c.Answers++
 	if f.Failed {
 		c.Failed++
 	}
-	if f.Slow {
-		c.Slow++
-	}
+	c.First, c.Between = c.First.With(f.First), c.Between.With(f.Between)
 	r.own[key] = c
 }
 
@@ -213,32 +234,33 @@
 
 func addCounts(to map[countKey]canary.Count, counts []relay.Count) {
 	for _, c := range counts {
-		key := countKey{service: c.Service, version: c.Version, route: c.Route}
-		to[key] = to[key].Plus(canary.Count{Answers: c.Answers, Failed: c.Failed, Slow: c.Slow})
+		key := countKey{service: c.Service, version: c.Version, route: c.Route, server: c.Server}
+		to[key] = to[key].Plus(canary.Count{Answers: c.Answers, Failed: c.Failed, First: c.First, Between: c.Between})
 	}
 }
 
-// pairs adds up what all daemons have seen of a service's versions, by route.
-func (r *rollouts) pairs(service string) map[string]canary.Pair {
+// evidence adds up what all daemons have seen of a service's versions.
+func (r *rollouts) evidence(service string) canary.Evidence {
 	all := r.totals()
 	for src, m := range r.told {
 		if src.hall != "" {
 			addCounts(all, m.Counts)
 		}
 	}
-	out := map[string]canary.Pair{}
+	out := canary.Evidence{Old: canary.Counts{}, New: map[string]canary.Counts{}}
 	version := r.byService[service].Order.Version
 	for key, c := range all {
 		if key.service != service {
 			continue
 		}
-		p := out[key.route]
-		if key.version == version {
-			p.New = p.New.Plus(c)
-		} else {
-			p.Old = p.Old.Plus(c)
+		if key.version != version {
+			out.Old[key.route] = out.Old[key.route].Plus(c)
+			continue
+		}
+		if out.New[key.server] == nil {
+			out.New[key.server] = canary.Counts{}
 		}
-		out[key.route] = p
+		out.New[key.server][key.route] = out.New[key.server][key.route].Plus(c)
 	}
 	return out
 }
@@ -248,7 +270,7 @@
 	r.sequence++
 	m := relay.Evidence{Hall: hall, Start: start, Sequence: r.sequence, OldInFlight: old, Withdrawn: r.withdrawnNames()}
 	for key, c := range counts {
-		m.Counts = append(m.Counts, relay.Count{Service: key.service, Version: key.version, Route: key.route, Answers: c.Answers, Failed: c.Failed, Slow: c.Slow})
+		m.Counts = append(m.Counts, relay.Count{Service: key.service, Version: key.version, Route: key.route, Server: key.server, Answers: c.Answers, Failed: c.Failed, First: c.First, Between: c.Between})
 	}
 	return m
 }
--- a/daemon/knowledge/view.go
+++ b/daemon/knowledge/view.go
@@ -23,6 +23,8 @@
 
 	rollouts  map[string]canary.Rollout
 	withdrawn map[string]bool
+	// aside are servers of versions in roll-out that look bad, by service.
+	aside map[string][]string
 	// firstSeen is when a version of a service was first listed.
 	firstSeen map[string]time.Time
 	sessions  *sessions
@@ -40,6 +42,13 @@
 	return r, ok
 }
 
+// InRollout reports whether a version is being brought in, and so is not what
+// others are compared with.
+func (v *View) InRollout(service, version string) bool {
+	r, ok := v.rollouts[service]
+	return ok && r.State != canary.Completed && version == r.Order.Version
+}
+
 // versionName names a version of a service.
 func versionName(service, version string) string { return service + "@" + version }
 
@@ -47,21 +56,34 @@
 // servers may be listed a moment before the order arrives.
 const newcomerWait = 1500 * time.Millisecond
 
-// Versions decides which versions of a service a session may use, by its hash.
-// The second one applies if no server of the first is there.
-func (v *View) Versions(service string, hash uint64, now time.Time) (first, second func(version string) bool) {
+// Use is what a session may use of a service.
+type Use struct {
+	// Allows reports whether a version may be used.
+	Allows func(version string) bool
+	// Part is the part of its servers that is used; 0 is all.
+	Part float64
+	// Aside are servers that go last.
+	Aside []string
+}
+
+// Versions decides what a session may use of a service, by its hash. The second
+// one applies if no server of the first is there. A new version in roll-out is
+// used on a part of its servers that is like its part of the sessions: each
+// carries what it would after the roll-out, and what it has read is used again.
+func (v *View) Versions(service string, hash uint64, now time.Time) (first, second Use) {
 	r, ordered := v.rollouts[service]
 	if !ordered {
-		return func(version string) bool { return v.settled(service, version, now) }, func(string) bool { return true }
+		return Use{Allows: func(version string) bool { return v.settled(service, version, now) }}, Use{Allows: func(string) bool { return true }}
 	}
-	isNew := func(version string) bool { return version == r.Order.Version }
-	isOld := func(version string) bool { return version != r.Order.Version }
+	isNew := Use{Allows: func(version string) bool { return version == r.Order.Version }}
+	isOld := Use{Allows: func(version string) bool { return version != r.Order.Version }}
 	switch {
 	case r.State == canary.RolledBack || v.withdrawn[versionName(service, r.Order.Version)]:
 		return isOld, isOld
 	case r.State == canary.Completed:
 		return isNew, isOld
 	case r.UsesNew(hash, now) && !v.stays(r, hash, now):
+		isNew.Part, isNew.Aside = r.Share(now), v.aside[service]
 		return isNew, isOld
 	case r.Share(now) > 0:
 		return isOld, isNew
--- a/daemon/peer/codec_test.go
+++ b/daemon/peer/codec_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"ladderridge.example/core/bill"
+	"ladderridge.example/core/canary"
 	"ladderridge.example/core/member"
 	"ladderridge.example/core/node"
 	"ladderridge.example/core/relay"
@@ -38,7 +39,7 @@
 	relay.Tell{Nonce: 7, Known: []relay.Known{{Topic: relay.Servers, Version: 4, AgeMS: 5, Sum: 1, Base: 2, Rows: []relay.Row{{Key: "k", Data: []byte("row"), Version: 4}}, Removed: []string{"gone"}}}},
 	// Long enough to be compressed.
 	relay.Tell{Known: []relay.Known{{Topic: relay.Operator, Whole: true, Rows: []relay.Row{{Key: "k", Data: bytes.Repeat([]byte("row "), 1000)}}}}},
-	relay.Evidence{Hall: "h", Start: 1, Sequence: 2, Counts: []relay.Count{{Service: "s", Version: "v", Route: "r", Answers: 3, Failed: 2, Slow: 1}}, OldInFlight: map[string]int{"s": 4}, Withdrawn: []string{"s@v"}},
+	relay.Evidence{Hall: "h", Start: 1, Sequence: 2, Counts: []relay.Count{{Service: "s", Version: "v", Route: "r", Answers: 3, Failed: 2, First: canary.Paces{1, 2}, Between: canary.Paces{10: 1}}}, OldInFlight: map[string]int{"s": 4}, Withdrawn: []string{"s@v"}},
 }
 
 func TestMessagesReadBackAsThemselves(t *testing.T) {
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -45,6 +45,11 @@
 	RepeatSlack  float64
 	RepeatWindow time.Duration
 
+	// ExposureShare and ExposureSlack bound the requests that a new version may
+	// get before it is known to be good: a share of its service's, and some more.
+	ExposureShare float64
+	ExposureSlack float64
+
 	// Grace is how long a stopping daemon has until it is killed.
 	Grace time.Duration
 
@@ -81,6 +86,8 @@
 	{"repeats", "ratio", "0.5", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatRatio, v) }},
 	{"repeats", "slack", "20", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatSlack, v) }},
 	{"repeats", "window", "10s", false, func(s *Gateway, v string) error { return setDuration(&s.RepeatWindow, v, true) }},
+	{"rollouts", "exposure_share", "0.15", false, func(s *Gateway, v string) error { return setRatio(&s.ExposureShare, v) }},
+	{"rollouts", "exposure_slack", "30", false, func(s *Gateway, v string) error { return setRatio(&s.ExposureSlack, v) }},
 	{"stop", "grace", "8s", false, func(s *Gateway, v string) error { return setDuration(&s.Grace, v, true) }},
 	{"vm", "processor", "1", false, func(s *Gateway, v string) error { return setRatio(&s.Processor, v) }},
 	{"vm", "link", "1000", false, func(s *Gateway, v string) error { return setRatio(&s.Link, v) }},
@@ -116,6 +123,8 @@
 	InForceWithin time.Duration
 	SessionPause  time.Duration
 	Capacity      int
+	ExposureShare float64
+	ExposureSlack float64
 }
 
 // Places returns what a running process cannot change about itself.
@@ -123,6 +132,7 @@
 	return Place{
 		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, PeersReachedAt: s.PeersReachedAt, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
 		InForceWithin: s.InForceWithin, SessionPause: s.SessionPause, Capacity: s.Capacity(),
+		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack,
 	}
 }
 
