Times are compared at the server's own load

What settled versions take is now fitted by what the server has to read and by how many requests it says that it has (pace.Reference), by model whatever the route, and what failures, first parts and events say is added up. A version may be half as slow again, not twice, before it looks bad.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -139,16 +139,13 @@
 	return most, why
 }
 
-func ratio(fresh, old Count) (most float64, why string) {
-	most, why = failureRatio(fresh, old), "failures"
-	if r := paceRatio(fresh.First, old.First); r > most {
-		most, why = r, "slow first parts"
-	}
-	if r := paceRatio(fresh.Between, old.Between); r > most {
-		most, why = r, "slow streams"
-	}
-	return most, fmt.Sprintf("%s: of %d answers %d failed and %d and %d were several times slower than usual; of the old version's %d, %d and %d and %d",
-		why, fresh.Answers, fresh.Failed, fresh.First.slow(), fresh.Between.slow(), old.Answers, old.Failed, old.First.slow(), old.Between.slow())
+// ratio adds up what failures, first parts and events say: a version that is bad in
+// one way is often bad in others.
+func ratio(fresh, old Count) (sum float64, why string) {
+	failures, first, between := failureRatio(fresh, old), paceRatio(fresh.First, old.First), paceRatio(fresh.Between, old.Between)
+	why = fmt.Sprintf("failures %.1f, slow first parts %.1f, slow streams %.1f: of %d answers %d failed, %d and %d were several times slower than usual; of the old version's %d it were %d, %d and %d",
+		failures, first, between, fresh.Answers, fresh.Failed, fresh.First.slow(), fresh.Between.slow(), old.Answers, old.Failed, old.First.slow(), old.Between.slow())
+	return failures + first + between, why
 }
 
 // failureRatio weighs the new version's share of failures: is it the old one's,
--- a/core/canary/paces.go
+++ b/core/canary/paces.go
@@ -92,9 +92,10 @@
 }
 
 var (
-	// fair are the ways of a good version: its servers have read little yet, and
-	// all of its answers may take up to 2.3 times the usual.
-	fair = []slowness{{0, 0}, {0.4, 1}, {1, 1}, {1, 2}}
+	// fair are the ways of a good version: its servers may be a little slower than
+	// what they are compared with says. One answer in twenty need not be, so that
+	// no answer is impossible.
+	fair = []slowness{{0, 0}, {0.4, 1}, {0.95, 1}}
 	// foul are those of a bad one, of which some answers take several times the
 	// usual, 3.4 or 7.6 times here. Which and how much is not known beforehand.
 	foul = []slowness{{0.2, 3}, {0.4, 3}, {0.8, 3}, {0.2, 5}, {0.4, 5}, {0.8, 5}}
@@ -130,5 +131,5 @@
 // spread of times tells how likely either is.
 func paceRatio(fresh, old Paces) float64 {
 	usual := old.shares()
-	return fresh.likeliest(usual, foul) - fresh.likeliest(usual, fair)
+	return max(0, fresh.likeliest(usual, foul)-fresh.likeliest(usual, fair))
 }
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -26,6 +26,8 @@
 	// slowness is the recent time of answers relative to what other servers
 	// took for the like, 1 when alike.
 	slowness float64
+	// reported is how many requests the server had when it last said so.
+	reported int
 	hall     *Hall
 }
 
@@ -81,6 +83,21 @@
 	l.work = max(0, l.work-weight)
 }
 
+// Report notes how many requests the server says that it has.
+func (l *Load) Report(requests int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reported = requests
+}
+
+// Reported is how many requests the server had, of all daemons, when it last said
+// so; 0 if it never did.
+func (l *Load) Reported() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reported
+}
+
 // Slowness is how much longer than others the server takes, failures included.
 func (l *Load) Slowness() float64 {
 	l.mu.Lock()
--- /dev/null
+++ b/core/pace/reference.go
@@ -0,0 +1,105 @@
+package pace
+
+import (
+	"math"
+	"time"
+)
+
+// Features are what is known of a request beforehand, and of its server, that
+// its time depends on.
+type Features struct {
+	// Reads is how much of the prompt the server has to read, in any unit that is
+	// kept to.
+	Reads float64
+	// Load is how many requests the server has; 0 is unknown.
+	Load float64
+}
+
+// terms is how many figures an expected time is made of: one of its own and one
+// for each feature.
+const terms = 3
+
+// vector has the features as they enter: a factor more of each makes the time a
+// factor longer.
+func (f Features) vector() [terms]float64 {
+	return [terms]float64{1, math.Log1p(f.Reads), math.Log1p(f.Load)}
+}
+
+const (
+	// referenceWeight is how much an answer's weight falls with each one that comes
+	// after it: some hundred answers count.
+	referenceWeight = 0.99
+	// referenceKnown is how much weight of answers makes a reference known.
+	referenceKnown = 8
+	// ridge is how many answers it takes for a feature to be believed to matter.
+	ridge = 1
+	// shortest is the shortest time that counts: below it clocks and scheduling
+	// matter more than the work.
+	shortest = time.Millisecond
+)
+
+// Reference is what answers take by their features (least squares of the
+// logarithm of times, with older answers weighing less). Others are compared with
+// it. The zero value knows nothing. It is a value.
+type Reference struct {
+	weight float64
+	// products are the sums of products of the features, times those of the
+	// features with the logarithm of the time.
+	products [terms][terms]float64
+	times    [terms]float64
+}
+
+// With returns the reference with another answer.
+func (r Reference) With(f Features, took time.Duration) Reference {
+	x, y := f.vector(), logTime(took)
+	r.weight = r.weight*referenceWeight + 1
+	for i := range terms {
+		for k := range terms {
+			r.products[i][k] = r.products[i][k]*referenceWeight + x[i]*x[k]
+		}
+		r.times[i] = r.times[i]*referenceWeight + x[i]*y
+	}
+	return r
+}
+
+func logTime(took time.Duration) float64 { return math.Log(max(took, shortest).Seconds()) }
+
+// Relative is how long an answer took in terms of what the like takes, or 0 if
+// that is not known yet.
+func (r Reference) Relative(f Features, took time.Duration) float64 {
+	if r.weight < referenceKnown {
+		return 0
+	}
+	expected, factors := 0.0, r.factors()
+	for i, x := range f.vector() {
+		expected += factors[i] * x
+	}
+	return math.Exp(logTime(took) - expected)
+}
+
+// factors solves the normal equations by elimination. The diagonal is never zero
+// thanks to the ridge.
+func (r Reference) factors() [terms]float64 {
+	a, b := r.products, r.times
+	for i := 1; i < terms; i++ {
+		a[i][i] += ridge
+	}
+	for i := range terms {
+		for row := i + 1; row < terms; row++ {
+			by := a[row][i] / a[i][i]
+			for k := i; k < terms; k++ {
+				a[row][k] -= by * a[i][k]
+			}
+			b[row] -= by * b[i]
+		}
+	}
+	var out [terms]float64
+	for i := terms - 1; i >= 0; i-- {
+		sum := b[i]
+		for k := i + 1; k < terms; k++ {
+			sum -= a[i][k] * out[k]
+		}
+		out[i] = sum / a[i][i]
+	}
+	return out
+}
--- /dev/null
+++ b/core/pace/reference_test.go
@@ -0,0 +1,60 @@
+package pace_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ladderridge.example/core/pace"
+)
+
+// took is what a server takes: longer by what it reads and by its load.
+func took(f pace.Features) time.Duration {
+	return time.Duration(float64(20*time.Millisecond) * (1 + f.Reads) * (1 + f.Load))
+}
+
+func TestReferenceTellsSlownessFromLoadAndWork(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var r pace.Reference
+	if r.Relative(pace.Features{}, time.Second) != 0 {
+		t.Error("without answers something is known")
+	}
+	for range 300 {
+		f := pace.Features{Reads: 8 * rng.Float64(), Load: float64(2 + rng.IntN(16))}
+		r = r.With(f, time.Duration(float64(took(f))*math.Exp(0.3*rng.NormFloat64())))
+	}
+	for _, f := range []pace.Features{{Reads: 0, Load: 1}, {Reads: 8, Load: 1}, {Reads: 0, Load: 16}, {Reads: 4, Load: 8}} {
+		if relative := r.Relative(f, took(f)); relative < 0.6 || relative > 1.6 {
+			t.Errorf("%+v: a usual time counts as %v", f, relative)
+		}
+		if relative := r.Relative(f, 8*took(f)); relative < 5 || relative > 13 {
+			t.Errorf("%+v: eight times the usual counts as %v", f, relative)
+		}
+	}
+}
+
+// Features that never differ, as where servers do not tell their load, do no harm.
+func TestReferenceWithoutFeatures(t *testing.T) {
+	var r pace.Reference
+	for range 20 {
+		r = r.With(pace.Features{}, 50*time.Millisecond)
+	}
+	if relative := r.Relative(pace.Features{}, 100*time.Millisecond); relative < 1.9 || relative > 2.1 {
+		t.Errorf("twice the usual counts as %v", relative)
+	}
+}
+
+// The latest answers count: a service that has become slower is the usual.
+func TestReferenceFollows(t *testing.T) {
+	var r pace.Reference
+	for range 200 {
+		r = r.With(pace.Features{}, 50*time.Millisecond)
+	}
+	for range 300 {
+		r = r.With(pace.Features{}, 200*time.Millisecond)
+	}
+	if relative := r.Relative(pace.Features{}, 200*time.Millisecond); relative > 1.1 {
+		t.Errorf("the usual counts as %v", relative)
+	}
+}
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -10,6 +10,7 @@
 	attempts "ladderridge.example/core/attempt"
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/pace"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/knowledge"
 )
@@ -189,6 +190,9 @@
 	}
 	a.verdict = answered
 	j.made = j.made.With(attempts.Unknown)
+	if a.head.Loaded {
+		a.server.Load.Report(a.head.Load)
+	}
 }
 
 func (j *job) judgeError(a *attempt, now time.Time) {
@@ -239,13 +243,34 @@
 // observeEnded tells of an answer that was not awaited longer: the slowest ones
 // would not count otherwise.
 func (j *job) observeEnded(a *attempt) {
-	least := j.engine.paces.of(a.settled()).Relative(a.reads, time.Since(a.sent))
+	least := j.engine.settled.relative(j.like(a), a.features(), time.Since(a.sent))
 	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID, First: least, Ended: true})
 }
 
-// settled is the kind that times of the versions are kept by that are not in
-// roll-out.
-func (a *attempt) settled() string { return a.kind + "/settled" }
+// like names what times of an attempt are compared with: those of the same model,
+// whatever the route, or else of the same route.
+func (j *job) like(a *attempt) string {
+	if a.model != "" {
+		return j.service + "/" + a.model
+	}
+	return j.route.Name
+}
+
+// features are what an attempt's time depends on.
+func (a *attempt) features() pace.Features {
+	return pace.Features{Reads: a.reads, Load: float64(a.server.Load.Reported())}
+}
+
+// compare returns how long something took in terms of what the settled version
+// takes, 0 if that is not known, and learns from what that version took.
+func (j *job) compare(a *attempt, kind string, took time.Duration) float64 {
+	f := a.features()
+	relative := j.engine.settled.relative(kind, f, took)
+	if !j.view.InRollout(j.service, a.server.Version) {
+		j.engine.settled.learn(kind, f, took)
+	}
+	return relative
+}
 
 // finish ends an attempt: the server has its place back.
 func (j *job) finish(a *attempt) {
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -39,6 +39,8 @@
 	// keyAge is how old the configuration may be for a key to pass.
 	keyAge atomic.Int64
 	paces  *paces
+	// settled are what answers of versions take that are not in roll-out.
+	settled *references
 }
 
 // SetKeyAge sets how old the configuration may be for a key to pass; until it is
@@ -46,7 +48,7 @@
 func (e *Engine) SetKeyAge(d time.Duration) { e.keyAge.Store(int64(d)) }
 
 // New returns an engine that has served nothing yet.
-func New() *Engine { return &Engine{paces: newPaces()} }
+func New() *Engine { return &Engine{paces: newPaces(), settled: newReferences()} }
 
 // Report is what became of a request and why, for logs and metrics.
 type Report struct {
--- a/daemon/exchange/pace.go
+++ b/daemon/exchange/pace.go
@@ -29,3 +29,27 @@
 	defer p.mu.Unlock()
 	p.kinds[kind] = p.kinds[kind].With(size, took, now)
 }
+
+// references are what answers of settled versions take, by what is asked. They are
+// safe for concurrent use.
+type references struct {
+	mu    sync.Mutex
+	kinds map[string]pace.Reference
+}
+
+func newReferences() *references { return &references{kinds: map[string]pace.Reference{}} }
+
+// relative is how long something took in terms of what the settled version takes
+// for the like, 0 if that is not known.
+func (r *references) relative(kind string, f pace.Features, took time.Duration) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kinds[kind].Relative(f, took)
+}
+
+// learn takes how long something took of a settled version.
+func (r *references) learn(kind string, f pace.Features, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kinds[kind] = r.kinds[kind].With(f, took)
+}
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -125,6 +125,10 @@
 	// Confident is set.
 	Confidence int
 	Confident  bool
+	// Load is how many requests the server has, running and waiting, if Loaded is
+	// set.
+	Load   int
+	Loaded bool
 }
 
 // Dialect turns attempts into headers, and heads of answers into what they say.
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -172,5 +172,5 @@
 	if t.events < tempoEvents {
 		return 0
 	}
-	return j.compare(a, a.settled()+"/between", 0, t.last.Sub(t.first)/time.Duration(t.events-1))
+	return j.compare(a, j.like(a)+"/between", t.last.Sub(t.first)/time.Duration(t.events-1))
 }
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -71,17 +71,7 @@
 	a.relative = j.engine.paces.of(a.kind).Relative(j.request.size(), took)
 	a.server.Load.Answered(a.relative)
 	j.engine.paces.learn(a.kind, j.request.size(), took, time.Now())
-	a.first = j.compare(a, a.settled(), a.reads, took)
-}
-
-// compare returns how long something took in terms of what the settled version
-// takes, 0 if that is not known, and learns from what that version took.
-func (j *job) compare(a *attempt, kind string, size float64, took time.Duration) float64 {
-	relative := j.engine.paces.of(kind).Relative(size, took)
-	if !j.view.InRollout(j.service, a.server.Version) {
-		j.engine.paces.learn(kind, size, took, time.Now())
-	}
-	return relative
+	a.first = j.compare(a, j.like(a), took)
 }
 
 // sendWhole sends a whole answer to the caller.
