What a settled version reads is known without asking who sent it

Now a settled version is taken to read what a request shares with no other, and one in roll-out what was not sent there. Where servers do not tell their load, the daemon's own requests there stand for it.

--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -11,6 +11,7 @@
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/pace"
+	"ladderridge.example/core/prompts"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/knowledge"
 )
@@ -127,7 +128,7 @@
 	if j.route.Sticky {
 		j.engine.Knowledge.Ran(j.service, j.request.session(), s.Version)
 	}
-	a.reads = float64(s.Load.Prompts.Missing(a.model, j.request.Prompt, a.sent)) / pieceTokens
+	a.reads = j.reads(a)
 	s.Load.Prompts.Read(a.model, j.request.Prompt, a.sent)
 	s.Load.Begin(j.request.weight())
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
@@ -256,9 +257,26 @@
 	return j.route.Name
 }
 
-// features are what an attempt's time depends on.
+// features are what an attempt's time depends on: of a server that does not tell
+// its load, this daemon's own requests there stand for it.
 func (a *attempt) features() pace.Features {
-	return pace.Features{Reads: a.reads, Load: float64(a.server.Load.Reported())}
+	load := a.server.Load.Reported()
+	if load == 0 {
+		load = a.server.Load.InFlight()
+	}
+	return pace.Features{Reads: a.reads, Load: float64(load)}
+}
+
+// reads is how much of the prompt a server probably has to read, in pieces: of a
+// version in roll-out what was not sent there from here, and of others what the
+// request shares with no other. Those have seen the like for long, from all
+// daemons.
+func (j *job) reads(a *attempt) float64 {
+	parts := j.request.Prompt
+	if j.view.InRollout(j.service, a.server.Version) {
+		return float64(a.server.Load.Prompts.Missing(a.model, parts, a.sent)) / pieceTokens
+	}
+	return float64(prompts.Tokens(parts[len(j.request.shared()):])) / pieceTokens
 }
 
 // compare returns how long something took in terms of what the settled version
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -93,10 +93,14 @@
 // size is the length of the prompt in pieces.
 func (r *Request) size() float64 { return float64(prompts.Tokens(r.Prompt)) / pieceTokens }
 
+// shared are the parts of the prompt that other requests may share: all but the
+// last one.
+func (r *Request) shared() []prompts.Part { return r.Prompt[:max(0, len(r.Prompt)-1)] }
+
 // sharesLittle reports whether what other requests share of the prompt is read in
 // less than one step of a model server.
 func (r *Request) sharesLittle() bool {
-	return prompts.Tokens(r.Prompt[:max(0, len(r.Prompt)-1)]) < pieceTokens
+	return prompts.Tokens(r.shared()) < pieceTokens
 }
 
 // Attempt is one request to one server, for a dialect to put into headers.
