--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -67,10 +67,11 @@
 	// load that does not come; whatever it is, what is open until the deadline
 	// must fit into the exposure. The rest of the time is for what is under way on
 	// the old version to end.
-	openFrom = 0.89
-	// exposureUsed is the part of the exposure that is planned for: the traffic
-	// may be larger when the version is open than it was before.
-	exposureUsed = 0.88
+	openFrom = 0.9
+	// exposureUsed is the part of the exposure that is planned for: the traffic may
+	// be larger when the version is open than it was before, and few requests fall
+	// unevenly.
+	exposureUsed = 0.82
 	// leastFirst and mostFirst bound the first share.
 	leastFirst = 0.01
 	mostFirst  = 0.2
