--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -93,8 +93,8 @@
 	return canary.Evidence{Old: old, New: map[string]canary.Counts{"": fresh}}.Judge().Why
 }
 
-// on is what was seen on a route.
-func on(route string, c canary.Count) canary.Counts { return canary.Counts{route: c} }
+// one is what was seen if there is one route.
+func one(c canary.Count) canary.Counts { return canary.Counts{"r": c} }
 
 // sample draws counts of answers of which a share is bad.
 func sample(rng *rand.Rand, answers uint64, share float64) canary.Count {
@@ -111,7 +111,7 @@
 	rng := rand.New(rand.NewPCG(3, 4))
 	for _, usual := range []float64{0, 0.01, 0.14} {
 		for range 500 {
-			if why := judge(on("r", sample(rng, 1200, usual)), on("r", sample(rng, 120, usual))); why != "" {
+			if why := judge(one(sample(rng, 1200, usual)), one(sample(rng, 120, usual))); why != "" {
 				t.Fatalf("usual share %v: %s", usual, why)
 			}
 		}
@@ -123,7 +123,7 @@
 	for _, usual := range []float64{0, 0.01, 0.14} {
 		late := 0
 		for range 100 {
-			if judge(on("r", sample(rng, 600, usual)), on("r", sample(rng, 60, usual+0.35))) == "" {
+			if judge(one(sample(rng, 600, usual)), one(sample(rng, 60, usual+0.35))) == "" {
 				late++
 			}
 		}
@@ -144,13 +144,13 @@
 // A single server that fails does not speak for its version: it is set aside, and
 // the version is bad if another one fails as well.
 func TestVersionIsNotCondemnedByOneServer(t *testing.T) {
-	bad := on("r", canary.Count{Answers: 40, Failed: 20})
-	e := canary.Evidence{Old: on("r", canary.Count{Answers: 600, Failed: 6}), New: map[string]canary.Counts{"a": bad, "b": on("r", canary.Count{Answers: 10})}}
+	bad := one(canary.Count{Answers: 40, Failed: 20})
+	e := canary.Evidence{Old: one(canary.Count{Answers: 600, Failed: 6}), New: map[string]canary.Counts{"a": bad, "b": one(canary.Count{Answers: 10})}}
 	v := e.Judge()
 	if v.Why != "" || len(v.Aside) != 1 || v.Aside[0] != "a" {
 		t.Errorf("one server: %+v", v)
 	}
-	e.New["b"] = on("r", canary.Count{Answers: 12, Failed: 5})
+	e.New["b"] = one(canary.Count{Answers: 12, Failed: 5})
 	if e.Judge().Why == "" {
 		t.Error("two servers: the version is kept")
 	}
@@ -172,7 +172,7 @@
 
 // paced judges relative times of first parts.
 func paced(fresh, old canary.Paces) string {
-	return judge(on("r", canary.Count{First: old}), on("r", canary.Count{First: fresh}))
+	return judge(one(canary.Count{First: old}), one(canary.Count{First: fresh}))
 }
 
 func TestSlowVersionsAreFound(t *testing.T) {
