--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -114,23 +114,57 @@
 	if len(fit) == 0 {
 		return nil, false
 	}
-	s := pick(few(fit, w.Part), w, now)
+	s := pick(l.few(fit, w), w, now)
 	s.Load.hall.taken(now)
 	return s, true
 }
 
 // few returns a part of the servers by a draw that all daemons make alike. It is
-// rounded down: each of them has the load that it would have with all requests.
-func few(fit []*Server, part float64) []*Server {
-	n := max(1, int(part*float64(len(fit))))
-	if part <= 0 || n >= len(fit) {
+// rounded down, so that each of them has the load that it would have with all
+// requests; more are used only while all of these have more to do than others.
+func (l *List) few(fit []*Server, w Want) []*Server {
+	n := max(1, int(w.Part*float64(len(fit))))
+	if w.Part <= 0 || n >= len(fit) {
 		return fit
 	}
 	fit = slices.Clone(fit)
 	slices.SortFunc(fit, func(a, b *Server) int { return cmp.Compare(score(a, 0), score(b, 0)) })
+	most := l.mostOfFew(w)
+	for n < len(fit) && leastRequests(fit[:n]) > most {
+		n++
+	}
 	return fit[:n]
 }
 
+const (
+	// fewFactor and fewExtra are how many requests a server that is one of few may
+	// have: so many times those of a server of another version, and some more.
+	fewFactor = 1.5
+	fewExtra  = 2
+)
+
+// mostOfFew is how many requests a server may have that is one of few. Sessions that
+// are busier than others, all on one server, once made a good version look slow: on
+// days with a burst and a busy organisation it was taken back in two of six plays.
+func (l *List) mostOfFew(w Want) float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range l.byService[w.Service] {
+		if s.Usable() && w.Allowed != nil && !w.Allowed(s.Version) {
+			sum, n = sum+float64(s.Load.Requests()), n+1
+		}
+	}
+	return fewFactor*sum/max(1, n) + fewExtra
+}
+
+// leastRequests is how many requests the one of some servers has that has the fewest.
+func leastRequests(servers []*Server) float64 {
+	least := math.Inf(1)
+	for _, s := range servers {
+		least = min(least, float64(s.Load.Requests()))
+	}
+	return least
+}
+
 // pick returns the server where the request costs least: the work before it and
 // what has to be read for it, in the same unit. Without a difference all daemons
 // choose alike. The server that they prefer has what the request shares with others:
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -324,3 +324,40 @@
 		t.Errorf("%s was chosen, %s has read the prompt", s.ID, other.ID)
 	}
 }
+
+// More servers than the part are used while those have more to do than the servers of
+// the other version.
+func TestPartOfTheServersGrowsWhenItIsBusy(t *testing.T) {
+	servers := pool(18)
+	for i, s := range servers {
+		if i >= 12 {
+			s.Version = "old"
+			s.Load.Report(4)
+		}
+	}
+	used := func() map[string]bool {
+		out := map[string]bool{}
+		for i := range uint64(100) {
+			w := fleet.Want{Affinity: i + 1, Part: 0.1, Allowed: func(v string) bool { return v != "old" }}
+			out[choose(t, servers, w).ID] = true
+		}
+		return out
+	}
+	first := used()
+	for _, s := range servers {
+		if first[s.ID] {
+			s.Load.Report(8)
+		}
+	}
+	if n := len(used()); len(first) != 1 || n != 1 {
+		t.Errorf("%d and %d servers are used while they have little to do", len(first), n)
+	}
+	for _, s := range servers {
+		if first[s.ID] {
+			s.Load.Report(9)
+		}
+	}
+	if n := len(used()); n != 2 {
+		t.Errorf("%d servers are used while the first has much to do", n)
+	}
+}
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -90,12 +90,15 @@
 	l.reported = requests
 }
 
-// Reported is how many requests the server had, of all daemons, when it last said
-// so; 0 if it never did.
-func (l *Load) Reported() int {
+// Requests is how many requests the server has, as far as that is known: as it says
+// itself, or else this daemon's own.
+func (l *Load) Requests() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.reported
+	if l.reported > 0 {
+		return l.reported
+	}
+	return l.inFlight
 }
 
 // Slowness is how much longer than others the server takes, failures included.
--- a/core/pace/reference.go
+++ b/core/pace/reference.go
@@ -19,6 +19,9 @@
 // for each feature.
 const terms = 3
 
+// loadTerm is where the load stands among the terms.
+const loadTerm = 2
+
 // vector has the features as they enter: a factor more of each makes the time a
 // factor longer.
 func (f Features) vector() [terms]float64 {
@@ -33,6 +36,15 @@
 	referenceKnown = 8
 	// ridge is how many answers it takes for a feature to be believed to matter.
 	ridge = 1
+	// mostBelow is how far below the usual load a load counts, as a logarithm: 2.7
+	// times less.
+	mostBelow = 1
+	// quickest is the share of answers that read faster than what counts as reading
+	// alone, quickestStep by which factor that follows an answer.
+	quickest     = 0.1
+	quickestStep = 0.1
+	// leastRead is how much an answer must have read to tell how fast that is.
+	leastRead = 0.5
 	// shortest is the shortest time that counts: below it clocks and scheduling
 	// matter more than the work.
 	shortest = time.Millisecond
@@ -47,6 +59,9 @@
 	// features with the logarithm of the time.
 	products [terms][terms]float64
 	times    [terms]float64
+	// reading is how long a unit takes to read where nothing else is in the way, in
+	// seconds: a low quantile of what answers took for a unit.
+	reading float64
 }
 
 // With returns the reference with another answer.
@@ -59,9 +74,30 @@
 		}
 		r.times[i] = r.times[i]*referenceWeight + x[i]*y
 	}
+	return r.withReading(f.Reads, took)
+}
+
+func (r Reference) withReading(reads float64, took time.Duration) Reference {
+	if reads < leastRead {
+		return r
+	}
+	unit := max(took, shortest).Seconds() / reads
+	switch {
+	case r.reading == 0:
+		r.reading = unit
+	case unit < r.reading:
+		r.reading *= math.Exp(-quickestStep * (1 - quickest))
+	default:
+		r.reading *= math.Exp(quickestStep * quickest)
+	}
 	return r
 }
 
+// Reading is how long reading takes at the least.
+func (r Reference) Reading(reads float64) time.Duration {
+	return time.Duration(r.reading * reads * float64(time.Second))
+}
+
 func logTime(took time.Duration) float64 { return math.Log(max(took, shortest).Seconds()) }
 
 // Relative is how long an answer took in terms of what the like takes, or 0 if
@@ -83,12 +119,20 @@
 
 func (r Reference) logExpected(f Features) float64 {
 	expected, factors := 0.0, r.factors()
-	for i, x := range f.vector() {
+	for i, x := range r.within(f.vector()) {
 		expected += factors[i] * x
 	}
 	return expected
 }
 
+// within returns the features with a load that is not far below those that the
+// reference has seen: what servers take while they are busy does not tell what they
+// take while they are not.
+func (r Reference) within(x [terms]float64) [terms]float64 {
+	x[loadTerm] = max(x[loadTerm], r.products[0][loadTerm]/r.products[0][0]-mostBelow)
+	return x
+}
+
 // factors solves the normal equations by elimination. The diagonal is never zero
 // thanks to the ridge.
 func (r Reference) factors() [terms]float64 {
