--- a/core/ladder/ladder.go
+++ b/core/ladder/ladder.go
@@ -4,6 +4,8 @@
 // still do for the request.
 package ladder
 
+import "fmt"
+
 const (
 	// margin is what an answer of a larger model must be expected to gain, as a
 	// part of a good answer in time: it costs more, and its prompt is read
@@ -55,6 +57,11 @@
 	Delay float64
 }
 
+// String says what the line follows from, for logs.
+func (l Load) String() string {
+	return fmt.Sprintf("line %.0f (in time %.2f, busy %.2f, delays %.2f)", Line(l), l.InTime, l.Busy, l.Delay)
+}
+
 // Line is the confidence, from 0 to 100, below which an answer is dropped. When
 // servers are busy it falls, three times: a larger model is less likely in time,
 // its run costs more of what others wait for, and it holds up those that are there.
--- a/core/ladder/ladder_test.go
+++ b/core/ladder/ladder_test.go
@@ -70,3 +70,10 @@
 		t.Errorf("on full servers answers are dropped below %v", last)
 	}
 }
+
+func TestLoadSaysWhatTheLineFollowsFrom(t *testing.T) {
+	got := ladder.Load{InTime: 1, Busy: 0.1, Delay: 0.5}.String()
+	if want := "line 40 (in time 1.00, busy 0.10, delays 0.50)"; got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
+}
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -16,8 +16,8 @@
 // Without an outcome the request goes on elsewhere.
 func (j *job) stream(ctx context.Context, a *attempt) (Outcome, Reason) {
 	defer j.finish(a)
-	if next, up := j.mayEscalate(ctx, a); up {
-		j.note(a, fmt.Sprintf("dropped: confidence %d", a.head.Confidence))
+	if next, load, ok := j.mayEscalate(ctx, a); ok {
+		j.note(a, fmt.Sprintf("dropped: confidence %d, %s", a.head.Confidence, load))
 		j.learn(a, time.Since(a.sent))
 		j.observe(a, false, 0)
 		if a.relative >= busyFactor {
@@ -62,17 +62,19 @@
 	errGap        = errors.New("an event is missing")
 )
 
-// mayEscalate reports whether an answer is dropped for one of a larger model.
-func (j *job) mayEscalate(ctx context.Context, a *attempt) (ladder.Step, bool) {
+// mayEscalate reports whether an answer is dropped for one of a larger model, and by
+// what it was weighed.
+func (j *job) mayEscalate(ctx context.Context, a *attempt) (ladder.Step, ladder.Load, bool) {
 	if j.begun || len(j.route.Ladder) == 0 || j.made.Ran >= j.route.Attempts || ctx.Err() != nil {
-		return j.step, false
+		return j.step, ladder.Load{}, false
 	}
 	now := time.Now()
-	if !j.step.Escalate(a.head.Confidence, a.head.Confident, j.load(a, now)) || !j.engine.Budget.Spend(j.service, j.view.Daemons, now) {
-		return j.step, false
+	load := j.load(a, now)
+	if !j.step.Escalate(a.head.Confidence, a.head.Confident, load) || !j.engine.Budget.Spend(j.service, j.view.Daemons, now) {
+		return j.step, load, false
 	}
 	j.paid = true
-	return j.step.Up(), true
+	return j.step.Up(), load, true
 }
 
 // load is how busy servers are, for deciding on a larger model.
