Reading is a feature again, not a time that is taken off

On servers with little to do most of an answer's time is not reading; the low quantile that stood for reading took off what made the version slow.

--- a/core/pace/reference.go
+++ b/core/pace/reference.go
@@ -39,12 +39,6 @@
 	// mostBelow is how far below the usual load a load counts, as a logarithm: 2.7
 	// times less.
 	mostBelow = 1
-	// quickest is the share of answers that read faster than what counts as reading
-	// alone, quickestStep by which factor that follows an answer.
-	quickest     = 0.1
-	quickestStep = 0.1
-	// leastRead is how much an answer must have read to tell how fast that is.
-	leastRead = 0.5
 	// shortest is the shortest time that counts: below it clocks and scheduling
 	// matter more than the work.
 	shortest = time.Millisecond
@@ -55,13 +49,10 @@
 // it. The zero value knows nothing. It is a value.
 type Reference struct {
 	weight float64
-	// products are the sums of products of the features, times those of the
-	// features with the logarithm of the time.
+	// products are the sums of products of the features with each other, times those
+	// of the features with the logarithm of the time.
 	products [terms][terms]float64
 	times    [terms]float64
-	// reading is how long a unit takes to read where nothing else is in the way, in
-	// seconds: a low quantile of what answers took for a unit.
-	reading float64
 }
 
 // With returns the reference with another answer.
@@ -74,30 +65,9 @@
 		}
 		r.times[i] = r.times[i]*referenceWeight + x[i]*y
 	}
-	return r.withReading(f.Reads, took)
-}
-
-func (r Reference) withReading(reads float64, took time.Duration) Reference {
-	if reads < leastRead {
-		return r
-	}
-	unit := max(took, shortest).Seconds() / reads
-	switch {
-	case r.reading == 0:
-		r.reading = unit
-	case unit < r.reading:
-		r.reading *= math.Exp(-quickestStep * (1 - quickest))
-	default:
-		r.reading *= math.Exp(quickestStep * quickest)
-	}
 	return r
 }
 
-// Reading is how long reading takes at the least.
-func (r Reference) Reading(reads float64) time.Duration {
-	return time.Duration(r.reading * reads * float64(time.Second))
-}
-
 func logTime(took time.Duration) float64 { return math.Log(max(took, shortest).Seconds()) }
 
 // Relative is how long an answer took in terms of what the like takes, or 0 if
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -46,12 +46,10 @@
 	// relative is how long the first part took in terms of the usual, 0 if that
 	// is not known.
 	relative float64
-	// prompt is what the model is to read, reads how much of it no other request
-	// shares, and unread how much of the rest the server probably has to read as well,
-	// in pieces.
+	// prompt is what the model is to read, reads how much of it the server probably
+	// has to, in pieces.
 	prompt prompts.Prompt
 	reads  float64
-	unread float64
 	// weight is how much of the server's work the attempt is.
 	weight float64
 	// first is how long the first part took in terms of what the settled version
@@ -138,8 +136,8 @@
 		j.engine.Knowledge.Ran(j.service, j.request.session(), s.Version)
 	}
 	a.prompt = prompts.For(a.model, j.request.Prompt)
-	a.reads, a.unread = float64(a.prompt.Own())/fleet.PieceTokens, j.unread(a)
-	a.weight = 1 + j.piece()*a.reads
+	a.reads = j.reads(a)
+	a.weight = 1 + j.piece()*float64(a.prompt.Own())/fleet.PieceTokens
 	s.Load.Prompts.Read(a.prompt, a.sent)
 	s.Load.Begin(a.weight)
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
@@ -255,7 +253,7 @@
 // observeEnded tells of an answer that was not awaited longer: the slowest ones
 // would not count otherwise.
 func (j *job) observeEnded(a *attempt) {
-	least := j.engine.settled.relative(j.like(a), a.features(), j.withoutReading(a, j.like(a), time.Since(a.sent)))
+	least := j.engine.settled.relative(j.like(a), a.features(), time.Since(a.sent))
 	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID, First: least, Ended: true})
 }
 
@@ -273,21 +271,15 @@
 	return pace.Features{Reads: a.reads, Load: float64(a.server.Load.Requests())}
 }
 
-// unread is how much of the shared part of a prompt a server probably has to read,
-// in pieces: of a version in roll-out what was not sent there from here. Servers of
-// others have seen the like for long, from all daemons.
-func (j *job) unread(a *attempt) float64 {
-	if !j.view.InRollout(j.service, a.server.Version) {
-		return 0
-	}
-	missing := a.server.Load.Prompts.Missing(a.prompt, a.sent) - a.prompt.Own()
-	return float64(max(0, missing)) / fleet.PieceTokens
-}
-
-// withoutReading is what a time would have been if the server had what other
-// requests share of the prompt: without the time that reading it takes at the least.
-func (j *job) withoutReading(a *attempt, kind string, took time.Duration) time.Duration {
-	return max(time.Millisecond, took-j.engine.settled.reading(kind, a.unread))
+// reads is how much of a prompt a server probably has to read, in pieces: of a
+// version in roll-out what was not sent there from here, and of others what the
+// request shares with no other. Their servers have seen the like for long, from all
+// daemons.
+func (j *job) reads(a *attempt) float64 {
+	if j.view.InRollout(j.service, a.server.Version) {
+		return float64(a.server.Load.Prompts.Missing(a.prompt, a.sent)) / fleet.PieceTokens
+	}
+	return float64(a.prompt.Own()) / fleet.PieceTokens
 }
 
 // piece is how much of a server's work a piece of the prompt is for the present
--- a/daemon/exchange/pace.go
+++ b/daemon/exchange/pace.go
@@ -54,13 +54,6 @@
 	r.kinds[kind] = r.kinds[kind].With(f, took)
 }
 
-// reading is how long reading takes at the least.
-func (r *references) reading(kind string, reads float64) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.kinds[kind].Reading(reads)
-}
-
 // expected is what the like takes, in seconds, or 0 if that is not known.
 func (r *references) expected(kind string, f pace.Features) float64 {
 	r.mu.Lock()
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -71,7 +71,7 @@
 	a.relative = j.engine.paces.of(a.kind).Relative(j.request.size(), took)
 	a.server.Load.Answered(a.relative)
 	j.engine.paces.learn(a.kind, j.request.size(), took, time.Now())
-	a.first = j.compare(a, j.like(a), j.withoutReading(a, j.like(a), took))
+	a.first = j.compare(a, j.like(a), took)
 }
 
 // sendWhole sends a whole answer to the caller.
