A version is judged with all sessions before it is completed, and used once it is

The order gave 6 s; the version had all sessions from 0.9 of it and was late from 0.9 s before its end, so it was completed as it was opened. Now there are 0.7 s between, in which daemons tell each other what they saw, and a short order is opened earlier for them. Both have a test that failed before.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -63,7 +63,7 @@
 
 const (
 	// openFrom is the part of the order's time from which the new version has all
-	// sessions. A version may be bad in a way that shows only later, or under a
+	// sessions, unless the order is so short that it must be earlier. A version may be bad in a way that shows only later, or under a
 	// load that does not come; whatever it is, what is open until the deadline
 	// must fit into the exposure. The rest of the time is for what is under way on
 	// the old version to end.
@@ -75,6 +75,8 @@
 	// leastFirst and mostFirst bound the first share.
 	leastFirst = 0.01
 	mostFirst  = 0.2
+	// leastBefore is the part of the order's time before which it is never opened.
+	leastBefore = 0.5
 	// unpausedFor is the part of the order's time in which sessions move only when
 	// they have paused.
 	unpausedFor = 0.54
@@ -84,12 +86,18 @@
 // to all, with the number of requests that are expected in the order's time; 0 is
 // unknown. It is what the exposure leaves: few requests are told from the usual
 // only by a larger share of them.
-func (e Exposure) First(requests float64) float64 {
+func (e Exposure) First(requests float64, within time.Duration) float64 {
 	share := e.Share
 	if requests > 0 {
 		share += e.Slack / requests
 	}
-	return min(mostFirst, max(leastFirst, (exposureUsed*share-(1-openFrom))/openFrom))
+	before := float64(openAt(within)) / float64(max(within, 1))
+	return min(mostFirst, max(leastFirst, (exposureUsed*share-(1-before))/before))
+}
+
+// openAt is the age from which the new version has all sessions.
+func openAt(within time.Duration) time.Duration {
+	return max(part(leastBefore, within), min(part(openFrom, within), within-writeTime-judgeTime))
 }
 
 // share is the part of the sessions that belongs to the new version at an age.
@@ -97,7 +105,7 @@
 	switch {
 	case age < 0:
 		return 0
-	case age < part(openFrom, within):
+	case age < openAt(within):
 		return first
 	}
 	return 1
@@ -114,6 +122,15 @@
 // old version a moment ago stays there until it has paused.
 func Early(age, within time.Duration) bool { return age < part(unpausedFor, within) }
 
+// Judged reports whether a version has had all sessions for so long that it would
+// have shown what is wrong with it, and be found by all daemons: before, it is not
+// completed, which cannot be taken back.
+func Judged(age, within time.Duration) bool { return age >= openAt(within)+judgeTime }
+
+// judgeTime is the time from when a version has all sessions until it may be
+// completed: daemons tell each other of what they have seen every 0.7 s.
+const judgeTime = 700 * time.Millisecond
+
 // Late reports whether the order's time is so nearly over that a version that
 // has all requests is completed whatever is still under way on the old one.
 func Late(age, within time.Duration) bool { return age >= within-writeTime }
--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -39,7 +39,7 @@
 	const more = 1.1
 	for _, allowed := range []canary.Exposure{{Share: 0.15, Slack: 30}, {Share: 0.2}, {Share: 0.13, Slack: 100}} {
 		for _, requests := range []float64{0, 50, 400, 1000, 5000, 100000} {
-			r := started(allowed.First(requests))
+			r := started(allowed.First(requests, within))
 			got, all := 0.0, 0.0
 			const steps = 10000
 			for i := range steps {
@@ -212,3 +212,24 @@
 		t.Error("one that took several times the usual does not count")
 	}
 }
+
+// A version is open for long enough to be judged before it is completed, however
+// short its order is, and completed in time.
+func TestVersionIsJudgedBeforeItIsCompleted(t *testing.T) {
+	for _, within := range []time.Duration{4 * time.Second, 6 * time.Second, 12 * time.Second, 16 * time.Second, time.Minute, time.Hour} {
+		r := started(0.05)
+		r.Order.Within = within
+		var open, judged time.Duration
+		for age := time.Duration(0); age < within; age += 10 * time.Millisecond {
+			if r.Share(r.Since.Add(age)) == 1 && open == 0 {
+				open = age
+			}
+			if canary.Judged(age, within) && judged == 0 {
+				judged = age
+			}
+		}
+		if open < within/2 || judged-open < 500*time.Millisecond || within-judged < 500*time.Millisecond {
+			t.Errorf("%v: open after %v, judged after %v", within, open, judged)
+		}
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -143,9 +143,10 @@
 	fewExtra  = 2
 )
 
-// mostOfFew is how many requests a server may have that is one of few. Sessions that
-// are busier than others, all on one server, once made a good version look slow: on
-// days with a burst and a busy organisation it was taken back in two of six plays.
+// mostOfFew is how many requests a server may have that is one of few. Without a
+// bound, sessions that are busier than others meet on one server and make a good
+// version look slow: under a burst and a busy organisation it is taken back in two of
+// four plays of a day, with the bound in two of six.
 func (l *List) mostOfFew(w Want) float64 {
 	sum, n := 0.0, 0.0
 	for _, s := range l.byService[w.Service] {
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -135,7 +135,7 @@
 		next.State = canary.RolledBack
 	case !k.proven(service, now):
 		return
-	case r.Share(now) >= 1 && (canary.Late(now.Sub(r.Since), r.Order.Within) || k.nothingOld(service, own)):
+	case r.Share(now) >= 1 && canary.Judged(now.Sub(r.Since), r.Order.Within) && (canary.Late(now.Sub(r.Since), r.Order.Within) || k.nothingOld(service, own)):
 		next.State = canary.Completed
 	default:
 		return
@@ -153,7 +153,7 @@
 	if k.Rate != nil {
 		requests = k.Rate(o.Service) * float64(k.view.Load().Daemons) * o.Within.Seconds()
 	}
-	return k.Exposure.First(requests)
+	return k.Exposure.First(requests, o.Within)
 }
 
 // judge weighs what all daemons have seen of a version.
--- a/daemon/knowledge/rollout_test.go
+++ b/daemon/knowledge/rollout_test.go
@@ -353,3 +353,26 @@
 		}
 	})
 }
+
+// A version that one daemon finds bad while another one has completed it is used: the
+// old version's servers are gone. Such a daemon once refused all requests.
+func TestCompletedVersionIsUsedThoughADaemonFoundItBad(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, keepers := rollout(t, 1, 20)
+		k, order := keepers[0], s.progress().Order
+		s.links["d0"].fail(errDown)
+		for range 20 {
+			k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: true})
+		}
+		pass(time.Second)
+		if uses(k, lowest, "v2") {
+			t.Fatal("the version is not found bad")
+		}
+		s.rows.set(relay.Progress, "s", fmt.Sprintf(`{"State":%d,"Version":"v2","SinceMS":1000,"Order":%d}`, canary.Completed, order))
+		s.links["d0"].fail(nil)
+		pass(3 * time.Second)
+		if !uses(k, lowest, "v2") || !uses(k, highest, "v2") {
+			t.Error("the version is not used though it is completed")
+		}
+	})
+}
--- a/daemon/knowledge/view.go
+++ b/daemon/knowledge/view.go
@@ -78,10 +78,12 @@
 	isNew := Use{Allows: func(version string) bool { return version == r.Order.Version }}
 	isOld := Use{Allows: func(version string) bool { return version != r.Order.Version }}
 	switch {
-	case r.State == canary.RolledBack || v.withdrawn[versionName(service, r.Order.Version)]:
-		return isOld, isOld
 	case r.State == canary.Completed:
+		// What a daemon found at the last moment counts no more: the old version's
+		// servers are gone.
 		return isNew, isOld
+	case r.State == canary.RolledBack || v.withdrawn[versionName(service, r.Order.Version)]:
+		return isOld, isOld
 	case r.UsesNew(hash, now) && !v.stays(r, hash, now):
 		isNew.Part, isNew.Aside = r.Share(now), v.aside[service]
 		return isNew, isOld
