--- a/soak/play.go
+++ b/soak/play.go
@@ -24,7 +24,7 @@
 
 // bring brings one fault about and ends it.
 func (s *site) bring(ctx context.Context, f Fault) {
-	d, b := s.daemons[f.Target%len(s.daemons)], s.backends[f.Target%servers]
+	d, b := s.daemons[f.Target%len(s.daemons)], s.first()[f.Target%servers]
 	touched := d.number
 	if !f.Trouble.ofDaemon() {
 		touched = everybody
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -53,7 +53,7 @@
 	s.oracle.order(order)
 	switch order.State {
 	case standin.RolloutCompleted:
-		for _, b := range s.backends[:modelServers] {
+		for _, b := range s.first()[:modelServers] {
 			b.retire()
 		}
 	case standin.RolloutRolledBack:
@@ -64,6 +64,14 @@
 	}
 }
 
+// first are the servers that are there from the start. A roll-out adds others while
+// faults go on.
+func (s *site) first() []*backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backends[:servers:servers]
+}
+
 // startVersion starts the servers of the new version; nil if there was an order
 // already.
 func (s *site) startVersion(bad bool) []*backend {
