--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -63,10 +63,10 @@
 
 const (
 	// openFrom is the part of the order's time from which the new version has all
-	// sessions, unless the order is so short that it must be earlier. A version may be bad in a way that shows only later, or under a
-	// load that does not come; whatever it is, what is open until the deadline
-	// must fit into the exposure. The rest of the time is for what is under way on
-	// the old version to end.
+	// sessions, unless the order is so short that it must be earlier. A version may
+	// be bad in a way that shows only later, or under a load that does not come;
+	// whatever it is, what is open until the deadline must fit into the exposure. The
+	// rest of the time is for what is under way on the old version to end.
 	openFrom = 0.9
 	// exposureUsed is the part of the exposure that is planned for: the traffic may
 	// be larger when the version is open than it was before, and few requests fall
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -54,6 +54,15 @@
 	New map[string]Counts
 }
 
+// Answers is how many answers of the new version have been seen.
+func (e Evidence) Answers() uint64 {
+	sum := uint64(0)
+	for _, counts := range e.New {
+		sum += counts.all().Answers
+	}
+	return sum
+}
+
 // The bounds of the judgement.
 const (
 	// worse is how much larger than the old version's share of failures a bad
--- a/core/pace/reference.go
+++ b/core/pace/reference.go
@@ -48,9 +48,9 @@
 // logarithm of times, with older answers weighing less). Others are compared with
 // it. The zero value knows nothing. It is a value.
 type Reference struct {
-	weight float64
 	// products are the sums of products of the features with each other, times those
-	// of the features with the logarithm of the time.
+	// of the features with the logarithm of the time. The first product is the weight
+	// of the answers.
 	products [terms][terms]float64
 	times    [terms]float64
 }
@@ -58,7 +58,6 @@
 // With returns the reference with another answer.
 func (r Reference) With(f Features, took time.Duration) Reference {
 	x, y := f.vector(), logTime(took)
-	r.weight = r.weight*referenceWeight + 1
 	for i := range terms {
 		for k := range terms {
 			r.products[i][k] = r.products[i][k]*referenceWeight + x[i]*x[k]
@@ -73,15 +72,17 @@
 // Relative is how long an answer took in terms of what the like takes, or 0 if
 // that is not known yet.
 func (r Reference) Relative(f Features, took time.Duration) float64 {
-	if r.weight < referenceKnown {
+	if !r.known() {
 		return 0
 	}
 	return math.Exp(logTime(took) - r.logExpected(f))
 }
 
+func (r Reference) known() bool { return r.products[0][0] >= referenceKnown }
+
 // Expected is what the like takes, in seconds, or 0 if that is not known yet.
 func (r Reference) Expected(f Features) float64 {
-	if r.weight < referenceKnown {
+	if !r.known() {
 		return 0
 	}
 	return math.Exp(r.logExpected(f))
--- a/core/prompts/memory.go
+++ b/core/prompts/memory.go
@@ -28,9 +28,9 @@
 }
 
 const (
-	// standardLimit is the prompt memory of a server that states none, in tokens:
-	// the least that model servers with one accelerator have.
-	standardLimit = 200_000
+	// limit is the prompt memory that a server is taken to have, in tokens: the least
+	// that model servers with one accelerator have.
+	limit = 200_000
 	// forgetAfter is how long a part that was not used again is taken to be there:
 	// other daemons send prompts to the same servers, unseen from here.
 	forgetAfter = time.Minute
@@ -39,8 +39,7 @@
 // Memory is what one server has probably read. It is safe for concurrent use.
 type Memory struct {
 	mu sync.Mutex
-	// limit and used are in tokens.
-	limit   int
+	// used is in tokens.
 	used    int
 	entries map[uint64]*list.Element
 	// order has the entries, the latest used first.
@@ -53,19 +52,9 @@
 	at  time.Time
 }
 
-// NewMemory returns an empty memory of a standard size.
+// NewMemory returns an empty memory.
 func NewMemory() *Memory {
-	return &Memory{limit: standardLimit, entries: map[uint64]*list.Element{}, order: list.New()}
-}
-
-// SetLimit sets the size of the server's memory in tokens, if it is known.
-func (m *Memory) SetLimit(tokens int) {
-	if tokens <= 0 {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.limit = tokens
+	return &Memory{entries: map[uint64]*list.Element{}, order: list.New()}
 }
 
 // Prompt is what a model is to read: its parts, each named by what stands before it
@@ -135,7 +124,7 @@
 		m.entries[k.hash] = m.order.PushFront(&entry{key: k, at: now})
 		m.used += k.tokens
 	}
-	for m.used > m.limit && m.order.Len() > 0 {
+	for m.used > limit && m.order.Len() > 0 {
 		m.drop(m.order.Back())
 	}
 }
--- a/core/prompts/memory_test.go
+++ b/core/prompts/memory_test.go
@@ -36,9 +36,11 @@
 
 func TestWhatWasUsedLongestAgoGoesFirst(t *testing.T) {
 	m := prompts.NewMemory()
-	m.SetLimit(6600)
+	// What is left of the memory of 200,000 tokens is as long as policy, form and own.
+	filler := prompts.Part{ID: "filler", Tokens: 200_000 - 6600}
 	m.Read(prompts.For("small", []prompts.Part{policy}), now)
 	m.Read(prompts.For("small", []prompts.Part{form}), now)
+	m.Read(prompts.For("small", []prompts.Part{filler}), now)
 	m.Read(prompts.For("small", []prompts.Part{policy}), now)
 	m.Read(prompts.For("small", []prompts.Part{own, own}), now)
 	missing(t, m, 0, policy)
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -61,6 +61,7 @@
 // request, or else one that has.
 func (j *job) choose(now time.Time) (*fleet.Server, bool) {
 	j.look()
+	j.prompt, j.piece = prompts.For(j.model(), j.request.Prompt), j.pieceWork()
 	if len(j.failed) > 0 {
 		if s, ok := j.chooseBut(slices.Concat(j.avoid, j.failed), now); ok {
 			return s, true
@@ -72,7 +73,7 @@
 // chooseBut finds a server that is not among those to avoid.
 func (j *job) chooseBut(avoid []string, now time.Time) (*fleet.Server, bool) {
 	want := fleet.Want{
-		Service: j.service, Affinity: j.request.affinity(), Prompt: prompts.For(j.model(), j.request.Prompt), Piece: j.piece(),
+		Service: j.service, Affinity: j.request.affinity(), Prompt: j.prompt, Piece: j.piece,
 		Hall: j.engine.Hall, Near: j.request.sharesLittle(), Avoid: avoid, Silent: j.silent,
 	}
 	if j.version != "" {
@@ -135,9 +136,9 @@
 	if j.route.Sticky {
 		j.engine.Knowledge.Ran(j.service, j.request.session(), s.Version)
 	}
-	a.prompt = prompts.For(a.model, j.request.Prompt)
+	a.prompt = j.prompt
 	a.reads = j.reads(a)
-	a.weight = 1 + j.piece()*float64(a.prompt.Own())/fleet.PieceTokens
+	a.weight = 1 + j.piece*float64(a.prompt.Own())/fleet.PieceTokens
 	s.Load.Prompts.Read(a.prompt, a.sent)
 	s.Load.Begin(a.weight)
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
@@ -247,14 +248,23 @@
 // connection says something about a machine or the way to it, not about what
 // runs there, and is not told.
 func (j *job) observe(a *attempt, failed bool, between float64) {
-	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID, Failed: failed, First: a.first, Between: between})
+	f := j.fact(a)
+	f.Failed, f.First, f.Between = failed, a.first, between
+	j.engine.Knowledge.Observe(f)
 }
 
 // observeEnded tells of an answer that was not awaited longer: the slowest ones
 // would not count otherwise.
 func (j *job) observeEnded(a *attempt) {
-	least := j.engine.settled.relative(j.like(a), a.features(), time.Since(a.sent))
-	j.engine.Knowledge.Observe(knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID, First: least, Ended: true})
+	least := j.engine.settled.of(j.like(a)).Relative(a.features(), time.Since(a.sent))
+	f := j.fact(a)
+	f.First, f.Ended = least, true
+	j.engine.Knowledge.Observe(f)
+}
+
+// fact says whose answer an attempt's is.
+func (j *job) fact(a *attempt) knowledge.Fact {
+	return knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID}
 }
 
 // like names what times of an attempt are compared with: those of the same model,
@@ -282,23 +292,23 @@
 	return float64(a.prompt.Own()) / fleet.PieceTokens
 }
 
-// piece is how much of a server's work a piece of the prompt is for the present
+// pieceWork is how much of a server's work a piece of the prompt is for the present
 // model: 1 for the smallest one of a ladder, and as many times more for another as it
 // takes longer.
-func (j *job) piece() float64 {
+func (j *job) pieceWork() float64 {
 	if len(j.route.Ladder) == 0 || j.step.Index == 0 {
 		return 1
 	}
-	return j.engine.settled.factor(j.service+"/"+j.model(), j.service+"/"+j.route.Ladder[0])
+	return factor(j.engine.settled.of(j.service+"/"+j.model()), j.engine.settled.of(j.service+"/"+j.route.Ladder[0]))
 }
 
 // compare returns how long something took in terms of what the settled version
 // takes, 0 if that is not known, and learns from what that version took.
 func (j *job) compare(a *attempt, kind string, took time.Duration) float64 {
 	f := a.features()
-	relative := j.engine.settled.relative(kind, f, took)
+	relative := j.engine.settled.of(kind).Relative(f, took)
 	if !j.view.InRollout(j.service, a.server.Version) {
-		j.engine.settled.learn(kind, f, took)
+		j.engine.settled.learn(kind, func(r pace.Reference) pace.Reference { return r.With(f, took) })
 	}
 	return relative
 }
--- a/daemon/exchange/budget.go
+++ b/daemon/exchange/budget.go
@@ -79,6 +79,21 @@
 	return s
 }
 
+// counts adds up the requests of the rule's window, and the repeats that may lie in
+// it, up to a slot.
+func (w *budgetWindow) counts(number int64) (requests, repeats int) {
+	for _, s := range w.slots {
+		if number-s.number < budgetSlots-1 {
+			repeats += s.repeats
+			// The oldest slot may lie outside of the rule's window.
+			if number-s.number < budgetSlots-2 {
+				requests += s.requests
+			}
+		}
+	}
+	return requests, repeats
+}
+
 // Request counts a request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
@@ -91,13 +106,7 @@
 func (b *Budget) Rate(service string, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service)
-	n, requests := b.number(now), 0
-	for _, s := range w.slots {
-		if n-s.number < budgetSlots-2 {
-			requests += s.requests
-		}
-	}
+	requests, _ := b.window(service).counts(b.number(now))
 	since := min(b.Window, now.Sub(b.first))
 	if since <= 0 {
 		return 0
@@ -111,16 +120,7 @@
 	defer b.mu.Unlock()
 	w := b.window(service)
 	n := b.number(now)
-	requests, repeats := 0, 0
-	for _, s := range w.slots {
-		if n-s.number < budgetSlots-1 {
-			repeats += s.repeats
-			// The oldest slot may lie outside of the rule's window.
-			if n-s.number < budgetSlots-2 {
-				requests += s.requests
-			}
-		}
-	}
+	requests, repeats := w.counts(n)
 	if float64(repeats+1) > budgetMargin*b.Ratio*float64(requests)+b.Slack/float64(max(daemons, fewestDaemons)) {
 		return false
 	}
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -9,6 +9,8 @@
 
 	attempts "ladderridge.example/core/attempt"
 	"ladderridge.example/core/ladder"
+	"ladderridge.example/core/pace"
+	"ladderridge.example/core/prompts"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/knowledge"
@@ -43,9 +45,10 @@
 	// as wrong, keyAgeCut how old for one that it knows to pass.
 	keyAge    atomic.Int64
 	keyAgeCut atomic.Int64
-	paces     *paces
+	// paces are what the first parts of answers take.
+	paces *byKind[pace.Estimate]
 	// settled are what answers of versions take that are not in roll-out.
-	settled *references
+	settled *byKind[pace.Reference]
 }
 
 // SetKeyAge sets how old the configuration may be for a key to pass or to be
@@ -66,7 +69,9 @@
 func (e *Engine) EndAt(at time.Time) { e.ends.Store(&at) }
 
 // New returns an engine that has served nothing yet.
-func New() *Engine { return &Engine{paces: newPaces(), settled: newReferences()} }
+func New() *Engine {
+	return &Engine{paces: newByKind[pace.Estimate](), settled: newByKind[pace.Reference]()}
+}
 
 // Report is what became of a request and why, for logs and metrics.
 type Report struct {
@@ -141,6 +146,10 @@
 	// end is when the request is given up, zero for never.
 	end  time.Time
 	step ladder.Step
+	// prompt is what the model of the step is to read, piece how much of a server's
+	// work a piece of it is. Each choice of a server renews them.
+	prompt prompts.Prompt
+	piece  float64
 	// avoid are servers that declined the request or broke off, failed those
 	// that answered that they failed or were busy: they are taken if there is no
 	// other.
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -94,7 +94,7 @@
 func (j *job) delays(a *attempt, objective time.Duration) float64 {
 	run := pace.Features{Reads: float64(a.prompt.Own()) / fleet.PieceTokens, Load: 1}
 	larger := j.service + "/" + j.route.Ladder[j.step.Up().Index]
-	return a.features().Load * j.engine.settled.expected(larger, run) / objective.Seconds()
+	return a.features().Load * j.engine.settled.of(larger).Expected(run) / objective.Seconds()
 }
 
 // kind is what times are compared by: the route, and the model of a ladder.
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -128,12 +128,13 @@
 		k.writeInTurn(ctx, service, p, k.rollouts.seenAt[service], now)
 		return
 	}
-	k.judge(service, r, own, now)
+	seen := k.rollouts.evidence(service)
+	k.judge(seen, r, own, now)
 	next := canary.Progress{Version: version, SinceMS: k.storeSince(service, now), Order: r.Order.Number, First: r.First}
 	switch {
 	case k.rollouts.withdrawn[versionName(service, version)]:
 		next.State = canary.RolledBack
-	case !k.proven(service, now):
+	case !k.proven(service, seen, now):
 		return
 	case r.Share(now) >= 1 && canary.Judged(now.Sub(r.Since), r.Order.Within) && (canary.Late(now.Sub(r.Since), r.Order.Within) || k.nothingOld(service, own)):
 		next.State = canary.Completed
@@ -157,9 +158,9 @@
 }
 
 // judge weighs what all daemons have seen of a version.
-func (k *Keeper) judge(service string, r canary.Rollout, own map[string]int, now time.Time) {
-	version := r.Order.Version
-	verdict := k.rollouts.evidence(service).Judge()
+func (k *Keeper) judge(seen canary.Evidence, r canary.Rollout, own map[string]int, now time.Time) {
+	service, version := r.Order.Service, r.Order.Version
+	verdict := seen.Judge()
 	for _, id := range verdict.Aside {
 		if !slices.Contains(k.rollouts.aside[service], id) {
 			k.rollouts.aside[service] = append(slices.Clone(k.rollouts.aside[service]), id)
@@ -176,14 +177,8 @@
 
 // proven reports whether enough was seen of a version since this process knows
 // the order: with all daemons started anew nobody remembers what was before.
-func (k *Keeper) proven(service string, now time.Time) bool {
-	seen := uint64(0)
-	for _, counts := range k.rollouts.evidence(service).New {
-		for _, n := range counts {
-			seen += n.Answers
-		}
-	}
-	return seen >= provenAnswers || now.Sub(k.rollouts.seenAt[service]) >= provenAfter
+func (k *Keeper) proven(service string, seen canary.Evidence, now time.Time) bool {
+	return seen.Answers() >= provenAnswers || now.Sub(k.rollouts.seenAt[service]) >= provenAfter
 }
 
 // storeSince is when the order was first seen, by the store's clock.
--- a/daemon/knowledge/rollout_test.go
+++ b/daemon/knowledge/rollout_test.go
@@ -42,6 +42,13 @@
 	return first.Allows(version)
 }
 
+// fail lets a daemon see that a number of answers of the new version fail.
+func fail(k *knowledge.Keeper, answers int) {
+	for range answers {
+		k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: true})
+	}
+}
+
 const (
 	// lowest falls to the new version first, highest last.
 	lowest  = uint64(0)
@@ -227,9 +234,7 @@
 		}
 		pass(2500 * time.Millisecond)
 		for _, k := range after {
-			for range 10 {
-				k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: true})
-			}
+			fail(k, 10)
 		}
 		pass(5 * time.Second)
 		if p := s.progress(); p.State != canary.RolledBack {
@@ -253,9 +258,7 @@
 				s.mesh.mu.Unlock()
 				continue
 			}
-			for range 10 {
-				k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: true})
-			}
+			fail(k, 10)
 		}
 		pass(time.Second)
 		if p := s.progress(); p.State != canary.RolledBack {
@@ -361,9 +364,7 @@
 		s, keepers := rollout(t, 1, 20)
 		k, order := keepers[0], s.progress().Order
 		s.links["d0"].fail(errDown)
-		for range 20 {
-			k.Observe(knowledge.Fact{Service: "s", Version: "v2", Route: "r", Failed: true})
-		}
+		fail(k, 20)
 		pass(time.Second)
 		if uses(k, lowest, "v2") {
 			t.Fatal("the version is not found bad")
