--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -801,3 +801,23 @@
 		}
 	})
 }
+
+// What is cut at its server runs on for a moment and ends it: where servers have ended under
+// the request before, this one is looked at.
+func TestServerThatEndsAfterItsCallerLeftCounts(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", b.mortal("deadly", 20*time.Millisecond, events(1, 1, false))))
+		r := exchange.Request{ID: "r", Path: "/stream/x", Key: "k", Body: []byte("deadly"), Wait: time.Second}
+		content := quarantine.Content{Method: http.MethodPost, Host: "h", Target: "/stream/x", Organisation: "org", Body: r.Body}.Fingerprint()
+		b.known.ServerEnded("x", []quarantine.Fingerprint{content})
+		b.known.ServerEnded("y", []quarantine.Fingerprint{content})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		b.ask(ctx, r)
+		time.Sleep(time.Second)
+		if _, in := b.known.ledger.Quarantined(content, time.Now()); !in {
+			t.Error("the third server does not count")
+		}
+	})
+}
