The soak has a caller whose request ends its servers, and checks what it still reaches

A caller now comes again and again with one that ends each server that begins to run it; BUDGET: calm daemons send it to three more at most once three have ended and their time to know is over. Links can be down: nobody listens and the address stays taken, where they only reset new connections before.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ladderridge.example/platform/standin"
@@ -27,6 +28,8 @@
 	name    string
 	fault   standin.RunnerFault
 	present bool
+	// deaths is how often a deadly request has ended it.
+	deaths atomic.Uint64
 	// retired servers do not start anew.
 	retired bool
 }
@@ -66,6 +69,9 @@
 	}
 	r.Observe = func(run standin.Run) {
 		b.site.oracle.ran(Ran{Run: run, Server: r.ID, Service: b.service, Version: b.version, At: time.Now()})
+		if run.Body == deadlyBody {
+			go b.die()
+		}
 	}
 	r.Play(b.fault)
 	b.runner, b.present = r, true
--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -50,6 +50,7 @@
 		c.exposed(o)
 		c.withdrawn(o)
 	}
+	c.confined()
 	c.returned()
 	return c.findings
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -29,6 +29,20 @@
 	return a, r
 }
 
+// deadly adds a request that comes again and again, each time to a server that ends: three
+// times at first and then, when all daemons must know, once a second.
+func deadly(s *soak.Seen, times int) {
+	for n := range times {
+		at := after(float64(1 + n/3*10 + n%3))
+		a := soak.Ask{
+			ID: fmt.Sprintf("d%d", n), Kind: standin.Streaming, Service: "llm", Method: http.MethodPost, Target: "/chat/deadly", Key: "key-0", Body: "deadly",
+			Limit: 2 * time.Second, Life: 1, LifeAfter: 1, Sent: at, Ended: at.Add(100 * time.Millisecond), Reply: standin.Reply{Status: http.StatusBadGateway, Whole: true},
+		}
+		r := soak.Ran{Run: standin.Run{ID: a.ID, Method: a.Method, Target: a.Target, Tenant: "org", Body: a.Body}, Server: fmt.Sprintf("m%d", n), Service: "llm", At: at}
+		s.Asks, s.Runs = append(s.Asks, a), append(s.Runs, r)
+	}
+}
+
 // TestEachRuleNoticesItsFault spoils what was seen, one thing at a time.
 func TestEachRuleNoticesItsFault(t *testing.T) {
 	refused := standin.Reply{Status: http.StatusServiceUnavailable, Whole: true}
@@ -39,6 +53,8 @@
 		spoil func(s *soak.Seen)
 	}{
 		{"", func(*soak.Seen) {}},
+		{"", func(s *soak.Seen) { deadly(s, 6) }},
+		{"BUDGET", func(s *soak.Seen) { deadly(s, 7) }},
 		{"TWICE", func(s *soak.Seen) { s.Runs = append(s.Runs, s.Runs[0]) }},
 		{"REFUSED", func(s *soak.Seen) { s.Asks[0].Reply = refused }},
 		{"UNASKED", func(s *soak.Seen) { s.Runs[0].Run.ID = "b"; s.Asks[0].Reply = refused }},
--- a/soak/links.go
+++ b/soak/links.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,12 +24,15 @@
 // through it. A held direction keeps what comes until it is let go, as a network
 // does that sends again; new connections are accepted and held alike.
 type Link struct {
-	listener net.Listener
-	target   string
+	addr   string
+	target string
 
-	mu    sync.Mutex
-	held  [2]bool
-	delay time.Duration
+	mu       sync.Mutex
+	listener net.Listener
+	// holder is the socket that keeps the address while nobody listens.
+	holder int
+	held   [2]bool
+	delay  time.Duration
 	// changed is closed and made anew at each change.
 	changed chan struct{}
 	conns   map[net.Conn]bool
@@ -42,18 +46,20 @@
 	if err != nil {
 		return nil, &Error{Op: "start link", Kind: NoStart, Err: err}
 	}
-	link := &Link{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go link.accept()
+	link := &Link{listener: l, addr: l.Addr().String(), target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go link.accept(l)
 	return link, nil
 }
 
 // Addr is where the link is reached.
-func (l *Link) Addr() string { return l.listener.Addr().String() }
+func (l *Link) Addr() string { return l.addr }
 
 // Close ends the link with its connections.
 func (l *Link) Close() {
-	_ = l.listener.Close()
-	l.change(func() { l.closed, l.held = true, [2]bool{} })
+	l.change(func() {
+		_ = l.listener.Close()
+		l.closed, l.held = true, [2]bool{}
+	})
 	l.Reset()
 }
 
@@ -66,6 +72,46 @@
 // Refuse resets new connections.
 func (l *Link) Refuse(refuse bool) { l.change(func() { l.refuse = refuse }) }
 
+// Down has nobody listen: new connections are refused, and the address stays taken by a
+// socket that does not listen.
+func (l *Link) Down(down bool) (err error) {
+	l.change(func() {
+		switch {
+		case l.closed:
+		case down:
+			_ = l.listener.Close()
+			l.holder, err = hold(l.listener.Addr().(*net.TCPAddr))
+		default:
+			err = l.listenAgain()
+		}
+	})
+	return err
+}
+
+// listenAgain ends that nobody listens; l is locked.
+func (l *Link) listenAgain() error {
+	again, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	_ = syscall.Close(l.holder)
+	l.listener = again
+	go l.accept(again)
+	return nil
+}
+
+// hold takes an address without listening there.
+func hold(addr *net.TCPAddr) (fd int, err error) {
+	fd, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return fd, err
+	}
+	return fd, syscall.Bind(fd, &syscall.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())})
+}
+
 func (l *Link) change(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -92,9 +138,9 @@
 	_ = c.Close()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		from, err := l.listener.Accept()
+		from, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -1,8 +1,10 @@
 package soak_test
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"ladderridge.example/soak"
@@ -97,6 +99,26 @@
 	say(t, dial(t, link.Addr()), "two")
 }
 
+func TestLinkThatIsDownIsRefusedAndComesBack(t *testing.T) {
+	l, err := soak.NewLink(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for range 3 {
+		if err := l.Down(true); err != nil {
+			t.Fatal(err)
+		}
+		if c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("%v, %v", c, err)
+		}
+		if err := l.Down(false); err != nil {
+			t.Fatal(err)
+		}
+		say(t, dial(t, l.Addr()), "there")
+	}
+}
+
 func TestDatagramsLoseWhatTheyAreTold(t *testing.T) {
 	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
--- a/soak/site.go
+++ b/soak/site.go
@@ -15,6 +15,7 @@
 
 // site is everything that runs: the store, the backend servers, the daemons.
 type site struct {
+	seed    uint64
 	oracle  *oracle
 	store   *standin.Store
 	server  *httptest.Server
@@ -66,7 +67,7 @@
 
 func newSite(o Options, p Plan) (*site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &site{oracle: newOracle(), store: standin.NewStore(), cancel: cancel, config: firstConfig()}
+	s := &site{seed: o.Seed, oracle: newOracle(), store: standin.NewStore(), cancel: cancel, config: firstConfig()}
 	s.server = httptest.NewServer(s.store)
 	if err := s.build(ctx, o, p); err != nil {
 		s.close()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,9 @@
 	// Bounds has the promises checked that name a time. They hold on a machine
 	// that has a processor for each process that needs one.
 	Bounds bool
+	// Deadly has a caller come again and again with a request that ends each server that
+	// begins to run it.
+	Deadly bool
 	// Liar makes one server break a promise, which the checks must notice.
 	Liar bool
 }
@@ -74,11 +77,16 @@
 	}
 	callers := newCallers(s, o)
 	callers.start(ctx)
+	poison := newDeadly(s, o.Seed)
+	if o.Deadly {
+		poison.start(ctx)
+	}
 	s.play(ctx, plan)
 	back := s.awaitReady(ctx, returnWithin)
 	s.oracle.settled(time.Now())
 	clock.Wait(ctx, settleTime)
 	callers.stop()
+	poison.stop()
 	if back != nil {
 		s.oracle.found("RETURN", back.Error())
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	lengthFlag  = flag.Duration("soak.length", 15*time.Second, "how long faults come in each run")
 	atOnceFlag  = flag.Int("soak.at-once", 2, "how many runs go on at once")
 	daemonsFlag = flag.Int("soak.daemons", 0, "how many daemons; 0 is drawn from the seed")
+	deadlyFlag  = flag.Bool("soak.deadly", true, "a caller comes again and again with a request that ends its servers")
 	keepFlag    = flag.String("soak.keep", "", "directory that keeps settings and logs of runs with findings")
 )
 
@@ -83,6 +84,15 @@
 	}
 }
 
+// TestShortRunWithADeadlyRequest has a caller come again and again with a request that ends
+// its servers, besides.
+func TestShortRunWithADeadlyRequest(t *testing.T) {
+	report := run(t, soak.Options{Seed: 3, Daemons: 3, Length: 3 * time.Second, Deadly: true})
+	if len(report.Findings) > 0 {
+		t.Error(report)
+	}
+}
+
 // TestChecksNoticeABrokenPromise has one server run requests and say that it has
 // not: a request that may not be repeated runs twice, or is refused as not run
 // though it ran.
@@ -110,7 +120,7 @@
 	default:
 		t.Skip("no seeds are asked for: make soak")
 	}
-	runAll(t, seeds, *lengthFlag)
+	runAll(t, seeds, *lengthFlag, *deadlyFlag)
 }
 
 // TestSeedsThatFailed runs the seeds that ever failed, once fresh ones are asked
@@ -120,7 +130,7 @@
 		t.Skip("no seeds are asked for: make soak")
 	}
 	for seed, length := range failedSeeds(t) {
-		runAll(t, []uint64{seed}, length)
+		runAll(t, []uint64{seed}, length, false)
 	}
 }
 
@@ -150,7 +160,7 @@
 	return seeds
 }
 
-func runAll(t *testing.T, seeds []uint64, length time.Duration) {
+func runAll(t *testing.T, seeds []uint64, length time.Duration, deadly bool) {
 	t.Helper()
 	places := make(chan struct{}, *atOnceFlag)
 	var running sync.WaitGroup
@@ -158,7 +168,7 @@
 		places <- struct{}{}
 		running.Go(func() {
 			defer func() { <-places }()
-			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true})
+			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, Deadly: deadly})
 			if len(report.Findings) > 0 {
 				t.Errorf("make soak SEED=%d repeats this", seed)
 			}
