The chat API and plain services confine requests under which servers end

Crash counts add up in the tally, so that a request that two servers ended under here and one there is refused by all; a daemon that is told of no crash itself looks the total up. On processes: three and one under way at the first daemon, none at the second, where each daemon would have ended servers until none was left (scenario.TestChatUnderWhichServersEndIsConfinedByAllDaemons; three runs with -race).

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -8,13 +9,13 @@
 
 // The bounds of what is held against a request.
 const (
-	// fatal is the crash count from which a request is in quarantine: one server may end
+	// Fatal is the crash count from which a request is in quarantine: one server may end
 	// by itself, and two that do so under one request are bad luck; the platform's pages
 	// count from the third.
-	fatal = 3
-	// quarantineFor is how long after its last crash a request gets no server. Then it may
+	Fatal = 3
+	// For is how long after its last crash a request gets no server. Then it may
 	// have been mended, or its servers; a further crash begins the quarantine anew.
-	quarantineFor = 10 * time.Minute
+	For = 10 * time.Minute
 	// rememberFor is how long a crash counts.
 	rememberFor = 30 * time.Minute
 	// sameCrash is within which time reports of one server's end by several daemons are of
@@ -109,7 +110,7 @@
 		return
 	}
 	for f, r := range l.cases {
-		if len(r.crashes) < fatal-1 && now.After(r.until) {
+		if len(r.crashes) < Fatal-1 && now.After(r.until) {
 			delete(l.cases, f)
 		}
 	}
@@ -145,7 +146,7 @@
 // end is when the quarantine of a request ends, if it is in one.
 func (r *record) end(now time.Time) (time.Time, bool) {
 	until := r.until
-	if own := r.last().Add(quarantineFor); r.count(now) >= fatal && own.After(until) {
+	if own := r.last().Add(For); r.count(now) >= Fatal && own.After(until) {
 		until = own
 	}
 	return until, now.Before(until)
@@ -191,7 +192,7 @@
 func (l *Ledger) Confine(f Fingerprint, until, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if most := now.Add(quarantineFor); until.After(most) {
+	if most := now.Add(For); until.After(most) {
 		until = most
 	}
 	if !until.After(now) {
@@ -221,6 +222,32 @@
 	Until time.Time
 }
 
+// mostRecent bounds what Recent returns.
+const mostRecent = 64
+
+// Recent returns the crash counts within the time of a quarantine, the highest ones if
+// there are many.
+func (l *Ledger) Recent(now time.Time) []Case {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Case
+	for f, r := range l.cases {
+		n := 0
+		for _, c := range r.crashes {
+			if now.Sub(c.At) < For {
+				n++
+			}
+		}
+		if n > 0 {
+			out = append(out, Case{Content: f, Crashes: n})
+		}
+	}
+	slices.SortFunc(out, func(a, b Case) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Content, b.Content))
+	})
+	return out[:min(len(out), mostRecent)]
+}
+
 // Cases returns the requests that are in quarantine.
 func (l *Ledger) Cases(now time.Time) []Case {
 	l.mu.Lock()
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -216,8 +216,9 @@
 
 // Finish ends an answer that arrived whole.
 func (r *Reply) Finish() error {
+	err := r.exchange.Attempt.On(attempt.Finish)
 	r.close()
-	return r.exchange.Attempt.On(attempt.Finish)
+	return err
 }
 
 // Lose ends an answer that broke off; cause says how.
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -45,6 +45,8 @@
 	// Acquainted tells that each backend server of the own data hall has been
 	// asked once.
 	Acquainted bool
+	// Seen returns what all daemons together have counted under a key.
+	Seen func(tally.Key) tally.Evidence
 	// BillsFull stops new work: the platform has been away for too long.
 	BillsFull bool
 }
@@ -68,6 +70,8 @@
 	// Demands returns what organisations asked of this daemon since it was
 	// last called, per second, sorted by key.
 	Demands func() []tally.Demand
+	// Crashes returns how many servers have ended under requests, sorted by key.
+	Crashes func() []tally.Evidence
 	// Published, if set, is told of every new snapshot.
 	Published func()
 	// Incarnation is the daemon's start time in milliseconds.
@@ -91,7 +95,7 @@
 		facts:   make(chan Fact, factBacklog),
 		stopped: make(chan struct{}),
 	}
-	c.snapshot.Store(&Snapshot{View: &route.View{Table: table.New(table.Table{})}})
+	c.snapshot.Store(&Snapshot{View: &route.View{Table: table.New(table.Table{})}, Seen: func(tally.Key) tally.Evidence { return tally.Evidence{} }})
 	return c
 }
 
@@ -310,6 +314,9 @@
 func (l *loop) tick(now time.Time) {
 	l.ticked = now
 	own := tally.Sums{Evidence: l.guard.own()}
+	if l.Crashes != nil {
+		own.Evidence = tally.Sums{Daemons: 1, Evidence: own.Evidence}.Add(tally.Sums{Daemons: 1, Evidence: l.Crashes()}).Evidence
+	}
 	if l.Demands != nil {
 		own.Demands = l.Demands()
 	}
@@ -427,7 +434,7 @@
 		BadFor:      l.guard.badFor,
 	}
 	l.servers.view(v, l.node.Leaving)
-	l.snapshot.Store(&Snapshot{View: v, Shares: l.shares(now), Acquainted: l.servers.acquainted(), BillsFull: l.node.Ledger.Full()})
+	l.snapshot.Store(&Snapshot{View: v, Shares: l.shares(now), Acquainted: l.servers.acquainted(), BillsFull: l.node.Ledger.Full(), Seen: l.pooled(now)})
 	if l.Published != nil {
 		l.Published()
 	}
--- a/daemon/control/dump.go
+++ b/daemon/control/dump.go
@@ -6,6 +6,7 @@
 	"ladderridge.example/core/member"
 	"ladderridge.example/core/spread"
 	"ladderridge.example/core/table"
+	"ladderridge.example/core/tally"
 )
 
 // MemberDump is one daemon as another one sees it.
@@ -70,24 +71,27 @@
 
 // Dump is the whole control state of a daemon.
 type Dump struct {
-	ID           string            `json:"id"`
-	Hall         string            `json:"hall"`
-	Generation   table.Generation  `json:"generation"`
-	Documents    []DocumentDump    `json:"documents"`
-	Members      []MemberDump      `json:"members"`
-	Rank         int               `json:"rank"`
-	Halls        []HallDump        `json:"halls"`
-	Servers      []ServerDump      `json:"servers"`
-	Guarded      map[string]string `json:"guarded,omitempty"`
-	Shares       map[string]Share  `json:"shares"`
-	PendingBills int               `json:"pending_bills"`
-	CopiesHeld   int               `json:"copies_held"`
-	BillsWritten int64             `json:"bills_written"`
-	BillsFound   int64             `json:"bills_found"`
-	DroppedFacts int64             `json:"dropped_facts"`
-	BusyMS       float64           `json:"control_busy_ms"`
-	PlatformCall int64             `json:"platform_calls"`
-	PlatformByte int64             `json:"platform_bytes"`
+	ID         string            `json:"id"`
+	Hall       string            `json:"hall"`
+	Generation table.Generation  `json:"generation"`
+	Documents  []DocumentDump    `json:"documents"`
+	Members    []MemberDump      `json:"members"`
+	Rank       int               `json:"rank"`
+	Halls      []HallDump        `json:"halls"`
+	Servers    []ServerDump      `json:"servers"`
+	Guarded    map[string]string `json:"guarded,omitempty"`
+	// Seen is what all daemons together have counted, of versions and of requests under
+	// which servers have ended.
+	Seen         []tally.Evidence `json:"seen"`
+	Shares       map[string]Share `json:"shares"`
+	PendingBills int              `json:"pending_bills"`
+	CopiesHeld   int              `json:"copies_held"`
+	BillsWritten int64            `json:"bills_written"`
+	BillsFound   int64            `json:"bills_found"`
+	DroppedFacts int64            `json:"dropped_facts"`
+	BusyMS       float64          `json:"control_busy_ms"`
+	PlatformCall int64            `json:"platform_calls"`
+	PlatformByte int64            `json:"platform_bytes"`
 }
 
 // Dump returns the whole control state.
@@ -121,6 +125,8 @@
 		PlatformCall: l.Platform.Calls.Load(), PlatformByte: l.Platform.Bytes.Load(),
 		Guarded: map[string]string{},
 	}
+	totals, _ := l.node.Tree.Totals(now)
+	d.Seen = totals.Seen
 	for topic := range spread.Topics {
 		doc := l.node.Store.Get(topic)
 		age := now.Sub(l.node.Store.ConfirmedAt(topic)).Milliseconds()
--- a/daemon/front/attempts.go
+++ b/daemon/front/attempts.go
@@ -51,6 +51,9 @@
 		if out := j.again(err, s.pool()); out != nil {
 			return out
 		}
+		if out := j.confined(); out != nil {
+			return out.withRun(j.made.Outcome())
+		}
 		if out := s.decide(); out != nil {
 			return out.withRun(j.made.Outcome())
 		}
--- a/daemon/front/error.go
+++ b/daemon/front/error.go
@@ -42,6 +42,7 @@
 	AnswerNotRecorded  Code = "answer_not_recorded"
 	BackendFailed      Code = "backend_failed"
 	DeadlinePassed     Code = "deadline_passed"
+	Quarantined        Code = "quarantined"
 )
 
 // String is the code as callers see it.
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -18,6 +18,7 @@
 	"ladderridge.example/core/attempt"
 	"ladderridge.example/core/bill"
 	"ladderridge.example/core/pin"
+	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/route"
 	"ladderridge.example/core/table"
 	"ladderridge.example/core/tally"
@@ -63,6 +64,8 @@
 	// Unsafe counts answers that ended before another daemon had their bill.
 	Unsafe atomic.Int64
 
+	confinement *confinement
+
 	limiter  *limiter
 	retries  *retries
 	waiting  *waiting
@@ -81,7 +84,7 @@
 
 // New returns a front that has served nothing yet.
 func New() *Front {
-	f := &Front{limiter: newLimiter(), retries: newRetries(), waiting: newWaiting(), start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
+	f := &Front{confinement: newConfinement(), limiter: newLimiter(), retries: newRetries(), waiting: newWaiting(), start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -144,7 +147,9 @@
 	share  control.Share
 	rec    record.Record
 	body   []byte
-	tokens int
+	// content tells what the request asks.
+	content quarantine.Fingerprint
+	tokens  int
 	// attempts counts the attempts made.
 	attempts int
 	avoid    []string
@@ -248,6 +253,10 @@
 	if out := j.readBody(); out != nil {
 		return out
 	}
+	j.identify()
+	if out := j.confined(); out != nil {
+		return out
+	}
 	org := j.tenant.Organisation.Name
 	if out := f.limiter.admit(org, j.share, time.Now()); out != nil {
 		j.step(route.Step{Kind: route.StepLimit, Reason: route.Code(out.code), Text: out.text})
--- /dev/null
+++ b/daemon/front/quarantine.go
@@ -0,0 +1,128 @@
+package front
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ladderridge.example/core/attempt"
+	"ladderridge.example/core/fault"
+	"ladderridge.example/core/quarantine"
+	"ladderridge.example/core/route"
+	"ladderridge.example/core/tally"
+	"ladderridge.example/daemon/backend"
+	"ladderridge.example/daemon/channel"
+)
+
+// confinement finds requests under which backend servers end. What daemons find adds up in
+// the tally: without it one request would end three servers for each daemon that it comes
+// to.
+type confinement struct {
+	ledger *quarantine.Ledger
+	runs   *quarantine.Runs
+}
+
+func newConfinement() *confinement {
+	return &confinement{ledger: quarantine.NewLedger(), runs: quarantine.NewRuns()}
+}
+
+// crashKey is the key of a request's crash count in the tally.
+func crashKey(f quarantine.Fingerprint) tally.Key { return tally.KeyOf("crash/" + f.String()) }
+
+// Crashes are the crash counts of requests that this daemon has found, for the tally.
+func (f *Front) Crashes() []tally.Evidence {
+	var out []tally.Evidence
+	for _, c := range f.confinement.ledger.Recent(time.Now()) {
+		out = append(out, tally.Evidence{Key: crashKey(c.Content), Answers: uint64(c.Crashes), Bad: uint64(c.Crashes)})
+	}
+	slices.SortFunc(out, func(a, b tally.Evidence) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+func placeOf(s *route.Server) quarantine.Place { return quarantine.Place{ID: s.ID, Addr: s.Addr} }
+
+// identify works out what the request asks.
+func (j *job) identify() {
+	c := quarantine.Content{Method: j.r.Method, Target: j.r.URL.RequestURI(), Organisation: j.tenant.Organisation.Name, Body: j.body}
+	j.content = c.Fingerprint()
+}
+
+// confined refuses a request under which servers have ended.
+func (j *job) confined() *refusal {
+	now := time.Now()
+	until, in := j.front.confinement.ledger.Quarantined(j.content, now)
+	left := until.Sub(now)
+	if !in {
+		if j.front.Control.Snapshot().Seen(crashKey(j.content)).Bad < quarantine.Fatal {
+			return nil
+		}
+		left = quarantine.For
+	}
+	return refuse(http.StatusServiceUnavailable, Quarantined, "backend servers have ended under this request: it gets no more of them for now").withRetry(left)
+}
+
+// watch follows an attempt: what is under way at a server that ends is held against it.
+func (j *job) watch(x *backend.Exchange) {
+	place, gate, ended := placeOf(x.Server), x.Gate, x.Ended
+	begun := false
+	x.Gate = func() error {
+		if err := gate(); err != nil {
+			return err
+		}
+		begun = true
+		j.front.confinement.runs.Begin(place, j.content, time.Now())
+		return nil
+	}
+	x.Ended = func() {
+		ended()
+		if !begun {
+			return
+		}
+		how := quarantine.Cut
+		if x.Attempt.Outcome() == attempt.Done {
+			how = quarantine.Done
+			j.front.confinement.ledger.Answered(j.content, time.Now())
+		}
+		j.front.confinement.runs.End(place, j.content, how, time.Now())
+	}
+}
+
+// suspect has a server looked at that broke an attempt off, or counts one that is gone.
+func (f *Front) suspect(s *route.Server, err error) {
+	switch {
+	case channel.ConnectionRefused(err):
+		f.serverEnded(placeOf(s))
+	case fault.Is(err, backend.Broken):
+		f.look(placeOf(s))
+	}
+}
+
+// look finds out whether a server that broke off is there.
+func (f *Front) look(p quarantine.Place) {
+	if !f.confinement.runs.Look(p) {
+		return
+	}
+	go func() {
+		defer f.confinement.runs.Looked(p)
+		if err := f.Backend.Channels.Probe(context.Background(), p.Addr); channel.ConnectionRefused(err) {
+			f.serverEnded(p)
+		}
+	}()
+}
+
+// serverEnded holds a server that has ended against what was under way there.
+func (f *Front) serverEnded(p quarantine.Place) {
+	now := time.Now()
+	contents := f.confinement.runs.Ended(p, now)
+	if len(contents) == 0 {
+		return
+	}
+	for _, content := range contents {
+		f.confinement.ledger.Count(quarantine.Crash{Content: content, Server: xxhash.Sum64String(p.ID), At: now})
+	}
+	f.Log.Warn().Str("server", p.ID).Int("requests", len(contents)).Msg("quarantine: a server ended while requests were under way there")
+}
--- a/daemon/front/send.go
+++ b/daemon/front/send.go
@@ -33,6 +33,7 @@
 		j.front.waiting.served(j.poolOf(ref), now.Sub(begun), j.front.Control.Snapshot().View, now)
 	}
 	s := route.Step{Kind: route.StepAttempt, Model: ref.Model, Version: ref.Version, Server: x.Server.ID, Text: x.Attempt.ID}
+	j.watch(&x)
 	reply, err := j.front.Backend.Send(j.ctx, x)
 	if err != nil {
 		s.Text += " " + x.Attempt.State() + ": " + err.Error()
@@ -40,6 +41,7 @@
 			j.avoid = append(j.avoid, x.Server.ID)
 		}
 		j.tellFailure(x.Server.ID, err)
+		j.front.suspect(x.Server, err)
 	}
 	j.step(s)
 	return reply, err
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -63,6 +63,7 @@
 func (c *chatJob) brokeOff() {
 	if c.ctx.Err() == nil {
 		c.front.Control.Tell(control.Failed{Server: c.sent.Server.ID, Ref: c.sent.Ref})
+		c.front.look(placeOf(c.sent.Server))
 	}
 }
 
--- a/daemon/scenario/cluster_test.go
+++ b/daemon/scenario/cluster_test.go
@@ -83,6 +83,10 @@
 	batch int
 	// slots is how many versions fit into an engine; 0 is unknown.
 	slots int
+	// deadly is what the body of a request has that ends each server that begins to run it;
+	// deaths counts them.
+	deadly string
+	deaths atomic.Int64
 	// refs are the two versions that the engines have loaded.
 	refs [2]table.Ref
 }
@@ -189,13 +193,33 @@
 func (c *cluster) hall(i int) string { return fmt.Sprintf("hall-%d", i%c.halls) }
 
 func (c *cluster) backend(id string, role platform.Role, hall, service string, h http.Handler) {
-	s := httptest.NewServer(h)
+	s := httptest.NewUnstartedServer(nil)
+	s.Config.Handler = c.mortal(s, h)
+	s.Start()
 	c.t.Cleanup(s.Close)
 	c.vms = append(c.vms, platform.VM{
 		ID: id, Role: role, Hall: hall, Service: service, Addr: s.Listener.Addr().String(), ChecksFence: c.slots > 0,
 	})
 }
 
+// mortal ends a server when it begins to run a request with a deadly body.
+func (c *cluster) mortal(s *httptest.Server, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if c.deadly != "" && strings.Contains(string(body), c.deadly) {
+			c.deaths.Add(1)
+			_ = s.Listener.Close()
+			go s.CloseClientConnections()
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		h.ServeHTTP(w, r)
+	})
+}
+
 // The range that test daemons listen in: below the ports that the system gives
 // to outgoing connections, which would otherwise take them first.
 const (
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -77,7 +77,7 @@
 		b.site.oracle.found("SOAK", err.Error())
 	}
 	b.link.Reset()
-	after := backAfter + time.Duration(newRand(b.site.seed, deadlyPart+uint64(b.deaths.Add(1))).Int64N(int64(backSpan)))
+	after := backAfter + time.Duration(newRand(b.site.seed, deadlyPart+b.deaths.Add(1)).Int64N(int64(backSpan)))
 	time.AfterFunc(after, func() {
 		if err := b.link.Down(false); err != nil {
 			b.site.oracle.found("SOAK", err.Error())
