A server is its id and its start, and an entry that another writer spoiled names none

What is kept of a server (load, prompts read, cold times, failures, crash counts, evidence of a roll-out, servers to avoid) is kept by its incarnation. A server that begins again under its id is empty, an entry of an earlier start names no server, and what was under way at the earlier one is broken off and goes elsewhere at once: 100 ms where its deadline of 2 s was waited for.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -76,7 +76,7 @@
 // mayTake reports whether a server may get the request at all.
 func mayTake(s *Server, w Want) bool {
 	switch {
-	case !s.Usable(), slices.Contains(w.Avoid, s.ID):
+	case !s.Usable(), slices.Contains(w.Avoid, s.Incarnation()):
 		return false
 	case w.Allowed != nil && !w.Allowed(s.Version):
 		return false
@@ -86,7 +86,7 @@
 
 // goesLast reports whether others go before a server.
 func goesLast(s *Server, w Want) bool {
-	return slices.Contains(w.Silent, s.Hall) || slices.Contains(w.Aside, s.ID)
+	return slices.Contains(w.Silent, s.Hall) || len(w.Aside) > 0 && slices.Contains(w.Aside, s.Incarnation().String())
 }
 
 // race finds the server where a request costs least: the work before it and what has to
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,11 +15,28 @@
 	"ladderridge.example/core/prompts"
 )
 
+// Incarnation is one start of a server. A server that begins again under its id is another
+// incarnation, which holds nothing of what the one before did.
+type Incarnation struct {
+	ID string
+	// Born is the Unix millisecond of the start, 0 if the server does not tell it.
+	Born int64
+}
+
+// String names the incarnation: by the id alone if its start is not known.
+func (i Incarnation) String() string {
+	if i.Born == 0 {
+		return i.ID
+	}
+	return i.ID + "@" + strconv.FormatInt(i.Born, 10)
+}
+
 // Server is one backend server as the platform lists it. It is never changed;
 // what requests have seen of it is in Load, which later lists share.
 type Server struct {
-	// ID is new with every start of the server.
-	ID      string
+	ID string
+	// Born is the Unix millisecond of its start, 0 if it does not tell it.
+	Born    int64
 	Service string
 	Addr    string
 	Hall    string
@@ -38,6 +56,9 @@
 	hash uint64
 }
 
+// Incarnation is the server's start that this is.
+func (s *Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, Born: s.Born} }
+
 // Usable reports whether the server may get new work.
 func (s *Server) Usable() bool { return !s.Leaving }
 
@@ -106,8 +127,9 @@
 	// is soon read again, and costs less than bytes between halls.
 	Near bool
 	// Avoid are servers that the request has been to.
-	Avoid []string
-	// Aside are servers that go last, as those do that have just failed.
+	Avoid []Incarnation
+	// Aside are servers that go last, as those do that have just failed, by the names of
+	// their incarnations.
 	Aside []string
 	// Silent are halls of which a server has timed out for the request: others
 	// go first.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -37,14 +37,14 @@
 	servers := pool(4)
 	servers[0].Leaving = true
 	servers[1].Version = "v2"
-	only := fleet.Want{Service: "s", Avoid: []string{"e02"}, Allowed: func(v string) bool { return v == "v1" }}
+	only := fleet.Want{Service: "s", Avoid: []fleet.Incarnation{{ID: "e02"}}, Allowed: func(v string) bool { return v == "v1" }}
 	for i := range uint64(100) {
 		only.Affinity = i
 		if s := choose(t, servers, only); s.ID != "e03" {
 			t.Fatalf("%s was chosen", s.ID)
 		}
 	}
-	only.Avoid = append(only.Avoid, "e03")
+	only.Avoid = append(only.Avoid, fleet.Incarnation{ID: "e03"})
 	if s, ok := fleet.NewList(servers).Choose(only, now); ok {
 		t.Errorf("%s was chosen though none may be", s.ID)
 	}
--- a/core/quarantine/runs.go
+++ b/core/quarantine/runs.go
@@ -12,8 +12,16 @@
 
 // Place is a server as requests find it.
 type Place struct {
-	ID   string
-	Addr string
+	// Server names the incarnation.
+	Server string
+	Addr   string
+}
+
+// Visit is a request at a server.
+type Visit struct {
+	place   Place
+	content Fingerprint
+	cancel  func()
 }
 
 // Leave says how a request left a server.
@@ -38,7 +46,7 @@
 
 // visits are the requests at one server.
 type visits struct {
-	open map[Fingerprint]int
+	open map[*Visit]bool
 	// cut are those that were cut, by when.
 	cut map[Fingerprint]time.Time
 	// looking tells that somebody finds out whether the server is there.
@@ -48,33 +56,54 @@
 // NewRuns returns an empty memory.
 func NewRuns() *Runs { return &Runs{at: map[Place]*visits{}} }
 
+func newVisits() *visits { return &visits{open: map[*Visit]bool{}, cut: map[Fingerprint]time.Time{}} }
+
 func (r *Runs) visits(p Place) *visits {
 	v := r.at[p]
 	if v == nil {
-		v = &visits{open: map[Fingerprint]int{}, cut: map[Fingerprint]time.Time{}}
+		v = newVisits()
 		r.at[p] = v
 	}
 	return v
 }
 
-// Begin notes a request that goes to a server.
-func (r *Runs) Begin(p Place, f Fingerprint, now time.Time) {
+// Begin notes a request that goes to a server, and how it is broken off there.
+func (r *Runs) Begin(p Place, f Fingerprint, cancel func(), now time.Time) *Visit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sweep(now)
-	r.visits(p).open[f]++
+	visit := &Visit{place: p, content: f, cancel: cancel}
+	r.visits(p).open[visit] = true
+	return visit
 }
 
 // End notes that it has left the server.
-func (r *Runs) End(p Place, f Fingerprint, how Leave, now time.Time) {
+func (r *Runs) End(visit *Visit, how Leave, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := r.visits(p)
-	if v.open[f]--; v.open[f] <= 0 {
-		delete(v.open, f)
+	v := r.at[visit.place]
+	if v == nil || !v.open[visit] {
+		// Its server has ended, and has counted.
+		return
 	}
+	delete(v.open, visit)
 	if how == Cut {
-		v.cut[f] = now
+		v.cut[visit.content] = now
+	}
+}
+
+// BreakOff breaks off what is under way at a server that is no more.
+func (r *Runs) BreakOff(p Place) {
+	var cancels []func()
+	r.mu.Lock()
+	if v := r.at[p]; v != nil {
+		for visit := range v.open {
+			cancels = append(cancels, visit.cancel)
+		}
+	}
+	r.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
 	}
 }
 
@@ -88,8 +117,8 @@
 		return nil
 	}
 	found := map[Fingerprint]bool{}
-	for f := range v.open {
-		found[f] = true
+	for visit := range v.open {
+		found[visit.content] = true
 	}
 	for f, at := range v.cut {
 		if now.Sub(at) < afterglow {
@@ -97,7 +126,8 @@
 		}
 	}
 	// What is open there breaks off too, and counts no second time.
-	r.at[p] = &visits{open: map[Fingerprint]int{}, cut: map[Fingerprint]time.Time{}, looking: v.looking}
+	r.at[p] = newVisits()
+	r.at[p].looking = v.looking
 	out := make([]Fingerprint, 0, len(found))
 	for f := range found {
 		out = append(out, f)
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -194,6 +194,17 @@
 	}
 }
 
+// Drop closes the connections that rest to an address.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	kept := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range kept {
+		c.close()
+	}
+}
+
 // Idle is the number of connections that rest.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -11,6 +11,7 @@
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/prompts"
+	"ladderridge.example/core/quarantine"
 	"ladderridge.example/daemon/channel"
 )
 
@@ -39,10 +40,10 @@
 	// cancel ends the attempt at the server.
 	cancel context.CancelFunc
 	ended  bool
-	// arrived tells that the server may have the request, done that it has answered it
-	// whole or declined it.
-	arrived bool
-	done    bool
+	// visit is the request at its server, once it may have reached it; done tells that the
+	// server has answered it whole or declined it.
+	visit *quarantine.Visit
+	done  bool
 	// kind is what times are compared by: the route and the model.
 	kind string
 	// relative is how long the first part took in terms of the usual, 0 if that
@@ -73,7 +74,7 @@
 }
 
 // chooseBut finds a server that is not among those to avoid.
-func (j *job) chooseBut(avoid []string, now time.Time) (*fleet.Server, bool) {
+func (j *job) chooseBut(avoid []fleet.Incarnation, now time.Time) (*fleet.Server, bool) {
 	want := fleet.Want{
 		Service: j.service, Affinity: j.request.affinity(), Prompt: j.prompt, Piece: j.piece,
 		Hall: j.engine.Hall, Near: j.request.sharesLittle(), Avoid: avoid, Silent: j.silent,
@@ -202,7 +203,7 @@
 	if a.head.NotRun {
 		a.verdict, a.done = declined, true
 		j.made = j.made.With(attempts.NotRun)
-		j.avoid = append(j.avoid, a.server.ID)
+		j.avoid = append(j.avoid, a.server.Incarnation())
 		if a.head.WrongServer {
 			a.server.Load.Unreachable(now)
 		}
@@ -217,7 +218,7 @@
 
 func (j *job) judgeError(a *attempt, now time.Time) {
 	a.verdict = lost
-	j.avoid = append(j.avoid, a.server.ID)
+	j.avoid = append(j.avoid, a.server.Incarnation())
 	var e *channel.Error
 	if errors.As(a.err, &e) && e.Kind.NotRun() {
 		a.verdict, a.done = declined, true
--- a/daemon/exchange/ended.go
+++ b/daemon/exchange/ended.go
@@ -17,29 +17,28 @@
 // a moment there, and its server ends some hundred milliseconds after it began.
 const lookAfter = 300 * time.Millisecond
 
-func placeOf(s *fleet.Server) quarantine.Place { return quarantine.Place{ID: s.ID, Addr: s.Addr} }
+func placeOf(s *fleet.Server) quarantine.Place {
+	return quarantine.Place{Server: s.Incarnation().String(), Addr: s.Addr}
+}
 
 // arrive notes that the request is about to reach the attempt's server.
 func (j *job) arrive(a *attempt) {
-	a.arrived = true
-	j.engine.runs.Begin(placeOf(a.server), j.content, time.Now())
+	a.visit = j.engine.runs.Begin(placeOf(a.server), j.content, a.cancel, time.Now())
 }
 
 // depart notes that it has left the server. Where it was cut and servers have ended under
 // it, this one is looked at.
 func (j *job) depart(a *attempt) {
-	if !a.arrived {
+	if a.visit == nil {
 		return
 	}
-	a.arrived = false
 	how := quarantine.Cut
 	if a.done {
 		how = quarantine.Done
 	}
-	p := placeOf(a.server)
-	j.engine.runs.End(p, j.content, how, time.Now())
+	j.engine.runs.End(a.visit, how, time.Now())
 	if how == quarantine.Cut && j.view.Suspected(j.content) {
-		j.engine.lookLater(p)
+		j.engine.lookLater(placeOf(a.server))
 	}
 }
 
@@ -73,15 +72,26 @@
 
 func (e *Engine) lookLater(p quarantine.Place) { time.AfterFunc(lookAfter, func() { e.look(p) }) }
 
+// BeganAgain ends what is under way at a server that has begun again under its id: it knows
+// nothing of that. Of one that was not to leave it counts as what was there when it ended.
+func (e *Engine) BeganAgain(was *fleet.Server) {
+	p := placeOf(was)
+	e.Channels.Drop(p.Addr)
+	e.runs.BreakOff(p)
+	if contents := e.runs.Ended(p, time.Now()); len(contents) > 0 && was.Usable() {
+		e.Knowledge.ServerEnded(p.Server, contents)
+	}
+}
+
 // serverEnded tells what was under way at a server that has ended without a word. What a
 // server leaves behind that was to go, or is no longer listed, tells nothing.
 func (e *Engine) serverEnded(p quarantine.Place) {
 	now := time.Now()
 	contents := e.runs.Ended(p, now)
-	if len(contents) == 0 || !e.Knowledge.View().Serves(p.ID) {
+	if len(contents) == 0 || !e.Knowledge.View().Serves(p.Server) {
 		return
 	}
-	e.Knowledge.ServerEnded(p.ID, contents)
+	e.Knowledge.ServerEnded(p.Server, contents)
 	for _, f := range contents {
 		for _, other := range e.runs.Places(f, now) {
 			e.lookLater(other)
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	attempts "ladderridge.example/core/attempt"
+	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/ladder"
 	"ladderridge.example/core/pace"
 	"ladderridge.example/core/prompts"
@@ -166,8 +167,8 @@
 	// avoid are servers that declined the request or broke off, failed those
 	// that answered that they failed or were busy: they are taken if there is no
 	// other.
-	avoid  []string
-	failed []string
+	avoid  []fleet.Incarnation
+	failed []fleet.Incarnation
 	// silent are the other halls whose servers could not be reached or broke
 	// off, and any of which one timed out.
 	silent []string
--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -821,3 +821,27 @@
 		}
 	})
 }
+
+// A server that begins again knows nothing of what was under way there, and may say nothing
+// of that: the way to it was silent for two seconds. What waits goes elsewhere at once.
+func TestWhatIsUnderWayEndsWhenItsServerBeginsAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(t)
+		first := b.server("a", silent)
+		first.Born = 100
+		b.known.set(routemap.New(parts(1, "k")), first)
+		done := make(chan *told, 1)
+		go func() {
+			done <- b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Body: []byte("in"), Wait: 2 * time.Second})
+		}()
+		time.Sleep(100 * time.Millisecond)
+		again := b.server("a", whole(200, "x"))
+		again.Born = 200
+		b.known.set(routemap.New(parts(1, "k")), again)
+		b.engine.BeganAgain(first)
+		got := <-done
+		if got.status != 200 || got.took > 110*time.Millisecond {
+			t.Errorf("%d after %v: %#v", got.status, got.took, got.outcome)
+		}
+	})
+}
--- a/daemon/exchange/observe.go
+++ b/daemon/exchange/observe.go
@@ -28,7 +28,7 @@
 
 // fact says whose answer an attempt's is.
 func (j *job) fact(a *attempt) knowledge.Fact {
-	return knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.ID}
+	return knowledge.Fact{Service: j.service, Version: a.server.Version, Route: j.route.Name, Server: a.server.Incarnation().String()}
 }
 
 // like names what times of an attempt are compared with: those of the same model,
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -20,7 +20,7 @@
 		j.learn(a, time.Since(a.sent))
 		j.observe(a, false, 0)
 		if a.relative >= busyFactor {
-			j.failed = append(j.failed, a.server.ID)
+			j.failed = append(j.failed, a.server.Incarnation())
 		}
 		j.step = next
 		j.report.Escalated = true
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -37,7 +37,7 @@
 	w := &whole{status: a.reply.Status, header: a.reply.Header, body: body}
 	if w.status >= http.StatusInternalServerError {
 		a.server.Load.Failed()
-		j.failed = append(j.failed, a.server.ID)
+		j.failed = append(j.failed, a.server.Incarnation())
 		j.observe(a, true, 0)
 		j.note(a, fmt.Sprintf("status %d", w.status))
 		j.kept = w
@@ -56,7 +56,7 @@
 // brokeOff notes an answer that broke off before its end.
 func (j *job) brokeOff(a *attempt, err error) (Outcome, Reason) {
 	j.note(a, err.Error())
-	j.avoid = append(j.avoid, a.server.ID)
+	j.avoid = append(j.avoid, a.server.Incarnation())
 	if j.live() {
 		j.blame(a, err, time.Now())
 	}
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -43,7 +43,7 @@
 	return out
 }
 
-func placeOf(s *route.Server) quarantine.Place { return quarantine.Place{ID: s.ID, Addr: s.Addr} }
+func placeOf(s *route.Server) quarantine.Place { return quarantine.Place{Server: s.ID, Addr: s.Addr} }
 
 // identify works out what the request asks.
 func (j *job) identify() {
@@ -68,18 +68,18 @@
 // watch follows an attempt: what is under way at a server that ends is held against it.
 func (j *job) watch(x *backend.Exchange) {
 	place, gate, ended := placeOf(x.Server), x.Gate, x.Ended
-	begun := false
+	var visit *quarantine.Visit
 	x.Gate = func() error {
 		if err := gate(); err != nil {
 			return err
 		}
-		begun = true
-		j.front.confinement.runs.Begin(place, j.content, time.Now())
+		// Nothing is broken off here: a server's id is new with each start.
+		visit = j.front.confinement.runs.Begin(place, j.content, func() {}, time.Now())
 		return nil
 	}
 	x.Ended = func() {
 		ended()
-		if !begun {
+		if visit == nil {
 			return
 		}
 		how := quarantine.Cut
@@ -87,7 +87,7 @@
 			how = quarantine.Done
 			j.front.confinement.ledger.Answered(j.content, time.Now())
 		}
-		j.front.confinement.runs.End(place, j.content, how, time.Now())
+		j.front.confinement.runs.End(visit, how, time.Now())
 	}
 }
 
@@ -122,7 +122,7 @@
 		return
 	}
 	for _, content := range contents {
-		f.confinement.ledger.Count(quarantine.Crash{Content: content, Server: xxhash.Sum64String(p.ID), At: now})
+		f.confinement.ledger.Count(quarantine.Crash{Content: content, Server: xxhash.Sum64String(p.Server), At: now})
 	}
-	f.Log.Warn().Str("server", p.ID).Int("requests", len(contents)).Msg("quarantine: a server ended while requests were under way there")
+	f.Log.Warn().Str("server", p.Server).Int("requests", len(contents)).Msg("quarantine: a server ended while requests were under way there")
 }
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -35,7 +35,9 @@
 
 // ServerDump is what is known of one server.
 type ServerDump struct {
-	ID       string  `json:"id"`
+	ID string `json:"id"`
+	// Born is the Unix millisecond of its start, 0 if it does not tell it.
+	Born     int64   `json:"born"`
 	Service  string  `json:"service"`
 	Hall     string  `json:"hall"`
 	Version  string  `json:"version"`
@@ -77,7 +79,7 @@
 	for _, s := range v.Servers.All() {
 		_, emptied := v.Emptied[s.Hall]
 		out := ServerDump{
-			ID: s.ID, Service: s.Service, Hall: s.Hall, Version: s.Version, Leaving: s.Leaving,
+			ID: s.ID, Born: s.Born, Service: s.Service, Hall: s.Hall, Version: s.Version, Leaving: s.Leaving,
 			InFlight: s.Load.InFlight(), Slowness: s.Load.Slowness(), Crowded: s.Load.Crowded(now), Resting: s.Load.Resting(now), Emptied: emptied,
 		}
 		if cold := s.Load.Cold(); now.Before(cold.Until) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -127,6 +127,7 @@
 	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
 	g.engine.Hall, g.engine.Observer = s.Hall, g.reporter.report
 	g.engine.Budget = &retry.Budget{}
+	g.keeper.BeganAgain = g.engine.BeganAgain
 	g.keeper.Exposure = canary.Exposure{Share: s.ExposureShare, Slack: s.ExposureSlack}
 	g.keeper.Regions, g.keeper.ColdOverage, g.keeper.ColdSlack = s.Regions.ByHall(), s.ColdOverage, s.ColdSlack
 	g.keeper.Rate = func(service string) float64 { return g.engine.Budget.Rate(service, time.Now()) }
--- a/daemon/knowledge/halls.go
+++ b/daemon/knowledge/halls.go
@@ -57,16 +57,16 @@
 // noteCold notes what a newer entry of a server says of its being cold. The entry may be
 // a moment old: the time counts from now, which is later than it is meant.
 func (k *Keeper) noteCold(s *fleet.Server, row uint64, now time.Time) {
-	if k.coldRows[s.ID] >= row {
+	if k.coldRows[s.Incarnation()] >= row {
 		return
 	}
-	k.coldRows[s.ID] = row
+	k.coldRows[s.Incarnation()] = row
 	believed := routemap.BelievedCold(s.ColdFor)
 	if believed != s.ColdFor {
 		k.Log.Warn().Str("server", s.ID).Dur("cold_for", s.ColdFor).Dur("taken_as", believed).Msg("knowledge: a server's time to be cold cannot be meant so")
 	}
 	if believed > 0 {
-		k.coldUntil[s.ID] = now.Add(believed)
+		k.coldUntil[s.Incarnation()] = now.Add(believed)
 	}
 }
 
@@ -79,7 +79,7 @@
 	var daemons []string
 	for _, s := range v.Servers.All() {
 		service := v.Map.Service(s.Service)
-		until := k.coldUntil[s.ID]
+		until := k.coldUntil[s.Incarnation()]
 		if back, ok := k.returned[s.Hall]; ok && service.ColdFor > 0 {
 			until = latest(until, back.Add(routemap.BelievedCold(service.ColdFor)))
 		}
--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -248,11 +249,22 @@
 	return knowledge.Config{Map: routemap.New(parts)}, nil
 }
 
-// Server reads VERSION, VERSION@HALL or VERSION@HALL@COLD, a duration.
+// Server reads VERSION, VERSION@HALL or VERSION@HALL@COLD, a duration, with #BORN behind it
+// if the server tells its start. A row that begins with ! does not decode.
 func (decoder) Server(row relay.Row) (fleet.Server, error) {
 	s := fleet.Server{ID: row.Key, Service: "s", Addr: row.Key}
+	if row.Data[0] == '!' {
+		return s, errors.New("spoiled")
+	}
+	data, born, _ := strings.Cut(string(row.Data), "#")
+	if born != "" {
+		var err error
+		if s.Born, err = strconv.ParseInt(born, 10, 64); err != nil {
+			return s, err
+		}
+	}
 	var cold string
-	s.Version, s.Hall, _ = strings.Cut(string(row.Data), "@")
+	s.Version, s.Hall, _ = strings.Cut(data, "@")
 	s.Hall, cold, _ = strings.Cut(s.Hall, "@")
 	if cold != "" {
 		var err error
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -69,7 +69,10 @@
 	// Rate is how many requests for a service this daemon gets a second; nil is
 	// unknown.
 	Rate func(service string) float64
-	Log  log.Logger
+	// BeganAgain, if set, is told of a server that has begun again under its id, as it was
+	// before.
+	BeganAgain func(was *fleet.Server)
+	Log        log.Logger
 	// FirstStart tells that all daemons start for the first time: nobody waits for an
 	// answer yet, and what a hall's reader reads is told to the others.
 	FirstStart bool
@@ -82,6 +85,8 @@
 	Regained atomic.Int64
 	// Calls counts calls to the store.
 	Calls atomic.Int64
+	// Spoiled counts rows that came and do not decode.
+	Spoiled atomic.Int64
 	// Ended counts servers that ended while requests of this daemon were under way there.
 	Ended atomic.Int64
 
@@ -115,16 +120,18 @@
 	topics    map[relay.Topic]*topicState
 	// toldSums are the sums of the topics at the last news.
 	toldSums map[relay.Topic]uint64
-	loads    map[string]*fleet.Load
+	loads    map[fleet.Incarnation]*fleet.Load
 	halls    map[string]*fleet.Hall
 	// emptied are the data halls that are emptied, by since when this daemon knows;
 	// returned are those that were, by when they were taken back.
 	emptied  map[string]time.Time
 	returned map[string]time.Time
+	// starts are the latest known starts of servers, by id.
+	starts map[string]int64
 	// coldUntil is until when servers are cold by their own word, coldRows the
 	// versions of the entries that said so.
-	coldUntil map[string]time.Time
-	coldRows  map[string]uint64
+	coldUntil map[fleet.Incarnation]time.Time
+	coldRows  map[fleet.Incarnation]uint64
 	lapsed    map[string]time.Time
 	firstSeen map[string]time.Time
 	asked     map[uint64]time.Time
@@ -189,11 +196,11 @@
 func New() *Keeper {
 	k := &Keeper{
 		events: make(chan event, eventBacklog),
-		topics: map[relay.Topic]*topicState{}, loads: map[string]*fleet.Load{}, halls: map[string]*fleet.Hall{},
-		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[string]time.Time{}, coldRows: map[string]uint64{}, lapsed: map[string]time.Time{},
+		topics: map[relay.Topic]*topicState{}, loads: map[fleet.Incarnation]*fleet.Load{}, halls: map[string]*fleet.Hall{},
+		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]uint64{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), board: crowd.NewBoard(),
-		ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]time.Time{},
+		starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]time.Time{},
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
 		k.topics[t] = newTopicState()
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -19,7 +19,8 @@
 		return
 	}
 	k.bad[row.Key] = row.Version
-	k.Log.Error().Str("topic", string(topic)).Str("key", row.Key).Uint64("version", row.Version).Err(err).Msg("knowledge: a row does not decode: the last good one stays in force")
+	k.Spoiled.Add(1)
+	k.Log.Error().Str("topic", string(topic)).Str("key", row.Key).Uint64("version", row.Version).Err(err).Msg("knowledge: a row does not decode: of a server it names none, of anything else the last good one stays in force")
 }
 
 // readOperator takes the configuration, the orders and the data halls to be emptied.
@@ -76,6 +77,9 @@
 	var servers []*fleet.Server
 	for _, row := range t.rows {
 		s, err := k.Decoder.Server(row)
+		if err == nil {
+			err = k.checkStart(s)
+		}
 		if err != nil {
 			k.malformed(relay.Servers, row, err)
 			continue
@@ -90,16 +94,18 @@
 	}
 	k.forgetLoads(servers)
 	k.noteVersions(servers, first, now)
+	was := v.Servers
 	v.Servers = fleet.NewList(servers).WithEmptied(k.emptiedHalls())
 	k.view.Store(&v)
 	k.chill(now)
+	k.beganAgain(was, servers)
 }
 
 func (k *Keeper) withLoad(s fleet.Server) *fleet.Server {
-	if k.loads[s.ID] == nil {
-		k.loads[s.ID] = fleet.NewLoad(k.hall(s.Hall))
+	if k.loads[s.Incarnation()] == nil {
+		k.loads[s.Incarnation()] = fleet.NewLoad(k.hall(s.Hall))
 	}
-	s.Load = k.loads[s.ID]
+	s.Load = k.loads[s.Incarnation()]
 	return &s
 }
 
@@ -126,14 +132,13 @@
 }
 
 func (k *Keeper) forgetLoads(servers []*fleet.Server) {
-	kept := make(map[string]*fleet.Load, len(servers))
+	kept := make(map[fleet.Incarnation]*fleet.Load, len(servers))
 	for _, s := range servers {
-		kept[s.ID] = s.Load
+		kept[s.Incarnation()] = s.Load
 	}
 	k.loads = kept
-	gone := func(id string) bool { return kept[id] == nil }
-	maps.DeleteFunc(k.coldUntil, func(id string, _ time.Time) bool { return gone(id) })
-	maps.DeleteFunc(k.coldRows, func(id string, _ uint64) bool { return gone(id) })
+	maps.DeleteFunc(k.coldUntil, func(i fleet.Incarnation, _ time.Time) bool { return kept[i] == nil })
+	maps.DeleteFunc(k.coldRows, func(i fleet.Incarnation, _ uint64) bool { return kept[i] == nil })
 }
 
 // noteVersions remembers when a version was first listed. Those of the first
--- /dev/null
+++ b/daemon/knowledge/starts.go
@@ -0,0 +1,49 @@
+package knowledge
+
+import (
+	"fmt"
+
+	"ladderridge.example/core/fleet"
+)
+
+// Servers that begin again under their id. All that is kept about a server is kept by its
+// incarnation, so that a new one is empty, and cold and slow by its own word alone.
+
+// mostStarts bounds the starts that are remembered: far more than servers are listed.
+const mostStarts = 16384
+
+// checkStart notes a server's start. An entry of an earlier one than is known already is
+// another writer's and names no server.
+func (k *Keeper) checkStart(s fleet.Server) error {
+	if s.Born == 0 {
+		return nil
+	}
+	if latest := k.starts[s.ID]; s.Born < latest {
+		return fmt.Errorf("the server has begun at %d, later than %d", latest, s.Born)
+	}
+	if len(k.starts) >= mostStarts {
+		clear(k.starts)
+	}
+	k.starts[s.ID] = s.Born
+	return nil
+}
+
+// beganAgain tells of servers that have begun again under their id, by what they were: what
+// this daemon has under way there is lost.
+func (k *Keeper) beganAgain(was *fleet.List, servers []*fleet.Server) {
+	if was == nil || k.BeganAgain == nil {
+		return
+	}
+	before := map[string]*fleet.Server{}
+	for _, s := range was.All() {
+		before[s.ID] = s
+	}
+	for _, s := range servers {
+		old, ok := before[s.ID]
+		if !ok || old.Born == s.Born {
+			continue
+		}
+		k.Log.Info().Str("server", s.ID).Int64("born", s.Born).Bool("was_leaving", old.Leaving).Msg("knowledge: a server has begun again under its id")
+		k.BeganAgain(old)
+	}
+}
--- a/daemon/knowledge/view.go
+++ b/daemon/knowledge/view.go
@@ -59,12 +59,12 @@
 	return v.Quarantine != nil && v.Quarantine.Suspected(content)
 }
 
-// Serves reports whether a server is listed and stays.
-func (v *View) Serves(server string) bool {
+// Serves reports whether an incarnation of a server, by its name, is listed and stays.
+func (v *View) Serves(incarnation string) bool {
 	if v.Servers == nil {
 		return false
 	}
-	return slices.ContainsFunc(v.Servers.All(), func(s *fleet.Server) bool { return s.ID == server && s.Usable() })
+	return slices.ContainsFunc(v.Servers.All(), func(s *fleet.Server) bool { return s.Incarnation().String() == incarnation && s.Usable() })
 }
 
 // Rollout returns the order that is in force for a service.
--- a/daemon/knowledge/work.go
+++ b/daemon/knowledge/work.go
@@ -33,8 +33,8 @@
 // ownWork is this daemon's work at each server now.
 func (k *Keeper) ownWork() map[string]float64 {
 	work := make(map[string]float64, len(k.loads))
-	for id, l := range k.loads {
-		work[id] = l.Work()
+	for i, l := range k.loads {
+		work[i.ID] = l.Work()
 	}
 	return work
 }
