A VM that stood still counts that time in the age of what it knows

While a VM is suspended its steady clock stands. What a daemon knew looked a moment old when it woke, and a key that had been taken away meanwhile passed until the store's next answer; what was left of a request's time looked whole. The clock that counts suspension, less the steady one, is read by one source (daemon/standstill). Ages of what was confirmed, the start of an order, the store's clock and a request's time left count it; how long something took, pauses and turns do not. An answer that was under way is as old as its question.

--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -173,7 +173,7 @@
 		attempt.Organisation = j.holder.Name
 	}
 	if !j.end.IsZero() {
-		attempt.Left = max(time.Millisecond, time.Until(j.end))
+		attempt.Left = max(time.Millisecond, j.remaining())
 	}
 	x := channel.Request{
 		Addr: a.server.Addr, Method: r.Method, Target: r.Target, Host: r.Host, Header: j.engine.Dialect.Compose(attempt),
@@ -254,9 +254,15 @@
 	}
 }
 
+// remaining is how much time a request with an end has. Its caller has waited while the VM
+// stood still.
+func (j *job) remaining() time.Duration {
+	return time.Until(j.end) - (j.engine.StoodStill.Now() - j.stood)
+}
+
 // live reports whether the request's time is not over and its caller there: else
 // a failure says nothing about the server.
-func (j *job) live() bool { return !j.left() && (j.end.IsZero() || time.Now().Before(j.end)) }
+func (j *job) live() bool { return !j.left() && (j.end.IsZero() || j.remaining() > 0) }
 
 // finish ends an attempt: the server has its place back.
 func (j *job) finish(a *attempt) {
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -17,6 +17,7 @@
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/knowledge"
+	"ladderridge.example/daemon/standstill"
 )
 
 // Knowledge is what the engine needs to know.
@@ -39,6 +40,8 @@
 	Budget    *retry.Budget
 	// Hall is this daemon's data hall.
 	Hall string
+	// StoodStill tells how long the VM has stood still; nil is never.
+	StoodStill standstill.Clock
 	// Observer is told of each request that has ended; nil is nobody.
 	Observer func(Report)
 
@@ -127,7 +130,7 @@
 func (e *Engine) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
 	e.Open.Add(1)
 	defer e.Open.Add(-1)
-	j := &job{engine: e, request: r, sink: sink, after: r.After, report: Report{Request: r}, left: func() bool { return ctx.Err() != nil }}
+	j := &job{engine: e, request: r, sink: sink, after: r.After, stood: e.StoodStill.Now(), report: Report{Request: r}, left: func() bool { return ctx.Err() != nil }}
 	out := j.serve(ctx)
 	if _, whole := out.(Answered); j.left() && !whole {
 		out = Gone{}
@@ -157,9 +160,11 @@
 	// content tells what the request asks.
 	content quarantine.Fingerprint
 	service string
-	// end is when the request is given up, zero for never.
-	end  time.Time
-	step ladder.Step
+	// end is when the request is given up by the steady clock, zero for never; stood is how
+	// long the VM had stood still when it came.
+	end   time.Time
+	stood time.Duration
+	step  ladder.Step
 	// prompt is what the model of the step is to read, piece how much of a server's
 	// work a piece of it is. Each choice of a server renews them.
 	prompt prompts.Prompt
@@ -202,11 +207,12 @@
 	return j.run(ctx)
 }
 
-// awaitStart waits a moment for the first configuration of a daemon that has just
-// started: it reads the store at once, and a refusal would cost the caller more.
+// awaitStart waits a moment for the first configuration of a daemon that has just started,
+// or for the one of a VM that stood still to be confirmed: it reads the store at once, and a
+// refusal would cost the caller more.
 func (j *job) awaitStart(ctx context.Context) {
 	end := j.request.Arrived.Add(startWait)
-	for j.look(); !j.view.Ready() && ctx.Err() == nil && time.Now().Before(end); j.look() {
+	for j.look(); !j.view.Current() && ctx.Err() == nil && time.Now().Before(end); j.look() {
 		time.Sleep(startLook)
 	}
 }
@@ -226,6 +232,9 @@
 	if !j.view.Ready() {
 		return Refused{Reason: NotReady, RetryAfter: notReadyRetry}
 	}
+	if !j.view.Confirmed() {
+		return Refused{Reason: Stale, RetryAfter: staleRetry}
+	}
 	j.report.Config, j.report.ConfigAge = j.view.Map.Number, j.view.ConfigAge(now)
 	route, ok := j.view.Map.Match(j.request.Host, j.request.Path)
 	if !ok {
--- a/daemon/exchange/engine_test.go
+++ b/daemon/exchange/engine_test.go
@@ -845,3 +845,45 @@
 		}
 	})
 }
+
+// A VM that stood still has kept its caller waiting: what is left of the time is less, and
+// a request whose time is over goes to no further server.
+func TestTimeForWhichTheVMStoodStillIsTheCallers(t *testing.T) {
+	for still, want := range map[time.Duration]int{500 * time.Millisecond: 2, 3 * time.Second: 1} {
+		inBubble(t, func(t *testing.T) {
+			var stood atomic.Int64
+			b := newBench(t)
+			b.engine.StoodStill = func() time.Duration { return time.Duration(stood.Load()) }
+			suspended := func(net.Conn, arrival) bool {
+				stood.Store(int64(still))
+				return false
+			}
+			b.known.set(routemap.New(parts(1, "k")), b.server("a", suspended), b.server("b", suspended))
+			b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Body: []byte("in"), Wait: time.Second})
+			seen := b.seen()
+			if len(seen) != want {
+				t.Fatalf("stood still for %v: it reached %d servers", still, len(seen))
+			}
+			if left := seen[want-1].header.Get("Left"); want == 2 && left != "500" {
+				t.Errorf("the second server was given %s ms", left)
+			}
+		})
+	}
+}
+
+// What a daemon knew before its VM stood still lets nobody pass, with or without a key.
+func TestNothingIsServedUntilConfirmedAfterAStandstill(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		var stood atomic.Int64
+		b := newBench(t)
+		p := parts(1, "k")
+		p.Routes[0].Anonymous = true
+		b.known.set(routemap.New(p), b.server("a", whole(200, "x")))
+		b.known.view.StoodStill = func() time.Duration { return time.Duration(stood.Load()) }
+		stood.Store(int64(3 * time.Second))
+		got := b.ask(t.Context(), exchange.Request{ID: "r", Path: "/once/x"})
+		if out, ok := got.outcome.(exchange.Refused); !ok || out.Reason != exchange.Stale || out.RetryAfter <= 0 || len(b.seen()) > 0 {
+			t.Errorf("%#v", got.outcome)
+		}
+	})
+}
--- a/daemon/exchange/run.go
+++ b/daemon/exchange/run.go
@@ -20,6 +20,9 @@
 		if out := j.allowed(time.Now()); out != nil {
 			return j.truthful(out)
 		}
+		if !j.end.IsZero() && j.remaining() <= 0 {
+			return j.giveUp(ctx, Late)
+		}
 		if _, ok := j.quarantined(time.Now()); ok {
 			return j.giveUp(ctx, Quarantined)
 		}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"ladderridge.example/daemon/logwriter"
 	"ladderridge.example/daemon/peer"
 	"ladderridge.example/daemon/settings"
+	"ladderridge.example/daemon/standstill"
 	"ladderridge.example/daemon/supervise"
 )
 
@@ -125,6 +126,7 @@
 	g.reporter = newReporter(g.log)
 	g.engine = exchange.New()
 	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
+	g.keeper.StoodStill, g.engine.StoodStill = standstill.Total, standstill.Total
 	g.engine.Hall, g.engine.Observer = s.Hall, g.reporter.report
 	g.engine.Budget = &retry.Budget{}
 	g.keeper.BeganAgain = g.engine.BeganAgain
--- a/daemon/knowledge/follow.go
+++ b/daemon/knowledge/follow.go
@@ -125,7 +125,7 @@
 			clock.Wait(ctx, tickEvery/2)
 			continue
 		}
-		at := time.Now()
+		at, stood := time.Now(), k.StoodStill.Now()
 		page, whole, err := k.call(ctx, f, known, after, hold)
 		if ctx.Err() != nil {
 			return
@@ -134,7 +134,7 @@
 			hold = time.Millisecond
 			continue
 		}
-		k.deliver(ctx, paged{topic: f.topic, page: page, whole: whole, at: at, err: err})
+		k.deliver(ctx, paged{topic: f.topic, page: page, whole: whole, at: at, stood: stood, err: err})
 		if err != nil {
 			// What has changed meanwhile is only safely known from all rows
 			// if the store says that its history is gone.
--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,6 +104,8 @@
 	silent bool
 	// loseWrites does writes and loses their answers.
 	loseWrites bool
+	// stood is how long the daemon's VM has stood still, in nanoseconds.
+	stood atomic.Int64
 }
 
 func (l *link) fail(err error) {
@@ -384,6 +387,7 @@
 	s.mesh.mu.Lock()
 	s.mesh.keepers[id] = k
 	s.mesh.mu.Unlock()
+	k.StoodStill = func() time.Duration { return time.Duration(l.stood.Load()) }
 	s.links[id] = l
 	ctx, cancel := context.WithCancel(s.t.Context())
 	s.stops = append(s.stops, cancel)
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -20,6 +20,7 @@
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/daemon/standstill"
 )
 
 // The rhythm of the keeper.
@@ -62,6 +63,8 @@
 	Exposure canary.Exposure
 	// Regions are the regions of the data halls.
 	Regions map[string]string
+	// StoodStill tells how long the VM has stood still; nil is never.
+	StoodStill standstill.Clock
 	// ColdOverage and ColdSlack are what a cold server bears beyond the rate that its
 	// service names: a factor, and some requests more.
 	ColdOverage float64
@@ -85,6 +88,8 @@
 	Regained atomic.Int64
 	// Calls counts calls to the store.
 	Calls atomic.Int64
+	// Standstills counts the times that the VM has stood still.
+	Standstills atomic.Int64
 	// Spoiled counts rows that came and do not decode.
 	Spoiled atomic.Int64
 	// Ended counts servers that ended while requests of this daemon were under way there.
@@ -126,6 +131,10 @@
 	// returned are those that were, by when they were taken back.
 	emptied  map[string]time.Time
 	returned map[string]time.Time
+	// stood is how long the VM had stood still at the last look, wokeAt when it last began
+	// to run again.
+	stood  time.Duration
+	wokeAt time.Time
 	// starts are the latest known starts of servers, by id.
 	starts map[string]int64
 	// coldUntil is until when servers are cold by their own word, coldRows the
@@ -169,6 +178,8 @@
 	page  Page
 	whole bool
 	at    time.Time
+	// stood is how long the VM had stood still then.
+	stood time.Duration
 	err   error
 }
 
@@ -222,6 +233,9 @@
 // View returns what is known now.
 func (k *Keeper) View() *View { return k.view.Load() }
 
+// Reads reports whether this daemon reads the store now.
+func (k *Keeper) Reads() bool { return k.reading.Load() }
+
 // Received takes a message of another daemon.
 func (k *Keeper) Received(from string, message any) { k.tell(heard{from: from, message: message}) }
 
@@ -244,8 +258,9 @@
 	if k.Seed == 0 {
 		k.Seed = rand.Uint64()
 	}
+	k.stood = k.StoodStill.Now()
 	v := *k.view.Load()
-	v.Regions = k.Regions
+	v.Regions, v.StoodStill, v.Stood = k.Regions, k.StoodStill, k.stood
 	k.view.Store(&v)
 	k.random = k.draws("keeper")
 	k.nonce = k.random.Uint64()
@@ -279,6 +294,7 @@
 }
 
 func (k *Keeper) handle(e event) {
+	k.noteStandstill(time.Now())
 	switch e := e.(type) {
 	case paged:
 		k.paged(e, time.Now())
@@ -303,6 +319,8 @@
 
 // paged takes an answer of the store.
 func (k *Keeper) paged(e paged, now time.Time) {
+	// An answer is as old as its question, whatever the VM did meanwhile.
+	e.at = e.at.Add(e.stood - k.StoodStill.Now())
 	t := k.topics[e.topic]
 	if e.err != nil {
 		k.failed(e, t, now)
@@ -406,12 +424,14 @@
 	v.ConfigAt = k.topics[relay.Operator].confirmed
 	v.ServersAt = k.topics[relay.Servers].confirmed
 	v.Daemons = max(1, len(*k.members.Load()))
+	v.Stood, v.WokeAt = k.stood, k.wokeAt
 	v.rollouts, v.withdrawn, v.aside, v.firstSeen = k.rollouts.snapshot(), k.rollouts.withdrawnCopy(), maps.Clone(k.rollouts.aside), k.firstSeen
 	k.view.Store(&v)
 }
 
 // tick does what is due.
 func (k *Keeper) tick(ctx context.Context, now time.Time) {
+	k.noteStandstill(now)
 	for id, until := range k.lapsed {
 		if now.After(until) {
 			delete(k.lapsed, id)
--- /dev/null
+++ b/daemon/knowledge/standstill.go
@@ -0,0 +1,63 @@
+package knowledge
+
+import (
+	"time"
+)
+
+// A VM that is suspended stands still by its own steady clock. Ages of what is known count
+// that time: they are how old something is to the world. How long something took, pauses
+// and turns do not.
+
+// standstillLeast is what counts as having stood still: readings of two clocks differ by
+// less.
+const standstillLeast = 50 * time.Millisecond
+
+// noteStandstill notices that the VM has stood still since it last looked. All that was
+// confirmed is older by that, and questions that were asked before are void: what they
+// bring may be from then.
+func (k *Keeper) noteStandstill(now time.Time) {
+	total := k.StoodStill.Now()
+	d := total - k.stood
+	if d < standstillLeast {
+		return
+	}
+	k.stood, k.wokeAt = total, now
+	for _, t := range k.topics {
+		t.confirmed = t.confirmed.Add(-d)
+	}
+	k.answeredAt = k.answeredAt.Add(-d)
+	for id, until := range k.lapsed {
+		k.lapsed[id] = until.Add(-d)
+	}
+	clear(k.asked)
+	k.rollouts.stoodStill(d)
+	k.refresh()
+	k.Standstills.Add(1)
+	k.Log.Warn().Dur("for", d).Msg("knowledge: the VM stood still: nothing is served until what is known is confirmed")
+}
+
+// stoodStill moves what is counted from the start of an order.
+func (r *rollouts) stoodStill(d time.Duration) {
+	r.clockAt = r.clockAt.Add(-d)
+	for service, o := range r.byService {
+		o.Since = o.Since.Add(-d)
+		r.byService[service] = o
+	}
+}
+
+// stillSince is how long the VM has stood still since the view was made.
+func (v *View) stillSince() time.Duration {
+	if d := v.StoodStill.Now() - v.Stood; d >= standstillLeast {
+		return d
+	}
+	return 0
+}
+
+// Current reports whether requests can be decided by what is known now.
+func (v *View) Current() bool { return v.Ready() && v.Confirmed() }
+
+// Confirmed reports whether the configuration was confirmed since the VM last stood still:
+// until then what is known may be from long ago.
+func (v *View) Confirmed() bool {
+	return v.stillSince() == 0 && (v.WokeAt.IsZero() || v.ConfigAt.After(v.WokeAt))
+}
--- a/daemon/knowledge/view.go
+++ b/daemon/knowledge/view.go
@@ -8,6 +8,7 @@
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/routemap"
+	"ladderridge.example/daemon/standstill"
 )
 
 // View is what a daemon knows at a moment. It is never changed; traffic takes
@@ -31,6 +32,12 @@
 	// Quarantine has the crash counts of requests; nil holds nothing against any.
 	Quarantine *quarantine.Ledger
 
+	// StoodStill tells how long the VM has stood still, Stood how long it had when the view
+	// was made, WokeAt when it last began to run again.
+	StoodStill standstill.Clock
+	Stood      time.Duration
+	WokeAt     time.Time
+
 	rollouts  map[string]canary.Rollout
 	withdrawn map[string]bool
 	// aside are servers of versions in roll-out that look bad, by service.
@@ -40,8 +47,9 @@
 	sessions  *sessions
 }
 
-// ConfigAge is how old the knowledge of the configuration is.
-func (v *View) ConfigAge(now time.Time) time.Duration { return now.Sub(v.ConfigAt) }
+// ConfigAge is how old the knowledge of the configuration is, to the world: it counts the
+// time for which the VM stood still.
+func (v *View) ConfigAge(now time.Time) time.Duration { return now.Sub(v.ConfigAt) + v.stillSince() }
 
 // Ready reports whether requests can be decided at all.
 func (v *View) Ready() bool { return v.Map != nil && v.Servers != nil }
