--- a/soak/backend.go
+++ b/soak/backend.go
@@ -22,9 +22,13 @@
 	link    *Link
 	server  *httptest.Server
 
-	mu      sync.Mutex
-	runner  *standin.Runner
-	starts  int
+	mu     sync.Mutex
+	runner *standin.Runner
+	starts int
+	// id is the present one, born when it began; again has the next start keep the id.
+	id      string
+	born    int64
+	again   bool
 	name    string
 	fault   standin.RunnerFault
 	present bool
@@ -63,12 +67,17 @@
 		return nil
 	}
 	b.starts++
-	r := &standin.Runner{ID: fmt.Sprintf("%s-%d", b.name, b.starts), Slots: slots, Work: workTime}
+	if !b.again || b.runner == nil {
+		b.id = fmt.Sprintf("%s-%d", b.name, b.starts)
+	}
+	b.again, b.born = false, time.Now().UnixMilli()
+	start := b.starts
+	r := &standin.Runner{ID: b.id, Slots: slots, Work: workTime}
 	if b.service == modelStream {
 		r.Events, r.Confidence = streamed, map[string]int{smallModel: 40, largeModel: 90}
 	}
 	r.Observe = func(run standin.Run) {
-		b.site.oracle.ran(Ran{Run: run, Server: r.ID, Service: b.service, Version: b.version, At: time.Now()})
+		b.site.oracle.ran(Ran{Run: run, Server: r.ID, Service: b.service, Version: b.version, Start: start, At: time.Now()})
 		if run.Body == deadlyBody {
 			go b.die()
 		}
@@ -81,7 +90,7 @@
 // list writes the server's entry; b is locked.
 func (b *backend) list(leaving bool) error {
 	return b.site.store.SetServer(b.runner.ID, standin.Entry{
-		Service: b.service, Addr: b.link.Addr(), Hall: b.hall, Version: b.version, Slots: slots, Leaving: leaving,
+		Service: b.service, Addr: b.link.Addr(), Hall: b.hall, Version: b.version, Slots: slots, Leaving: leaving, Born: b.born,
 	})
 }
 
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -77,16 +77,31 @@
 		b.site.oracle.found("SOAK", err.Error())
 	}
 	b.link.Reset()
-	after := backAfter + time.Duration(newRand(b.site.seed, deadlyPart+b.deaths.Add(1)).Int64N(int64(backSpan)))
+	random := newRand(b.site.seed, deadlyPart+b.deaths.Add(1))
+	after, again := backAfter+time.Duration(random.Int64N(int64(backSpan))), random.IntN(2) == 0
 	time.AfterFunc(after, func() {
 		if err := b.link.Down(false); err != nil {
 			b.site.oracle.found("SOAK", err.Error())
 			return
 		}
-		b.renew()
+		b.beginAgain(again)
 	})
 }
 
+// beginAgain has the server back under its id, or else under a new one.
+func (b *backend) beginAgain(sameID bool) {
+	if !sameID {
+		b.renew()
+		return
+	}
+	b.mu.Lock()
+	b.again = true
+	b.mu.Unlock()
+	if err := b.begin(); err != nil {
+		b.site.oracle.found("SOAK", err.Error())
+	}
+}
+
 const (
 	// contactTime is how long after the third server has ended daemons have to know.
 	contactTime = 3*time.Second + machineSlack
@@ -97,12 +112,17 @@
 
 // confined checks that calm daemons send a request no more under which servers have ended.
 func (c *checker) confined() {
-	ended := map[string]time.Time{}
+	type start struct {
+		server string
+		number int
+	}
+	ended := map[start]bool{}
 	for _, r := range c.seen.Runs {
-		if _, known := ended[r.Server]; r.Run.Body != deadlyBody || known {
+		of := start{r.Server, r.Start}
+		if r.Run.Body != deadlyBody || ended[of] {
 			continue
 		}
-		ended[r.Server] = r.At
+		ended[of] = true
 		if len(ended) == deadlyServers {
 			c.afterThird(r.At)
 			return
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -40,7 +40,9 @@
 	Server  string
 	Service string
 	Version string
-	At      time.Time
+	// Start numbers the starts of the server.
+	Start int
+	At    time.Time
 }
 
 // everybody as a span's daemon is all of them.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,6 +53,8 @@
 	// Deadly has a caller come again and again with a request that ends each server that
 	// begins to run it.
 	Deadly bool
+	// Stranger has somebody write entries that name no server to use.
+	Stranger bool
 	// Liar makes one server break a promise, which the checks must notice.
 	Liar bool
 }
@@ -77,16 +79,20 @@
 	}
 	callers := newCallers(s, o)
 	callers.start(ctx)
-	poison := newDeadly(s, o.Seed)
+	poison, stranger := newDeadly(s, o.Seed), newStranger(s, o.Seed)
 	if o.Deadly {
 		poison.start(ctx)
 	}
+	if o.Stranger {
+		stranger.start(ctx)
+	}
 	s.play(ctx, plan)
 	back := s.awaitReady(ctx, returnWithin)
 	s.oracle.settled(time.Now())
 	clock.Wait(ctx, settleTime)
 	callers.stop()
 	poison.stop()
+	stranger.stop()
 	if back != nil {
 		s.oracle.found("RETURN", back.Error())
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,7 +23,7 @@
 	lengthFlag  = flag.Duration("soak.length", 15*time.Second, "how long faults come in each run")
 	atOnceFlag  = flag.Int("soak.at-once", 2, "how many runs go on at once")
 	daemonsFlag = flag.Int("soak.daemons", 0, "how many daemons; 0 is drawn from the seed")
-	deadlyFlag  = flag.Bool("soak.deadly", true, "a caller comes again and again with a request that ends its servers")
+	strangeFlag = flag.Bool("soak.strange", true, "a caller comes again and again with a request that ends its servers, and somebody spoils entries of servers")
 	keepFlag    = flag.String("soak.keep", "", "directory that keeps settings and logs of runs with findings")
 )
 
@@ -84,10 +84,10 @@
 	}
 }
 
-// TestShortRunWithADeadlyRequest has a caller come again and again with a request that ends
-// its servers, besides.
-func TestShortRunWithADeadlyRequest(t *testing.T) {
-	report := run(t, soak.Options{Seed: 3, Daemons: 3, Length: 3 * time.Second, Deadly: true})
+// TestShortRunWithStrangers has a caller come again and again with a request that ends its
+// servers, which begin again under their id or another one, and spoiled entries, besides.
+func TestShortRunWithStrangers(t *testing.T) {
+	report := run(t, soak.Options{Seed: 3, Daemons: 3, Length: 3 * time.Second, Deadly: true, Stranger: true})
 	if len(report.Findings) > 0 {
 		t.Error(report)
 	}
@@ -120,7 +120,7 @@
 	default:
 		t.Skip("no seeds are asked for: make soak")
 	}
-	runAll(t, seeds, *lengthFlag, *deadlyFlag)
+	runAll(t, seeds, *lengthFlag, *strangeFlag)
 }
 
 // TestSeedsThatFailed runs the seeds that ever failed, once fresh ones are asked
@@ -160,7 +160,7 @@
 	return seeds
 }
 
-func runAll(t *testing.T, seeds []uint64, length time.Duration, deadly bool) {
+func runAll(t *testing.T, seeds []uint64, length time.Duration, strange bool) {
 	t.Helper()
 	places := make(chan struct{}, *atOnceFlag)
 	var running sync.WaitGroup
@@ -168,7 +168,7 @@
 		places <- struct{}{}
 		running.Go(func() {
 			defer func() { <-places }()
-			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, Deadly: deadly})
+			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, Deadly: strange, Stranger: strange})
 			if len(report.Findings) > 0 {
 				t.Errorf("make soak SEED=%d repeats this", seed)
 			}
