Crashes are told again when the hall's reader was gone, and rows are written by few

A crash is told to the hall's reader three times within 0.3 s, while one that is gone is passed over after 1.05 s: the news was lost, and servers ended until one daemon had seen three of them. What was seen in the last 5 s is told to who reads next (TestCrashesAreToldAgainWhenTheReaderWasGone failed without). A quarantine that was heard of is written to the store by readers alone: with the store away all daemons would have tried every 3 s. Of two servers at one address the later one is there.

--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -253,9 +253,13 @@
 }
 
 // Server reads VERSION, VERSION@HALL or VERSION@HALL@COLD, a duration, with #BORN behind it
-// if the server tells its start. A row that begins with ! does not decode.
+// if the server tells its start. Its address is its id, or what comes behind = there. A row
+// that begins with ! does not decode.
 func (decoder) Server(row relay.Row) (fleet.Server, error) {
 	s := fleet.Server{ID: row.Key, Service: "s", Addr: row.Key}
+	if _, addr, ok := strings.Cut(row.Key, "="); ok {
+		s.Addr = addr
+	}
 	if row.Data[0] == '!' {
 		return s, errors.New("spoiled")
 	}
@@ -354,6 +358,13 @@
 	synctest.Wait()
 }
 
+// deafen has a daemon hear nobody any more.
+func (m *mesh) deafen(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.keepers, id)
+}
+
 // lose has nobody hear a daemon any more.
 func (m *mesh) lose(id string) {
 	m.mu.Lock()
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -161,10 +161,13 @@
 	awaySessions []uint64
 	sessionsAt   time.Time
 	// ledger has the crash counts of requests, crashNews what is to be told of them,
-	// confine the requests in quarantine, by when this daemon writes their rows.
-	ledger    *quarantine.Ledger
-	crashNews []crashNews
-	confine   map[quarantine.Fingerprint]time.Time
+	// ownCrashes what this daemon has seen lately, crashReader whom it told last; confine
+	// are the requests in quarantine.
+	ledger      *quarantine.Ledger
+	crashNews   []crashNews
+	ownCrashes  []quarantine.Crash
+	crashReader string
+	confine     map[quarantine.Fingerprint]confined
 	// bad are rows that did not decode, by key, so that each is logged once.
 	bad map[string]uint64
 }
@@ -211,7 +214,7 @@
 		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]uint64{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), board: crowd.NewBoard(),
-		starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]time.Time{},
+		starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]confined{},
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
 		k.topics[t] = newTopicState()
--- a/daemon/knowledge/quarantine.go
+++ b/daemon/knowledge/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,6 +41,18 @@
 	left   int
 }
 
+// retellFor is how long after it a daemon tells a crash again that it has seen itself, once
+// somebody else reads for it: the one before may have gone with the news.
+const retellFor = 5 * time.Second
+
+// confined is a request in quarantine whose row the store may not have.
+type confined struct {
+	// due is when this daemon writes the row.
+	due time.Time
+	// own tells that it has seen a server end under the request.
+	own bool
+}
+
 // confinement is the row of a request in quarantine.
 type confinement struct {
 	_ struct{} `cbor:",toarray"`
@@ -78,7 +91,25 @@
 func (k *Keeper) crashed(e crashed, now time.Time) {
 	for _, c := range e.crashes {
 		k.spread(crashNews{crash: c, abroad: true, left: crashTold})
-		k.noteQuarantine(c.Content, now, now)
+		k.noteQuarantine(c.Content, now, confined{due: now, own: true})
+	}
+	k.ownCrashes = append(k.ownCrashes, e.crashes...)
+}
+
+// retellCrashes has the crashes told again that this daemon saw a moment ago, if somebody
+// else reads for it now.
+func (k *Keeper) retellCrashes(now time.Time) {
+	k.ownCrashes = slices.DeleteFunc(k.ownCrashes, func(c quarantine.Crash) bool { return now.Sub(c.At) > retellFor })
+	reader, _ := k.readers.reader()
+	if k.reading.Load() {
+		reader = k.Self
+	}
+	if reader.ID == k.crashReader {
+		return
+	}
+	k.crashReader = reader.ID
+	for _, c := range k.ownCrashes {
+		k.spread(crashNews{crash: c, abroad: true, left: crashTold})
 	}
 }
 
@@ -94,7 +125,7 @@
 		if k.reading.Load() {
 			k.spread(crashNews{crash: c, abroad: known && m.Hall == k.Self.Hall, left: crashTold})
 		}
-		k.noteQuarantine(c.Content, now, now.Add(k.turnAfter(canary.RolledBack)))
+		k.noteQuarantine(c.Content, now, confined{due: now.Add(k.turnAfter(canary.RolledBack))})
 	}
 }
 
@@ -108,6 +139,7 @@
 // tellCrashes tells the crashes that wait: a reader its hall and other halls, another daemon
 // its reader.
 func (k *Keeper) tellCrashes(now time.Time) {
+	k.retellCrashes(now)
 	if len(k.crashNews) == 0 {
 		return
 	}
@@ -146,32 +178,33 @@
 
 // noteQuarantine logs a request that has come into quarantine, and has it written to the
 // store from a time on.
-func (k *Keeper) noteQuarantine(f quarantine.Fingerprint, now, due time.Time) {
+func (k *Keeper) noteQuarantine(f quarantine.Fingerprint, now time.Time, c confined) {
 	until, in := k.ledger.Quarantined(f, now)
 	if !in {
 		return
 	}
 	if _, noted := k.confine[f]; !noted {
 		k.Log.Warn().Stringer("content", f).Dur("for", until.Sub(now)).Msg("quarantine: servers ended under a request: it gets no more of them")
-		k.confine[f] = due
+		k.confine[f] = c
 	}
 }
 
 // writeQuarantines writes the rows of requests in quarantine that the store does not have.
-// Who has seen the crash does so at once, others in turn if it does not come.
+// Who has seen the crash does so at once, and readers in turn if it does not come: with the
+// store away hundreds of daemons would all try.
 func (k *Keeper) writeQuarantines(ctx context.Context, now time.Time) {
-	for f, due := range k.confine {
+	for f, c := range k.confine {
 		until, in := k.ledger.Quarantined(f, now)
 		if !in {
 			delete(k.confine, f)
 			continue
 		}
 		key := quarantinePrefix + f.String()
-		if row, ok := k.topics[relay.Members].rows[key]; ok && k.stands(row, now) || now.Before(due) {
+		if row, ok := k.topics[relay.Members].rows[key]; ok && k.stands(row, now) || now.Before(c.due) || !c.own && !k.reading.Load() {
 			continue
 		}
 		// Another try if it does not come from the store.
-		k.confine[f] = now.Add(bystanderWait)
+		k.confine[f] = confined{due: now.Add(bystanderWait), own: c.own}
 		data, err := cbor.Marshal(confinement{UntilMS: until.UnixMilli()})
 		if err != nil {
 			k.Log.Error().Err(err).Msg("quarantine: a row cannot be encoded")
@@ -210,6 +243,6 @@
 	}
 	content := quarantine.Fingerprint(f)
 	if k.ledger.Confine(content, time.UnixMilli(c.UntilMS), now) {
-		k.noteQuarantine(content, now, now.Add(bystanderWait))
+		k.noteQuarantine(content, now, confined{due: now.Add(bystanderWait)})
 	}
 }
--- a/daemon/knowledge/quarantine_test.go
+++ b/daemon/knowledge/quarantine_test.go
@@ -116,3 +116,33 @@
 		}
 	})
 }
+
+// The daemon that reads for a hall is gone when a crash is told to it. Each of the others
+// saw one server end: their news goes to who reads then.
+func TestCrashesAreToldAgainWhenTheReaderWasGone(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		var daemons []*knowledge.Keeper
+		for n := range 5 {
+			daemons = append(daemons, s.daemonIn(fmt.Sprintf("d%d", n), "h1"))
+		}
+		pass(3 * time.Second)
+		var rest []*knowledge.Keeper
+		for _, k := range daemons {
+			if k.Reads() {
+				s.mesh.lose(k.Self.ID)
+				s.mesh.deafen(k.Self.ID)
+			} else {
+				rest = append(rest, k)
+			}
+		}
+		for n, k := range rest[:3] {
+			k.ServerEnded(fmt.Sprintf("i-%d", n), []quarantine.Fingerprint{deadly})
+		}
+		pass(3 * time.Second)
+		if got := confined(rest...); got != len(rest) {
+			t.Errorf("%d of %d daemons know", got, len(rest))
+		}
+	})
+}
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -92,6 +92,7 @@
 			servers = append(servers, s)
 		}
 	}
+	servers = latestAtAddress(servers)
 	k.forgetLoads(servers)
 	k.noteVersions(servers, first, now)
 	was := v.Servers
--- a/daemon/knowledge/starts.go
+++ b/daemon/knowledge/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"ladderridge.example/core/fleet"
 )
@@ -28,6 +29,16 @@
 	return nil
 }
 
+// latestAtAddress leaves out servers at whose address a later one has begun: they are gone,
+// and their entries not yet.
+func latestAtAddress(servers []*fleet.Server) []*fleet.Server {
+	latest := map[string]int64{}
+	for _, s := range servers {
+		latest[s.Addr] = max(latest[s.Addr], s.Born)
+	}
+	return slices.DeleteFunc(servers, func(s *fleet.Server) bool { return s.Born > 0 && s.Born < latest[s.Addr] })
+}
+
 // beganAgain tells of servers that have begun again under their id, by what they were: what
 // this daemon has under way there is lost.
 func (k *Keeper) beganAgain(was *fleet.List, servers []*fleet.Server) {
--- a/daemon/knowledge/starts_test.go
+++ b/daemon/knowledge/starts_test.go
@@ -130,3 +130,23 @@
 		}
 	})
 }
+
+// A server whose address another one has taken is gone, though its entry stands.
+func TestServerWhoseAddressWasTakenIsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		s.rows.set(relay.Servers, "a", "v1#100")
+		s.rows.set(relay.Servers, "b", "v1#150")
+		k := s.daemon("d")
+		pass(2 * time.Second)
+		if got := servers(k); len(got) != 2 {
+			t.Fatalf("at first %v", got)
+		}
+		s.rows.set(relay.Servers, "c=a", "v1#200")
+		pass(time.Second)
+		if got := servers(k); len(got) != 2 || got[0] != "b" || got[1] != "c=a" {
+			t.Errorf("used are %v", got)
+		}
+	})
+}
