--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -19,6 +19,8 @@
 	// Emptied are the data halls whose servers get nothing, by since when this daemon
 	// knows, in milliseconds.
 	Emptied map[string]int64 `json:"emptied_halls"`
+	// Spoiled are the entries of servers that name none, by their keys, and why.
+	Spoiled map[string]string `json:"spoiled_entries"`
 	// Quarantine are the requests that get no server, since servers ended under them.
 	Quarantine []CaseDump   `json:"quarantine"`
 	Servers    []ServerDump `json:"servers"`
@@ -70,6 +72,7 @@
 	for hall, since := range v.Emptied {
 		d.Emptied[hall] = now.Sub(since).Milliseconds()
 	}
+	d.Spoiled = v.Spoiled
 	for _, c := range v.Quarantine.Cases(now) {
 		d.Quarantine = append(d.Quarantine, CaseDump{Content: c.Content.String(), Crashes: c.Crashes, LeftMS: c.Until.Sub(now).Milliseconds()})
 	}
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -75,6 +75,7 @@
 	v := *k.view.Load()
 	first := v.Servers == nil
 	var servers []*fleet.Server
+	v.Spoiled = map[string]string{}
 	for _, row := range t.rows {
 		s, err := k.Decoder.Server(row)
 		if err == nil {
@@ -82,6 +83,7 @@
 		}
 		if err != nil {
 			k.malformed(relay.Servers, row, err)
+			v.Spoiled[row.Key] = err.Error()
 			continue
 		}
 		k.noteCold(&s, row.Version, now)
