A chat daemon whose VM stood still doubts its table until it is confirmed

The same cause as with gateways: a view from before the standstill looked new by the steady clock, and a withdrawn version could be sent work until the next read.

Gateways' code is as it was, but for the name of the least standstill.

--- a/core/node/event.go
+++ b/core/node/event.go
@@ -21,6 +21,10 @@
 // Flush comes when bills may be due; FlushEvery while there are any.
 type Flush struct{}
 
+// StoodStill tells that the VM was suspended: the node's clock did not move for that time,
+// and the world did.
+type StoodStill struct{ For time.Duration }
+
 // Received is a message from another daemon, whose certificate names it.
 type Received struct {
 	From    string
@@ -67,6 +71,7 @@
 
 func (Tick) event()          {}
 func (Flush) event()         {}
+func (StoodStill) event()    {}
 func (Received) event()      {}
 func (ReadDone) event()      {}
 func (VMsKnown) event()      {}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -121,6 +121,9 @@
 	}
 	n.last = now
 	switch e := e.(type) {
+	case StoodStill:
+		n.resumed, n.resumedTurn = now, n.turn
+		n.Store.Older(e.For)
 	case Tick:
 		n.tick(e, now)
 	case Flush:
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -103,6 +103,16 @@
 // Get returns the document of a topic; its number is 0 if there is none.
 func (s *Store) Get(topic Topic) Document { return s.held[topic].doc }
 
+// Older has all that was confirmed be older by a time for which the clock stood.
+func (s *Store) Older(by time.Duration) {
+	for topic := range s.held {
+		h := &s.held[topic]
+		if !h.confirmed.IsZero() {
+			h.confirmed = h.confirmed.Add(-by)
+		}
+	}
+}
+
 // ConfirmedAt is when the document of a topic was last known to be the newest.
 func (s *Store) ConfirmedAt(topic Topic) time.Time { return s.held[topic].confirmed }
 
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -22,6 +22,7 @@
 	"ladderridge.example/core/tally"
 	"ladderridge.example/daemon/platform"
 	"ladderridge.example/daemon/settings"
+	"ladderridge.example/daemon/standstill"
 	"ladderridge.example/daemon/tablestore"
 )
 
@@ -49,6 +50,9 @@
 	Seen func(tally.Key) tally.Evidence
 	// BillsFull stops new work: the platform has been away for too long.
 	BillsFull bool
+
+	// stood is how long the VM had stood still when the snapshot was made.
+	stood time.Duration
 }
 
 // The bounds of the control goroutine's inboxes.
@@ -74,6 +78,8 @@
 	Crashes func() []tally.Evidence
 	// Published, if set, is told of every new snapshot.
 	Published func()
+	// StoodStill tells how long the VM has stood still; nil is never.
+	StoodStill standstill.Clock
 	// Incarnation is the daemon's start time in milliseconds.
 	Incarnation uint64
 
@@ -99,8 +105,18 @@
 	return c
 }
 
-// Snapshot returns the newest snapshot.
-func (c *Control) Snapshot() *Snapshot { return c.snapshot.Load() }
+// Snapshot returns the newest snapshot. One from before the VM stood still is in doubt: its
+// clock says that it is new.
+func (c *Control) Snapshot() *Snapshot {
+	s := c.snapshot.Load()
+	if c.StoodStill.Now()-s.stood < standstill.Least {
+		return s
+	}
+	out, view := *s, *s.View
+	view.Doubt = true
+	out.View = &view
+	return &out
+}
 
 // Ready reports whether the daemon has a table and has asked each backend
 // server of its data hall once.
@@ -175,6 +191,8 @@
 	pollers *pollers
 	// ticked is when the last tick was.
 	ticked time.Time
+	// stood is how long the VM had stood still at the last look.
+	stood time.Duration
 }
 
 // Run runs the control goroutine until ctx ends.
@@ -194,6 +212,7 @@
 		table:    table.New(table.Table{}),
 		safe:     map[string]chan bool{},
 		pollers:  newPollers(c.post),
+		stood:    c.StoodStill.Now(),
 	}
 	for _, seed := range c.Settings.Seeds {
 		l.node.Seeds = append(l.node.Seeds, member.Listed{ID: seed.ID, Addr: seed.Addr})
@@ -219,12 +238,14 @@
 			return
 		case e := <-l.events:
 			begun = time.Now()
+			l.noteStandstill(begun)
 			l.handle(e, begun)
 		case f := <-l.facts:
 			begun = time.Now()
 			l.fact(f, begun)
 		case <-tick.C:
 			begun = time.Now()
+			l.noteStandstill(begun)
 			l.tick(begun)
 		case <-flush.C:
 			begun = time.Now()
@@ -246,6 +267,19 @@
 	}
 }
 
+// noteStandstill notices that the VM has stood still: the table is in doubt until it is
+// confirmed anew, as after a pause of the process.
+func (l *loop) noteStandstill(now time.Time) {
+	d := l.StoodStill.Now() - l.stood
+	if d < standstill.Least {
+		return
+	}
+	l.stood += d
+	l.Log.Warn().Dur("for", d).Msg("control: the VM stood still: nothing is served until the table is confirmed")
+	l.feed(node.StoodStill{For: d}, now)
+	l.publish(now)
+}
+
 func (l *loop) handle(e event, now time.Time) {
 	switch e := e.(type) {
 	case nodeEvent:
@@ -434,7 +468,7 @@
 		BadFor:      l.guard.badFor,
 	}
 	l.servers.view(v, l.node.Leaving)
-	l.snapshot.Store(&Snapshot{View: v, Shares: l.shares(now), Acquainted: l.servers.acquainted(), BillsFull: l.node.Ledger.Full(), Seen: l.pooled(now)})
+	l.snapshot.Store(&Snapshot{View: v, Shares: l.shares(now), Acquainted: l.servers.acquainted(), BillsFull: l.node.Ledger.Full(), Seen: l.pooled(now), stood: l.stood})
 	if l.Published != nil {
 		l.Published()
 	}
--- a/daemon/knowledge/standstill.go
+++ b/daemon/knowledge/standstill.go
@@ -2,23 +2,21 @@
 
 import (
 	"time"
+
+	"ladderridge.example/daemon/standstill"
 )
 
 // A VM that is suspended stands still by its own steady clock. Ages of what is known count
 // that time: they are how old something is to the world. How long something took, pauses
 // and turns do not.
 
-// standstillLeast is what counts as having stood still: readings of two clocks differ by
-// less.
-const standstillLeast = 50 * time.Millisecond
-
 // noteStandstill notices that the VM has stood still since it last looked. All that was
 // confirmed is older by that, and questions that were asked before are void: what they
 // bring may be from then.
 func (k *Keeper) noteStandstill(now time.Time) {
 	total := k.StoodStill.Now()
 	d := total - k.stood
-	if d < standstillLeast {
+	if d < standstill.Least {
 		return
 	}
 	k.stood, k.wokeAt = total, now
@@ -47,7 +45,7 @@
 
 // stillSince is how long the VM has stood still since the view was made.
 func (v *View) stillSince() time.Duration {
-	if d := v.StoodStill.Now() - v.Stood; d >= standstillLeast {
+	if d := v.StoodStill.Now() - v.Stood; d >= standstill.Least {
 		return d
 	}
 	return 0
--- a/daemon/peer/pause_test.go
+++ b/daemon/peer/pause_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ladderridge.example/core/member"
 	"ladderridge.example/core/node"
 	"ladderridge.example/core/spread"
 )
@@ -176,3 +177,28 @@
 		t.Error("no second daemon has the bill")
 	}
 }
+
+// TestDaemonWhoseVMStoodStillDoubtsItsTable has a VM suspended while the table is edited: by
+// its own clock no time has passed. The table is in doubt until it is confirmed by a read
+// that was sent afterwards, and is as old as the world has it.
+func TestDaemonWhoseVMStoodStillDoubtsItsTable(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	n := node.New(member.Listed{ID: "entry-1", Hall: "h"}, 1, now)
+	n.Handle(node.ReadDone{Topic: spread.Config, Number: 1, Data: []byte("table"), At: now}, now)
+	now = now.Add(100 * time.Millisecond)
+	if n.Doubt(now) {
+		t.Fatal("in doubt before")
+	}
+	n.Handle(node.StoodStill{For: 20 * time.Second}, now)
+	if age := now.Sub(n.Store.ConfirmedAt(spread.Config)); !n.Doubt(now) || age < 20*time.Second {
+		t.Errorf("after the standstill: in doubt %v, confirmed %v ago", n.Doubt(now), age)
+	}
+	n.Handle(node.ReadDone{Topic: spread.Config, Number: 1, At: now.Add(-time.Millisecond)}, now.Add(time.Second))
+	if !n.Doubt(now.Add(time.Second)) {
+		t.Error("a read from before confirms the table")
+	}
+	n.Handle(node.ReadDone{Topic: spread.Config, Number: 2, Data: []byte("newer"), At: now.Add(time.Second)}, now.Add(2*time.Second))
+	if n.Doubt(now.Add(2 * time.Second)) {
+		t.Error("still in doubt")
+	}
+}
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -23,6 +23,7 @@
 	"ladderridge.example/daemon/platform"
 	"ladderridge.example/daemon/record"
 	"ladderridge.example/daemon/settings"
+	"ladderridge.example/daemon/standstill"
 	"ladderridge.example/daemon/supervise"
 )
 
@@ -94,6 +95,7 @@
 	p.control.Settings, p.control.Platform, p.control.Peers = s, client, sender{p.peers}
 	p.control.Log = p.log
 	p.control.Demands = p.front.Demands
+	p.control.StoodStill = standstill.Total
 	p.control.Crashes = p.front.Crashes
 	p.control.Published = p.front.Wake
 	p.control.Incarnation = uint64(time.Now().UnixMilli())
--- a/daemon/standstill/standstill.go
+++ b/daemon/standstill/standstill.go
@@ -13,6 +13,9 @@
 // how long it did between them.
 type Clock func() time.Duration
 
+// Least is what counts as having stood still: readings of two clocks differ by less.
+const Least = 50 * time.Millisecond
+
 // Total is the Clock of the system: the clock that counts suspension, less the steady one.
 // It is 0 on a system that lacks them.
 func Total() time.Duration {
