--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -73,7 +73,7 @@
 		if err := gate(); err != nil {
 			return err
 		}
-		// Nothing is broken off here: a server's id is new with each start.
+		// Nothing is broken off: this platform does not tell a server's start.
 		visit = j.front.confinement.runs.Begin(place, j.content, func() {}, time.Now())
 		return nil
 	}
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -13,7 +13,7 @@
 )
 
 // backend is a backend server behind a link. When it crashes a new one takes its
-// place at the same address, under a new id.
+// place at the same address, under a new id or the same one.
 type backend struct {
 	site    *site
 	service string
@@ -59,7 +59,7 @@
 	return b, b.begin()
 }
 
-// begin starts a server anew, under a new id, and lists it.
+// begin starts a server anew, under a new id unless it is to keep its own, and lists it.
 func (b *backend) begin() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
