Spoiled entries stand with the platform's stand-in, as its words do

The soak wrote them itself, in the platform's names, with a raw JSON type of its own where encoding/json has one.

--- a/soak/stranger.go
+++ b/soak/stranger.go
@@ -24,17 +24,6 @@
 	running sync.WaitGroup
 }
 
-// spoiledEntries are what it writes; ADDRESS stands for the address.
-var spoiledEntries = []string{
-	`{"service":"llm","address":"ADDRESS","zone":"hall-0","version":"v1","slots":16,"state":"paused","coldRemainingMs":0,"sequence":1,"born":1}`,
-	`{"service":"api","address":"ADDRESS","zone":"hall-0","version":"v1","state":"ready","coldRemainingMs":0,"sequence":1}`,
-	`{"service":"api","address":"ADDRESS","zone":"hall-0","version":"v1","slots":-1,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-	`{"service":"llm","address":"ADDRESS","zone":"hall-0","version":1,"slots":16,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-	`{"service":"api","address":"http://ADDRESS","zone":"hall-0","version":"v1","slots":16,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-	`{"service":"llm","address":"ADDRESS","zone":"hall-0","version":"v1","slots":16,"state":"ready","coldRemainingMs":0,"sequence":1,"born":"now"}`,
-	`["service","api","address","ADDRESS"]`,
-}
-
 const (
 	// strangerEvery is the longest pause between two of its entries, strangerKeys how many
 	// stand at once.
@@ -53,18 +42,11 @@
 	return w
 }
 
-// spoiled is an entry as it is, not as JSON makes it.
-type spoiled string
-
-// MarshalJSON implements json.Marshaler.
-func (s spoiled) MarshalJSON() ([]byte, error) { return []byte(s), nil }
-
 func (w *stranger) start(ctx context.Context) {
 	w.running.Go(func() {
 		for n := 0; !w.stopped.Load() && ctx.Err() == nil; n++ {
-			text := spoiledEntries[w.random.IntN(len(spoiledEntries))]
-			entry := spoiled(strings.ReplaceAll(text, "ADDRESS", strings.TrimPrefix(w.trap.URL, "http://")))
-			if err := w.site.store.Set("servers", fmt.Sprintf("stranger-%d", n%strangerKeys), entry); err != nil {
+			addr := strings.TrimPrefix(w.trap.URL, "http://")
+			if err := w.site.store.SpoilServer(fmt.Sprintf("stranger-%d", n%strangerKeys), addr, w.random); err != nil {
 				w.site.oracle.found("SOAK", err.Error())
 			}
 			clock.Wait(ctx, time.Duration(w.random.Int64N(int64(strangerEvery))))
