The name of an incarnation is made once a list, not at each choice of a server

While servers of a version are set aside, each choice joined id and start for every server of the service to compare names; servers without a start are named by their id as before.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -86,7 +86,7 @@
 
 // goesLast reports whether others go before a server.
 func goesLast(s *Server, w Want) bool {
-	return slices.Contains(w.Silent, s.Hall) || len(w.Aside) > 0 && slices.Contains(w.Aside, s.Incarnation().String())
+	return slices.Contains(w.Silent, s.Hall) || slices.Contains(w.Aside, s.name)
 }
 
 // race finds the server where a request costs least: the work before it and what has to
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -52,8 +52,9 @@
 	ColdFor time.Duration
 	Load    *Load
 
-	// hash is that of the ID.
+	// hash is that of the ID, name the incarnation's.
 	hash uint64
+	name string
 }
 
 // Incarnation is the server's start that this is.
@@ -75,6 +76,7 @@
 	for _, s := range servers {
 		if s.hash == 0 {
 			s.hash = xxhash.Sum64String(s.ID)
+			s.name = s.Incarnation().String()
 		}
 		l.byService[s.Service] = append(l.byService[s.Service], s)
 	}
