Counting a server's end, and looking whether it is there, stand once

Both doors counted an end against what was under way there, and both had the same look by a new connection: quarantine.Ledger.CountAll and channel.Pool.Look serve them, and the exchange's test. Probe, which nothing else called, is part of the look.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // The bounds of what is held against a request.
@@ -80,6 +82,19 @@
 	return true
 }
 
+// CountAll counts the end of a server, by its name, against what was under way there, and
+// returns the crashes that were not counted yet.
+func (l *Ledger) CountAll(server string, contents []Fingerprint, at time.Time) []Crash {
+	var fresh []Crash
+	for _, f := range contents {
+		c := Crash{Content: f, Server: xxhash.Sum64String(server), At: at}
+		if l.Count(c) {
+			fresh = append(fresh, c)
+		}
+	}
+	return fresh
+}
+
 // sameAs reports whether two reports are of one crash.
 func (c Crash) sameAs(other Crash) bool {
 	return c.Server == other.Server && c.At.Sub(other.At).Abs() < sameCrash
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -225,17 +225,6 @@
 	return newChannel(conn), nil
 }
 
-// Probe opens a connection to a server to find out whether it is there, and keeps it for
-// the next request.
-func (p *Pool) Probe(ctx context.Context, addr string) error {
-	c, err := p.open(ctx, addr)
-	if err != nil {
-		return err
-	}
-	p.keep(addr, c)
-	return nil
-}
-
 // Send sends a request once and returns the answer's head, its body still to be
 // read. When ctx ends, the connection is closed, and with it the server's work.
 func (p *Pool) Send(ctx context.Context, x Request) (*Reply, error) {
--- a/daemon/exchange/ended.go
+++ b/daemon/exchange/ended.go
@@ -1,12 +1,10 @@
 package exchange
 
 import (
-	"context"
 	"time"
 
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/quarantine"
-	"ladderridge.example/daemon/channel"
 )
 
 // What is done about requests under which servers end. A connection that breaks off says
@@ -58,17 +56,7 @@
 }
 
 // look finds out whether a server that broke off is there.
-func (e *Engine) look(p quarantine.Place) {
-	if !e.runs.Look(p) {
-		return
-	}
-	go func() {
-		defer e.runs.Looked(p)
-		if err := e.Channels.Probe(context.Background(), p.Addr); channel.ConnectionRefused(err) {
-			e.serverEnded(p)
-		}
-	}()
-}
+func (e *Engine) look(p quarantine.Place) { e.Channels.Look(e.runs, p, e.serverEnded) }
 
 func (e *Engine) lookLater(p quarantine.Place) { time.AfterFunc(lookAfter, func() { e.look(p) }) }
 
--- a/daemon/exchange/harness_test.go
+++ b/daemon/exchange/harness_test.go
@@ -17,8 +17,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/retry"
@@ -78,9 +76,7 @@
 func (k *known) Ran(string, uint64, string) {}
 
 func (k *known) ServerEnded(server string, contents []quarantine.Fingerprint) {
-	for _, f := range contents {
-		k.ledger.Count(quarantine.Crash{Content: f, Server: xxhash.Sum64String(server), At: time.Now()})
-	}
+	k.ledger.CountAll(server, contents, time.Now())
 }
 
 func (k *known) Answered(f quarantine.Fingerprint) { k.ledger.Answered(f, time.Now()) }
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -2,13 +2,10 @@
 
 import (
 	"cmp"
-	"context"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ladderridge.example/core/attempt"
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/quarantine"
@@ -103,15 +100,7 @@
 
 // look finds out whether a server that broke off is there.
 func (f *Front) look(p quarantine.Place) {
-	if !f.confinement.runs.Look(p) {
-		return
-	}
-	go func() {
-		defer f.confinement.runs.Looked(p)
-		if err := f.Backend.Channels.Probe(context.Background(), p.Addr); channel.ConnectionRefused(err) {
-			f.serverEnded(p)
-		}
-	}()
+	f.Backend.Channels.Look(f.confinement.runs, p, f.serverEnded)
 }
 
 // serverEnded holds a server that has ended against what was under way there.
@@ -121,8 +110,6 @@
 	if len(contents) == 0 {
 		return
 	}
-	for _, content := range contents {
-		f.confinement.ledger.Count(quarantine.Crash{Content: content, Server: xxhash.Sum64String(p.Server), At: now})
-	}
+	f.confinement.ledger.CountAll(p.Server, contents, now)
 	f.Log.Warn().Str("server", p.Server).Int("requests", len(contents)).Msg("quarantine: a server ended while requests were under way there")
 }
--- a/daemon/knowledge/quarantine.go
+++ b/daemon/knowledge/quarantine.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"ladderridge.example/core/canary"
@@ -69,14 +68,7 @@
 // ServerEnded counts a server that has ended against what was under way there, and tells
 // the other daemons.
 func (k *Keeper) ServerEnded(server string, contents []quarantine.Fingerprint) {
-	now := time.Now()
-	e := crashed{}
-	for _, f := range contents {
-		c := quarantine.Crash{Content: f, Server: xxhash.Sum64String(server), At: now}
-		if k.ledger.Count(c) {
-			e.crashes = append(e.crashes, c)
-		}
-	}
+	e := crashed{crashes: k.ledger.CountAll(server, contents, time.Now())}
 	k.Ended.Add(1)
 	k.Log.Warn().Str("server", server).Int("requests", len(contents)).Int("counted", len(e.crashes)).Msg("quarantine: a server ended while requests were under way there")
 	if len(e.crashes) > 0 {
