A request's line and a counter tell what servers say of themselves in answers

A line had a server's status only: whether a daemon had heard that a server leaves, or wants rest, could not be told from it. No decision changes.

--- /dev/null
+++ b/core/notice/notice_test.go
@@ -0,0 +1,32 @@
+package notice_test
+
+import (
+	"testing"
+	"time"
+
+	"ladderridge.example/core/notice"
+)
+
+func TestSecondsReadsWhatServersWrite(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "1e3": 1000 * time.Second, "1e300": notice.LongestRest, "+Inf": notice.LongestRest,
+		"": 0, "0": 0, "-1": 0, "NaN": 0, "soon": 0, "Wed, 21 Oct 2026 07:28:00 GMT": 0,
+	} {
+		if got := notice.Seconds(value); got != want {
+			t.Errorf("%q: %v, want %v", value, got, want)
+		}
+	}
+}
+
+func TestNoticeSaysWhatItIs(t *testing.T) {
+	for n, want := range map[notice.Notice]string{
+		{}:                                 "",
+		{Leaving: true}:                    "leaving",
+		{Rest: 1500 * time.Millisecond}:    "wants rest 1.5s",
+		{Leaving: true, Rest: time.Second}: "leaving, wants rest 1s",
+	} {
+		if n.String() != want || n.Says() != (want != "") {
+			t.Errorf("%+v: %q, says %v", n, n, n.Says())
+		}
+	}
+}
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -10,6 +10,7 @@
 	attempts "ladderridge.example/core/attempt"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/ladder"
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/pace"
 	"ladderridge.example/core/prompts"
 	"ladderridge.example/core/quarantine"
@@ -122,6 +123,8 @@
 	Model  string
 	// Result says what came of it, in a word or an error's text.
 	Result string
+	// Notice is what the server said of itself.
+	Notice notice.Notice
 	Took   time.Duration
 }
 
--- a/daemon/exchange/request.go
+++ b/daemon/exchange/request.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/prompts"
 	"ladderridge.example/core/quarantine"
 )
@@ -117,6 +118,8 @@
 	// set.
 	Load   int
 	Loaded bool
+	// Notice is what the server says besides of what it will take.
+	Notice notice.Notice
 }
 
 // Dialect turns attempts into headers, and heads of answers into what they say.
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -23,7 +23,7 @@
 // metrics registers what the daemon counts.
 func (g *Gateway) metrics() *prometheus.Registry {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), g.reporter.requests, g.reporter.duration, g.reporter.first, g.reporter.tries)
+	r.MustRegister(collectors.NewGoCollector(), g.reporter.requests, g.reporter.duration, g.reporter.first, g.reporter.tries, g.reporter.notices)
 	counter := func(name, help string, get func() float64) {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, get))
 	}
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -23,6 +23,7 @@
 	duration *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	tries    *prometheus.CounterVec
+	notices  *prometheus.CounterVec
 
 	fine    quota
 	wrong   quota
@@ -65,6 +66,8 @@
 			[]string{"route"}),
 		tries: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Attempts at servers, by service and version."},
 			[]string{"service", "version"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_notices_total", Help: "Answers with which a server said that it leaves, or asked for rest."},
+			[]string{"service", "notice"}),
 		fine: quota{perSecond: fineLines}, wrong: quota{perSecond: wrongLines},
 	}
 }
@@ -97,6 +100,7 @@
 		r.first.WithLabelValues(rep.Route).Observe(rep.First.Seconds())
 	}
 	r.tries.WithLabelValues(rep.Service, rep.Version).Add(float64(len(rep.Tries)))
+	r.countNotices(rep)
 	second := int64(time.Since(started) / time.Second)
 	plain := name == "answered" && len(rep.Tries) <= 1
 	if (plain && !r.fine.take(second)) || (!plain && !r.wrong.take(second)) {
@@ -106,6 +110,18 @@
 	r.line(rep, name, reason)
 }
 
+// countNotices counts what servers said of themselves in answers.
+func (r *reporter) countNotices(rep exchange.Report) {
+	for _, t := range rep.Tries {
+		if t.Notice.Leaving {
+			r.notices.WithLabelValues(rep.Service, "leaving").Inc()
+		}
+		if t.Notice.Rest > 0 {
+			r.notices.WithLabelValues(rep.Service, "rest").Inc()
+		}
+	}
+}
+
 // line writes a request's line.
 func (r *reporter) line(rep exchange.Report, name, reason string) {
 	e := r.log.Info()
@@ -134,6 +150,9 @@
 			b.WriteString("; ")
 		}
 		b.WriteString(t.Server + " " + t.Model + " " + strconv.FormatInt(t.Took.Milliseconds(), 10) + "ms " + t.Result)
+		if t.Notice.Says() {
+			b.WriteString(", " + t.Notice.String())
+		}
 	}
 	return b.String()
 }
