What a server says of itself in an answer holds for the next requests, at both doors

Cause: of an answer's head only its status and the model's confidence were read. A leaving was known from the store's entry alone, a decline to the one request that met it; and a server that declines is idle, so the choice preferred it.

A server's word that it leaves, or wants rest, is kept with its incarnation (core/notice) and outlives its entry. Such servers are not chosen, not even last; a word that comes while a connection comes up counts as well. Where all want rest, callers are refused at once with the time until the first one is back. The chat API reads the same: Ladderridge-Leaving, Retry-After on 503 and 429, and not_loaded, which it took for full.

Ruled out: that the word is lost again by a change of the list (it would have been: spoiled entries; mended with it) and requests that had chosen before.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -21,7 +21,7 @@
 	}
 	fit, last := newRace(w, now), newRace(w, now)
 	for _, s := range l.open[w.Service] {
-		if !mayTake(s, w) {
+		if !mayTake(s, w, now) {
 			continue
 		}
 		seen := s.Load.look(now)
@@ -42,7 +42,7 @@
 	for _, s := range l.open[w.Service] {
 		seen := s.Load.look(now)
 		switch {
-		case seen.full || !mayTake(s, w):
+		case seen.full || !mayTake(s, w, now):
 		case seen.resting || goesLast(s, w):
 			last = append(last, s)
 		default:
@@ -74,9 +74,9 @@
 }
 
 // mayTake reports whether a server may get the request at all.
-func mayTake(s *Server, w Want) bool {
+func mayTake(s *Server, w Want, now time.Time) bool {
 	switch {
-	case !s.Usable(), slices.Contains(w.Avoid, s.Incarnation()):
+	case !s.Open(now), slices.Contains(w.Avoid, s.Incarnation()):
 		return false
 	case w.Allowed != nil && !w.Allowed(s.Version):
 		return false
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -60,8 +60,15 @@
 // Incarnation is the server's start that this is.
 func (s *Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, Born: s.Born} }
 
-// Usable reports whether the server may get new work.
-func (s *Server) Usable() bool { return !s.Leaving }
+// Usable reports whether the server stays, by its entry and by its own word.
+func (s *Server) Usable() bool { return !s.Leaving && !s.Load.Notices.Kept().Leaving() }
+
+// Open reports whether the server may get new work now.
+//
+// A server's own word counts as much as its entry, which may be late or never come: a third
+// of twelve servers that decline everything and want rest get one request each and daemon
+// in it, and otherwise more than those that serve (28 to 31 in three seconds, counted).
+func (s *Server) Open(now time.Time) bool { return !s.Leaving && s.Load.Notices.Open(now) }
 
 // List is the servers of all services. It is never changed.
 type List struct {
@@ -103,6 +110,24 @@
 // Service returns the servers of a service.
 func (l *List) Service(name string) []*Server { return l.byService[name] }
 
+// RestEnds returns when the first server of a service takes requests again, if all that
+// stay want rest.
+func (l *List) RestEnds(service string, now time.Time) (at time.Time, ok bool) {
+	for _, s := range l.open[service] {
+		if !s.Usable() {
+			continue
+		}
+		k := s.Load.Notices.Kept()
+		if !k.Resting(now) {
+			return time.Time{}, false
+		}
+		if !ok || k.RestUntil.Before(at) {
+			at, ok = k.RestUntil, true
+		}
+	}
+	return at, ok
+}
+
 // Want is what a request wants of its server.
 type Want struct {
 	Service string
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/prompts"
 )
 
@@ -12,6 +13,8 @@
 type Load struct {
 	// Prompts is what the server has probably read.
 	Prompts *prompts.Memory
+	// Notices is what the server has said of itself in answers.
+	Notices *notice.Held
 
 	mu       sync.Mutex
 	inFlight int
@@ -53,7 +56,9 @@
 
 // NewLoad returns the load of a server that has served nothing yet. All servers
 // of a data hall share one Hall.
-func NewLoad(hall *Hall) *Load { return &Load{Prompts: prompts.NewMemory(), slowness: 1, hall: hall} }
+func NewLoad(hall *Hall) *Load {
+	return &Load{Prompts: prompts.NewMemory(), Notices: &notice.Held{}, slowness: 1, hall: hall}
+}
 
 // InFlight is the number of this daemon's requests under way there.
 func (l *Load) InFlight() int {
--- /dev/null
+++ b/core/notice/kept_test.go
@@ -0,0 +1,88 @@
+package notice_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"ladderridge.example/core/notice"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestRestEndsByItselfAndAShorterOneDoesNotEndIt(t *testing.T) {
+	k := notice.Kept{}.With(notice.Notice{Rest: 3 * time.Second}, now)
+	k = k.With(notice.Notice{Rest: time.Second}, now.Add(time.Second))
+	for after, open := range map[time.Duration]bool{0: false, 2999 * time.Millisecond: false, 3 * time.Second: true} {
+		if k.Open(now.Add(after)) != open {
+			t.Errorf("after %v: open is %v", after, !open)
+		}
+	}
+}
+
+func TestLeavingEndsOnlyByALaterWord(t *testing.T) {
+	k := notice.Kept{}.With(notice.Notice{Leaving: true}, now).With(notice.Notice{}, now.Add(time.Second))
+	if k.Open(now.Add(time.Hour)) || k.WithStay(now.Add(-time.Second)).Open(now) || k.WithStay(now).Open(now) {
+		t.Error("a server that leaves is open")
+	}
+	if !k.WithStay(now.Add(time.Millisecond)).Open(now) {
+		t.Error("a server that stays after all is not open")
+	}
+}
+
+// Answers overtake one another: in whatever order the notices of some answers are read, the
+// same is kept of them.
+func TestOrderOfNoticesDoesNotMatter(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		type said struct {
+			n  notice.Notice
+			at time.Time
+		}
+		var all []said
+		for range 4 {
+			all = append(all, said{notice.Notice{Leaving: rng.IntN(3) == 0, Rest: time.Duration(rng.IntN(3)) * time.Second}, now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)})
+		}
+		keep := func() (k notice.Kept) {
+			for _, s := range all {
+				k = k.With(s.n, s.at)
+			}
+			return k
+		}
+		want := keep()
+		rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		if got := keep(); got.RestUntil != want.RestUntil || got.Leaving() != want.Leaving() {
+			t.Fatalf("%+v, in another order %+v", want, got)
+		}
+	}
+}
+
+func TestHeldTellsNewsOnceUnderConcurrency(t *testing.T) {
+	var h notice.Held
+	var wg sync.WaitGroup
+	news := make(chan bool, 64)
+	for range cap(news) {
+		wg.Go(func() { news <- h.Hear(notice.Notice{Leaving: true}, now) })
+	}
+	wg.Wait()
+	close(news)
+	n := 0
+	for is := range news {
+		if is {
+			n++
+		}
+	}
+	if n != 1 || !h.Kept().Leaving() {
+		t.Errorf("news %d times", n)
+	}
+	if h.Hear(notice.Notice{}, now) {
+		t.Error("nothing said is news")
+	}
+	if h.Stays(now.Add(time.Second)); !h.Kept().Open(now) {
+		t.Error("not open after all")
+	}
+	if !h.Hear(notice.Notice{Rest: time.Second}, now) || h.Hear(notice.Notice{Rest: time.Second}, now.Add(500*time.Millisecond)) || !h.Hear(notice.Notice{Rest: time.Second}, now.Add(2*time.Second)) {
+		t.Error("a rest is news when it begins")
+	}
+}
--- a/core/route/decide.go
+++ b/core/route/decide.go
@@ -244,10 +244,21 @@
 	case StaleConfig:
 		return Refuse{Code: StaleConfig, RetryAfter: RetryCapacity, Text: "this data hall's table is too old to serve " + d.req.Model}
 	default:
-		return Refuse{Code: d.reason, RetryAfter: RetryCapacity, Text: "no server of " + d.req.Model + " can take work now"}
+		return Refuse{Code: d.reason, RetryAfter: comeBack(d.servers(), d.now), Text: "no server of " + d.req.Model + " can take work now"}
 	}
 }
 
+// servers are those of all candidates that the caller's model field names.
+func (d *decider) servers() []*Server {
+	var out []*Server
+	for _, c := range d.req.Tenant.Candidates {
+		if d.matches(c.Version.Ref) {
+			out = append(out, d.view.Engines[c.Version.Ref]...)
+		}
+	}
+	return out
+}
+
 // send picks the server for a chosen version.
 func (d *decider) send(c table.Candidate, quality float64) Outcome {
 	ref := c.Version.Ref
@@ -257,7 +268,7 @@
 		return Wait{Ref: ref}
 	}
 	if server == nil {
-		return Refuse{Code: NoCapacity, RetryAfter: RetryCapacity, Text: "no server of " + ref.String() + " can take work now"}
+		return Refuse{Code: NoCapacity, RetryAfter: comeBack(d.view.Engines[ref], d.now), Text: "no server of " + ref.String() + " can take work now"}
 	}
 	s := step(kind, ref)
 	s.Server = server.ID
@@ -289,7 +300,7 @@
 		return d, rule
 	}
 	if server == nil {
-		d.Outcome = Refuse{Code: NoCapacity, RetryAfter: RetryCapacity, Text: "no server of " + service + " can take work now"}
+		d.Outcome = Refuse{Code: NoCapacity, RetryAfter: comeBack(v.Services[service], now), Text: "no server of " + service + " can take work now"}
 		return d, rule
 	}
 	d.Steps = append(d.Steps, Step{Kind: kind, Server: server.ID, Value: float64(server.Estimate())})
--- a/core/route/gate.go
+++ b/core/route/gate.go
@@ -27,7 +27,7 @@
 	case v.stale(c, now):
 		return refused(op, StaleConfig, "the table is %v old", v.Age(now))
 	}
-	return gateServer(op, v.Engines[ref], serverID)
+	return gateServer(op, v.Engines[ref], serverID, now)
 }
 
 // GateCall is Gate for the call of a plain service.
@@ -43,17 +43,21 @@
 	if v.doubtful(now) {
 		return refused(op, StaleConfig, "this daemon was paused and has to confirm its table first")
 	}
-	return gateServer(op, v.Services[service], serverID)
+	return gateServer(op, v.Services[service], serverID, now)
 }
 
-func gateServer(op string, servers []*Server, id string) error {
+func gateServer(op string, servers []*Server, id string, now time.Time) error {
 	for _, s := range servers {
-		if s.ID == id {
-			if s.Leaving {
-				return refused(op, ServerLeaving, "server %s is leaving", id)
-			}
-			return nil
+		if s.ID != id {
+			continue
 		}
+		switch k := s.Load.Notices.Kept(); {
+		case s.Leaving || k.Leaving():
+			return refused(op, ServerLeaving, "server %s is leaving", id)
+		case k.Resting(now):
+			return refused(op, NoCapacity, "server %s wants rest", id)
+		}
+		return nil
 	}
 	return refused(op, ServerLeaving, "server %s is gone or no longer has the version loaded", id)
 }
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -22,7 +22,7 @@
 	for _, s := range servers {
 		switch {
 		case !s.Available(now) || slices.Contains(avoid, s.ID):
-		case s.full():
+		case s.full(now):
 			kind = StepWait
 		case s.Hall == v.Hall:
 			own = append(own, s)
@@ -43,7 +43,7 @@
 // anyRoom reports whether one of the servers can take a request now.
 func anyRoom(servers []*Server, avoid []string, now time.Time) bool {
 	for _, s := range servers {
-		if s.Available(now) && !s.full() && !slices.Contains(avoid, s.ID) {
+		if s.Available(now) && !s.full(now) && !slices.Contains(avoid, s.ID) {
 			return true
 		}
 	}
@@ -55,7 +55,7 @@
 	room := 0
 	for _, s := range servers {
 		switch {
-		case !s.Available(now) || s.full():
+		case !s.Available(now) || s.full(now):
 		case s.Capacity == 0:
 			return limit
 		default:
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/table"
 )
 
@@ -11,8 +12,25 @@
 // outlives the views that point to it and is safe for concurrent use.
 type Load struct {
 	InFlight atomic.Int64
+	// Notices is what the server has said of itself in answers.
+	Notices notice.Held
+
+	// fullUntil is until when it counts as full by its own word, in Unix nanoseconds.
+	fullUntil atomic.Int64
 }
 
+// FullRest is how long a server counts as full that has said so, unless a place there is
+// known to be free sooner: about what a short answer takes. Without it a server that tells
+// no capacity is the first choice of the next request again: one waited for a minute with
+// another server free.
+const FullRest = 100 * time.Millisecond
+
+// DeclinedFull notes that the server has said that it has no place.
+func (l *Load) DeclinedFull(now time.Time) { l.fullUntil.Store(now.Add(FullRest).UnixNano()) }
+
+// FreedPlace notes that a place there is free again.
+func (l *Load) FreedPlace() { l.fullUntil.Store(0) }
+
 // Server is what a daemon knows of one backend server at one moment.
 type Server struct {
 	ID   string
@@ -44,11 +62,35 @@
 
 // Available reports whether the server may get new work.
 func (s *Server) Available(now time.Time) bool {
-	return !s.Leaving && !now.Before(s.EjectedUntil)
+	return !s.Leaving && !now.Before(s.EjectedUntil) && s.Load.Notices.Open(now)
 }
 
 // full reports whether the server has no free place.
-func (s *Server) full() bool { return s.Capacity > 0 && s.Estimate() >= s.Capacity }
+func (s *Server) full(now time.Time) bool {
+	return s.Capacity > 0 && s.Estimate() >= s.Capacity || now.UnixNano() < s.Load.fullUntil.Load()
+}
+
+// comeBack is when to come back where none of some servers can take work now: when the first
+// one's rest ends if all that stay want rest, and otherwise after RetryCapacity.
+func comeBack(servers []*Server, now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, s := range servers {
+		k := s.Load.Notices.Kept()
+		if s.Leaving || k.Leaving() {
+			continue
+		}
+		if !k.Resting(now) {
+			return RetryCapacity
+		}
+		if left := k.RestUntil.Sub(now); least == 0 || left < least {
+			least = left
+		}
+	}
+	if least == 0 {
+		return RetryCapacity
+	}
+	return least
+}
 
 // QualityKey names what a quality estimate is about.
 type QualityKey struct {
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"ladderridge.example/core/attempt"
 	"ladderridge.example/core/fault"
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/route"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/wire"
@@ -79,6 +81,24 @@
 	Gate func() error
 	// Ended, if set, is called when the server has its place back.
 	Ended func()
+	// Noticed, if set, is told of what the server says of itself that was not known.
+	Noticed func(n notice.Notice)
+}
+
+// hear keeps what the server says of itself with an answer, whatever becomes of that.
+func (x *Exchange) hear(n notice.Notice) {
+	if n.Says() && x.Server.Load.Notices.Hear(n, time.Now()) && x.Noticed != nil {
+		x.Noticed(n)
+	}
+}
+
+// readNotice reads what a server says of itself.
+func readNotice(status int, h http.Header) notice.Notice {
+	n := notice.Notice{Leaving: h.Get(wire.HeaderLeaving) == wire.LeavingYes || status == http.StatusServiceUnavailable && h.Get(wire.HeaderDeclined) == wire.DeclinedLeaving}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		n.Rest = notice.Seconds(h.Get(wire.HeaderRest))
+	}
+	return n
 }
 
 // leave gives the server its place back.
@@ -118,6 +138,7 @@
 	if n, err := strconv.Atoi(answer.Header.Get(wire.HeaderLoad)); err == nil && n >= 0 {
 		reply.InFlight = n
 	}
+	x.hear(readNotice(answer.Status, answer.Header))
 	return c.check(x, reply)
 }
 
@@ -197,12 +218,12 @@
 	return reply, nil
 }
 
-// Leaving reports whether an error says that the server takes no new work.
-func Leaving(err error) bool { return declined(err, wire.DeclinedLeaving) }
-
 // Full reports whether an error says that the server has no place now.
 func Full(err error) bool { return declined(err, wire.DeclinedFull) }
 
+// NotLoaded reports whether an error says that the server has not loaded the version.
+func NotLoaded(err error) bool { return declined(err, wire.DeclinedNotLoaded) }
+
 func declined(err error, why string) bool {
 	var e *Error
 	return errors.As(err, &e) && e.Kind == Declined && e.Err != nil && e.Err.Error() == why
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -309,7 +309,7 @@
 		l.dirty = true
 		return
 	}
-	l.servers.report(e.server, e.report, e.own, now)
+	l.servers.report(e, now)
 	l.dirty = true
 	if e.report.Leaving && !l.node.Leaving(e.server) {
 		l.feed(node.ServerLeaving{ID: e.server}, now)
@@ -328,12 +328,15 @@
 		l.dirty = true
 		l.seen(f.Ref, true, now)
 	case Declined:
-		l.servers.declined(f.Server, f.Leaving, now)
+		l.servers.declined(f.Server, f.NotLoaded, now)
 		l.dirty = true
-		if f.Leaving {
-			l.feed(node.ServerLeaving{ID: f.Server}, now)
+		if f.NotLoaded != (table.Ref{}) {
 			l.publish(now)
 		}
+	case SaysLeaving:
+		l.Log.Info().Str("server", f.Server).Msg("control: a server says that it leaves")
+		l.feed(node.ServerLeaving{ID: f.Server}, now)
+		l.publish(now)
 	}
 }
 
--- a/daemon/control/event.go
+++ b/daemon/control/event.go
@@ -32,13 +32,19 @@
 
 // Declined is a server that took a request not on.
 type Declined struct {
-	Server  string
-	Leaving bool
+	Server string
+	// NotLoaded is the version that the server says it has not loaded; it is zero if it
+	// gave another reason.
+	NotLoaded table.Ref
 }
 
-func (Answered) fact() {}
-func (Failed) fact()   {}
-func (Declined) fact() {}
+// SaysLeaving is a server that says of itself that it takes no new work.
+type SaysLeaving struct{ Server string }
+
+func (Answered) fact()    {}
+func (Failed) fact()      {}
+func (Declined) fact()    {}
+func (SaysLeaving) fact() {}
 
 // event is what the control goroutine handles besides facts.
 type event interface{ event() }
--- a/daemon/control/servers.go
+++ b/daemon/control/servers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/route"
 	"ladderridge.example/core/table"
 	"ladderridge.example/daemon/platform"
@@ -42,9 +43,7 @@
 	capacity int
 	at       time.Time
 	own      int
-	// leaving is what the server itself said last.
-	leaving bool
-	heard   time.Time
+	heard    time.Time
 	// answered is when a poll of it last ended, well or not.
 	answered time.Time
 	// reportedAt is when its last whole report came.
@@ -92,7 +91,7 @@
 // goes reports whether a server is leaving by anybody's word: the list's, its
 // own, or other daemons'.
 func (b *backend) goes(told func(id string) bool) bool {
-	return b.vm.Leaving || b.leaving || told(b.vm.ID)
+	return b.vm.Leaving || b.load.Notices.Kept().Leaving() || told(b.vm.ID)
 }
 
 // firstPolls is how many servers that were never asked are polled at once.
@@ -153,15 +152,20 @@
 	return b
 }
 
-// report takes a server's own report; own is how many requests of this daemon
-// it had when it was asked.
-func (s *servers) report(id string, r wire.LoadReport, own int, now time.Time) {
-	b := s.byID[id]
+// report takes a server's own report, as the answer to a poll.
+func (s *servers) report(e reportEvent, now time.Time) {
+	b, r := s.byID[e.server], e.report
 	if b == nil {
 		return
 	}
-	b.reported, b.capacity, b.at, b.own = r.InFlight, r.Capacity, now, own
-	b.leaving, b.heard, b.failures, b.ejected = r.Leaving, now, 0, time.Time{}
+	b.reported, b.capacity, b.at, b.own = r.InFlight, r.Capacity, now, e.own
+	b.heard, b.failures, b.ejected = now, 0, time.Time{}
+	b.load.FreedPlace()
+	if r.Leaving {
+		b.load.Notices.Hear(notice.Notice{Leaving: true}, now)
+	} else {
+		b.load.Notices.Stays(e.sentAt)
+	}
 	b.reportedAt, b.answered = now, now
 	b.loaded, b.loading, b.slots = refs(r.Loaded), refs(r.Loading), r.Slots
 }
@@ -207,13 +211,15 @@
 	}
 }
 
-// declined notes a server's own word that it is leaving, or full.
-func (s *servers) declined(id string, leaving bool, now time.Time) {
+// declined notes a server's own word that it has not loaded a version, or is full. One that
+// has not loaded it is asked at once what it has.
+func (s *servers) declined(id string, notLoaded table.Ref, now time.Time) {
 	b := s.byID[id]
 	switch {
 	case b == nil:
-	case leaving:
-		b.leaving = true
+	case notLoaded != table.Ref{}:
+		b.loaded = slices.DeleteFunc(slices.Clone(b.loaded), func(r table.Ref) bool { return r == notLoaded })
+		b.polled = time.Time{}
 	default:
 		b.reported, b.at, b.own = max(b.reported, b.capacity), now, int(b.load.InFlight.Load())
 	}
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -178,10 +178,7 @@
 	x := channel.Request{
 		Addr: a.server.Addr, Method: r.Method, Target: r.Target, Host: r.Host, Header: j.engine.Dialect.Compose(attempt),
 		Body: r.Body, Sized: r.Sized, Belongs: func(h http.Header) bool { return j.engine.Dialect.Belongs(r.ID, h) },
-		Gate: func() error {
-			j.arrive(a)
-			return nil
-		},
+		Gate: func() error { return j.mayArrive(a) },
 	}
 	if !j.route.MayRepeat() {
 		x.RestAtMost = channel.OnceRest
@@ -200,6 +197,7 @@
 		return
 	}
 	a.head = j.engine.Dialect.Read(a.reply.Status, a.reply.Header)
+	j.hear(a, now)
 	if a.head.NotRun {
 		a.verdict, a.done = declined, true
 		j.made = j.made.With(attempts.NotRun)
@@ -216,6 +214,27 @@
 	}
 }
 
+// hear keeps what a server says of itself with an answer, whatever becomes of that.
+func (j *job) hear(a *attempt, now time.Time) {
+	n := a.head.Notice
+	if n.Says() && a.server.Load.Notices.Hear(n, now) && j.engine.Noticed != nil {
+		j.engine.Noticed(a.server, n)
+	}
+}
+
+// errNotOpen stops a request whose server has said meanwhile that it takes none.
+var errNotOpen = errors.New("the server takes no new work")
+
+// mayArrive is the last look at the server, once the connection is there: that may have
+// taken long, on a slow VM most of all, and answers to others have come meanwhile.
+func (j *job) mayArrive(a *attempt) error {
+	if !a.server.Open(time.Now()) {
+		return errNotOpen
+	}
+	j.arrive(a)
+	return nil
+}
+
 func (j *job) judgeError(a *attempt, now time.Time) {
 	a.verdict = lost
 	j.avoid = append(j.avoid, a.server.Incarnation())
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -45,6 +45,8 @@
 	StoodStill standstill.Clock
 	// Observer is told of each request that has ended; nil is nobody.
 	Observer func(Report)
+	// Noticed is told of a server that says of itself what was not known; nil is nobody.
+	Noticed func(s *fleet.Server, n notice.Notice)
 
 	// Open counts requests under way.
 	Open atomic.Int64
--- a/daemon/exchange/harness_test.go
+++ b/daemon/exchange/harness_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/retry"
 	"ladderridge.example/core/routemap"
@@ -47,6 +48,7 @@
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		head.Confidence, head.Confident = n, true
 	}
+	head.Notice = notice.Notice{Leaving: h.Get("Leaving") != "", Rest: notice.Seconds(h.Get("Rest"))}
 	return head
 }
 
--- a/daemon/exchange/outcome.go
+++ b/daemon/exchange/outcome.go
@@ -27,6 +27,8 @@
 	NoServer Reason = "no server"
 	// Full is a service whose servers declined.
 	Full Reason = "servers full"
+	// Resting is a service whose servers all want rest.
+	Resting Reason = "servers want rest"
 	// Quarantined is a request under which servers have ended.
 	Quarantined Reason = "quarantined"
 	// Late is a request whose time is over.
--- a/daemon/exchange/run.go
+++ b/daemon/exchange/run.go
@@ -70,9 +70,19 @@
 	if j.kept != nil {
 		return j.sendWhole(j.kept)
 	}
+	if out, ok := j.atRest(time.Now()); ok && (reason == NoServer || reason == Full) {
+		return j.truthful(out)
+	}
 	return j.truthful(Refused{Reason: reason, RetryAfter: j.comeBack(reason)})
 }
 
+// atRest refuses a request whose servers all want rest, until the first one takes requests
+// again: sooner it would find none.
+func (j *job) atRest(now time.Time) (Refused, bool) {
+	at, ok := j.view.Servers.RestEnds(j.service, now)
+	return Refused{Reason: Resting, RetryAfter: at.Sub(now)}, ok
+}
+
 // truthful turns a refusal into a failure if the request may have run.
 func (j *job) truthful(out Outcome) Outcome {
 	refused, ok := out.(Refused)
--- a/daemon/front/send.go
+++ b/daemon/front/send.go
@@ -10,6 +10,7 @@
 
 	"ladderridge.example/core/attempt"
 	"ladderridge.example/core/fault"
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/route"
 	"ladderridge.example/core/table"
 	"ladderridge.example/daemon/backend"
@@ -28,8 +29,10 @@
 // exchange sends one attempt and notes what became of it.
 func (j *job) exchange(x backend.Exchange, ref table.Ref) (*backend.Reply, error) {
 	begun := time.Now()
+	x.Noticed = func(n notice.Notice) { j.noticed(x.Server.ID, n) }
 	x.Ended = func() {
 		now := time.Now()
+		x.Server.Load.FreedPlace()
 		j.front.waiting.served(j.poolOf(ref), now.Sub(begun), j.front.Control.Snapshot().View, now)
 	}
 	s := route.Step{Kind: route.StepAttempt, Model: ref.Model, Version: ref.Version, Server: x.Server.ID, Text: x.Attempt.ID}
@@ -39,8 +42,11 @@
 		s.Text += " " + x.Attempt.State() + ": " + err.Error()
 		if !backend.Full(err) {
 			j.avoid = append(j.avoid, x.Server.ID)
+		} else {
+			x.Server.Load.DeclinedFull(time.Now())
+			time.AfterFunc(route.FullRest, j.front.Wake)
 		}
-		j.tellFailure(x.Server.ID, err)
+		j.tellFailure(x.Server.ID, ref, err)
 		j.front.suspect(x.Server, err)
 	}
 	j.step(s)
@@ -55,12 +61,25 @@
 	return pool{ref: ref}
 }
 
-// tellFailure lets the control state know of a server that failed.
-func (j *job) tellFailure(server string, err error) {
+// noticed lets the control state know of what a server says of itself.
+func (j *job) noticed(server string, n notice.Notice) {
+	j.front.Log.Info().Str("server", server).Stringer("notice", n).Msg("server: says of itself what it takes")
+	if n.Leaving {
+		j.front.Control.Tell(control.SaysLeaving{Server: server})
+	}
+}
+
+// tellFailure lets the control state know of a server that failed, for a version or a plain
+// service.
+func (j *job) tellFailure(server string, ref table.Ref, err error) {
 	switch {
 	case fault.Is(err, backend.Gated):
+	case backend.NotLoaded(err):
+		j.front.Control.Tell(control.Declined{Server: server, NotLoaded: ref})
+	case backend.Full(err):
+		j.front.Control.Tell(control.Declined{Server: server})
 	case fault.Is(err, backend.Declined):
-		j.front.Control.Tell(control.Declined{Server: server, Leaving: backend.Leaving(err)})
+		// What else it says has been heard with the answer.
 	case j.ctx.Err() == nil:
 		j.front.Control.Tell(control.Failed{Server: server})
 	}
@@ -72,6 +91,9 @@
 func (j *job) again(err error, p pool) *refusal {
 	if backend.Full(err) && j.ctx.Err() == nil {
 		j.attempts--
+		if j.room(p) {
+			return nil
+		}
 		if out := j.waitFor(p); out != nil {
 			return out.withRun(j.made.Outcome())
 		}
@@ -84,6 +106,11 @@
 	return nil
 }
 
+// room reports whether a server of a pool can take a request now.
+func (j *job) room(p pool) bool {
+	return route.Room(p.servers(j.front.Control.Snapshot().View), 1, time.Now()) > 0
+}
+
 // mayRetry reports whether a failed attempt may be followed by another one.
 func (j *job) mayRetry() bool {
 	if j.attempts >= maxAttempts || j.ctx.Err() != nil {
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -50,6 +50,10 @@
 	// request as 1.
 	Crowded float64 `json:"crowded"`
 	Resting bool    `json:"resting"`
+	// SaysLeaving and WantsRestMS are the server's own words: that it leaves, and how much
+	// longer it wants no requests.
+	SaysLeaving bool  `json:"says_leaving"`
+	WantsRestMS int64 `json:"wants_rest_ms"`
 	// Emptied tells that its data hall is emptied; ColdMS is how much longer it is cold
 	// and ColdMost how many requests this daemon may then send in a second.
 	Emptied  bool  `json:"emptied"`
@@ -85,6 +89,11 @@
 			ID: s.ID, Born: s.Born, Service: s.Service, Hall: s.Hall, Version: s.Version, Leaving: s.Leaving,
 			InFlight: s.Load.InFlight(), Slowness: s.Load.Slowness(), Crowded: s.Load.Crowded(now), Resting: s.Load.Resting(now), Emptied: emptied,
 		}
+		kept := s.Load.Notices.Kept()
+		out.SaysLeaving = kept.Leaving()
+		if kept.Resting(now) {
+			out.WantsRestMS = kept.RestUntil.Sub(now).Milliseconds()
+		}
 		if cold := s.Load.Cold(); now.Before(cold.Until) {
 			out.ColdMS, out.ColdMost = cold.Until.Sub(now).Milliseconds(), cold.Most
 		}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -127,7 +127,7 @@
 	g.engine = exchange.New()
 	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
 	g.keeper.StoodStill, g.engine.StoodStill = standstill.Total, standstill.Total
-	g.engine.Hall, g.engine.Observer = s.Hall, g.reporter.report
+	g.engine.Hall, g.engine.Observer, g.engine.Noticed = s.Hall, g.reporter.report, g.reporter.noticed
 	g.engine.Budget = &retry.Budget{}
 	g.keeper.BeganAgain = g.engine.BeganAgain
 	g.keeper.Exposure = canary.Exposure{Share: s.ExposureShare, Slack: s.ExposureSlack}
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -11,6 +11,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"ladderridge.example/core/clock"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/notice"
 	"ladderridge.example/daemon/exchange"
 )
 
@@ -110,6 +112,11 @@
 	r.line(rep, name, reason)
 }
 
+// noticed logs what a server says of itself that was not known.
+func (r *reporter) noticed(s *fleet.Server, n notice.Notice) {
+	r.log.Info().Str("server", s.Incarnation().String()).Str("service", s.Service).Bool("listed_leaving", s.Leaving).Stringer("notice", n).Msg("server: says of itself what it takes")
+}
+
 // countNotices counts what servers said of themselves in answers.
 func (r *reporter) countNotices(rep exchange.Report) {
 	for _, t := range rep.Tries {
--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -16,9 +16,9 @@
 
 // The times of a planned stop.
 const (
-	// notice is how long the daemon still takes all requests while it says that it
+	// stopNotice is how long the daemon still takes all requests while it says that it
 	// is not ready: the balancer asks every second and needs two answers.
-	notice = 2500 * time.Millisecond
+	stopNotice = 2500 * time.Millisecond
 	// lookEvery is the time between two looks whether what was taken has ended.
 	lookEvery = 50 * time.Millisecond
 	// lastMoment is what is left of the grace when requests are broken off.
@@ -36,7 +36,7 @@
 	begun, grace := time.Now(), g.settings.Load().Grace
 	g.log.Info().Int64("open", g.engine.Open.Load()).Msg("gateway: stopping: not ready")
 	g.phase.stopping.Store(true)
-	time.Sleep(min(notice, grace/2))
+	time.Sleep(min(stopNotice, grace/2))
 	end := begun.Add(grace - lastMoment)
 	g.engine.EndAt(end)
 	for g.engine.Open.Load() > 0 && time.Until(end) > lookEvery {
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -126,6 +126,8 @@
 	// toldSums are the sums of the topics at the last news.
 	toldSums map[relay.Topic]uint64
 	loads    map[fleet.Incarnation]*fleet.Load
+	// unlisted are the notices of servers that are not listed any more.
+	unlisted map[fleet.Incarnation]unlisted
 	halls    map[string]*fleet.Hall
 	// emptied are the data halls that are emptied, by since when this daemon knows;
 	// returned are those that were, by when they were taken back.
@@ -210,7 +212,7 @@
 func New() *Keeper {
 	k := &Keeper{
 		events: make(chan event, eventBacklog),
-		topics: map[relay.Topic]*topicState{}, loads: map[fleet.Incarnation]*fleet.Load{}, halls: map[string]*fleet.Hall{},
+		topics: map[relay.Topic]*topicState{}, loads: map[fleet.Incarnation]*fleet.Load{}, unlisted: map[fleet.Incarnation]unlisted{}, halls: map[string]*fleet.Hall{},
 		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]uint64{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), board: crowd.NewBoard(),
--- /dev/null
+++ b/daemon/knowledge/notices.go
@@ -0,0 +1,45 @@
+package knowledge
+
+import (
+	"maps"
+	"time"
+
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/notice"
+)
+
+// What a server has said of itself outlives its entry: one that lapses, or that another
+// writer has spoiled, may come back as it was before the server said that it leaves.
+
+const (
+	// unlistedFor is how long the notices of a server that is not listed are kept: the
+	// longest that stores were seen away, several times over.
+	unlistedFor = 10 * time.Minute
+	// mostUnlisted bounds them; beyond it the ones that come are not kept.
+	mostUnlisted = 4096
+)
+
+// unlisted are the notices of a server that is not listed, since a time.
+type unlisted struct {
+	notices *notice.Held
+	since   time.Time
+}
+
+// noticesOf returns what an incarnation of a server has said, be it before its entry went.
+func (k *Keeper) noticesOf(i fleet.Incarnation) *notice.Held {
+	if was, ok := k.unlisted[i]; ok {
+		delete(k.unlisted, i)
+		return was.notices
+	}
+	return &notice.Held{}
+}
+
+// keepNotices keeps the notices of servers that were listed and are not any more.
+func (k *Keeper) keepNotices(listed map[fleet.Incarnation]*fleet.Load, now time.Time) {
+	maps.DeleteFunc(k.unlisted, func(_ fleet.Incarnation, u unlisted) bool { return now.Sub(u.since) > unlistedFor })
+	for i, l := range k.loads {
+		if listed[i] == nil && !l.Notices.Open(now) && len(k.unlisted) < mostUnlisted {
+			k.unlisted[i] = unlisted{notices: l.Notices, since: now}
+		}
+	}
+}
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -95,7 +95,7 @@
 		}
 	}
 	servers = latestAtAddress(servers)
-	k.forgetLoads(servers)
+	k.forgetLoads(servers, now)
 	k.noteVersions(servers, first, now)
 	was := v.Servers
 	v.Servers = fleet.NewList(servers).WithEmptied(k.emptiedHalls())
@@ -105,10 +105,12 @@
 }
 
 func (k *Keeper) withLoad(s fleet.Server) *fleet.Server {
-	if k.loads[s.Incarnation()] == nil {
-		k.loads[s.Incarnation()] = fleet.NewLoad(k.hall(s.Hall))
+	i := s.Incarnation()
+	if k.loads[i] == nil {
+		k.loads[i] = fleet.NewLoad(k.hall(s.Hall))
+		k.loads[i].Notices = k.noticesOf(i)
 	}
-	s.Load = k.loads[s.Incarnation()]
+	s.Load = k.loads[i]
 	return &s
 }
 
@@ -134,11 +136,12 @@
 	return out
 }
 
-func (k *Keeper) forgetLoads(servers []*fleet.Server) {
+func (k *Keeper) forgetLoads(servers []*fleet.Server, now time.Time) {
 	kept := make(map[fleet.Incarnation]*fleet.Load, len(servers))
 	for _, s := range servers {
 		kept[s.Incarnation()] = s.Load
 	}
+	k.keepNotices(kept, now)
 	k.loads = kept
 	maps.DeleteFunc(k.coldUntil, func(i fleet.Incarnation, _ time.Time) bool { return kept[i] == nil })
 	maps.DeleteFunc(k.coldRows, func(i fleet.Incarnation, _ uint64) bool { return kept[i] == nil })
--- a/daemon/scenario/notice_test.go
+++ b/daemon/scenario/notice_test.go
@@ -77,3 +77,27 @@
 		t.Errorf("%d of 20 calls reached a server that wants rest", n-1)
 	}
 }
+
+// A model server that has unloaded a version on its own declines requests for it as not
+// loaded. The daemon took that for a server that is full, and sent the next request there as
+// well until a poll told what is loaded, two seconds later at most.
+func TestEngineThatHasUnloadedAVersionGetsNoMoreForIt(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	unloaded := c.engines["engine-0"]
+	unloaded.Forget(v1.Model, v1.Version)
+	for unloaded.Arrived() == 0 {
+		if a := c.chat("entry-0", v1.String()); a.status != http.StatusOK {
+			t.Fatalf("%d %s", a.status, a.body)
+		}
+	}
+	// What it says is worked in behind the answer; a few requests may be on their way.
+	for range 100 {
+		if a := c.chat("entry-0", v1.String()); a.status != http.StatusOK {
+			t.Errorf("%d %s", a.status, a.code())
+		}
+	}
+	if n := unloaded.Arrived(); n > 5 {
+		t.Errorf("%d of 100 requests reached a server that has not loaded the version", n)
+	}
+}
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -110,6 +110,13 @@
 	e.Quality = q
 }
 
+// Forget unloads a version without an order.
+func (e *Engine) Forget(model, version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loaded = slices.DeleteFunc(e.loaded, func(l wire.Loaded) bool { return l.Model == model && l.Version == version })
+}
+
 // Arrived is how many requests have come, those that were declined included.
 func (e *Engine) Arrived() int { return int(e.arrived.Load()) }
 
