A server that declines without naming a time goes last for a moment

Now others go first for 0.1 s, doubling to 1.6 s until the server answers.

The replay of the recorded load: 72 declines at one server in 20 s, at most 20 now.

--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -24,6 +24,8 @@
 	// no work if others are there.
 	failures int
 	resting  time.Time
+	// declines counts declines in a row.
+	declines int
 	// failing is the recent share of failures.
 	failing float64
 	// slowness is the recent time of answers relative to what other servers
@@ -44,6 +46,10 @@
 	// further failure: a server that restarts is back in seconds.
 	restFloor   = 500 * time.Millisecond
 	restCeiling = 4 * time.Second
+	// declineFloor and declineCeiling bound the pause of a server that declines and names
+	// no time: about what a short request takes, and what a wave of load lasts.
+	declineFloor   = 100 * time.Millisecond
+	declineCeiling = 1600 * time.Millisecond
 	// smoothing is the weight of the newest answer in the recent shares.
 	smoothing = 0.1
 	// slowest bounds how slow a server may be taken for, so that it still gets
@@ -159,13 +165,27 @@
 	l.hall.answered()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.failures = 0
+	l.failures, l.declines = 0, 0
 	l.failing *= 1 - smoothing
 	if relative > 0 {
 		l.slowness = min(slowest, max(1/slowest, l.slowness*(1-smoothing)+relative*smoothing))
 	}
 }
 
+// Declined notes a server that has not run a request and named no time to come back: others
+// go first for a while, which doubles until it answers. It is idle, so it would be the first
+// choice of the next request again: where a third of the servers decline everything, the mean
+// worth rose by 0.033 of what is owed (0.813 to 0.846, one day, three seeds).
+func (l *Load) Declined(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pause := min(declineFloor<<min(l.declines, 4), declineCeiling)
+	l.declines++
+	if until := now.Add(pause); until.After(l.resting) {
+		l.resting = until
+	}
+}
+
 // Failed notes an answer that says that the server failed.
 func (l *Load) Failed() {
 	l.mu.Lock()
--- a/core/fleet/notice_test.go
+++ b/core/fleet/notice_test.go
@@ -10,12 +10,74 @@
 
 // The recorded load of one daemon: twelve servers, four of which turn every request away and
 // ask for three seconds of rest, 20 requests a second, up to three tries each, 100 ms a run.
-// A server that declines is idle, so it was the first choice again: those four got 28 to 31
-// requests each in their rest and a third of the requests were refused, with eight servers
-// at work.
+// A server that declines is idle, so it was the first choice again: two of the four got 31
+// and 28 requests in one rest, and requests were refused with eight servers at work. In this
+// replay 220 requests reached servers in their rest and 16 of 400 were refused.
 func TestServersThatWantRestAreNotTheFirstChoice(t *testing.T) {
+	const rest = 3 * time.Second
+	asked := map[string]time.Time{}
+	early := 0
+	declined := func(s *fleet.Server, at time.Time) {
+		if was, ok := asked[s.ID]; ok && at.Sub(was) < rest {
+			early++
+		}
+		asked[s.ID] = at
+		s.Load.Notices.Hear(notice.Notice{Rest: rest}, at)
+	}
+	refused, end := replayDeclines(declined)
+	if early > 0 || refused > 1 {
+		t.Errorf("%d requests reached servers in their rest, %d were refused", early, refused)
+	}
+	if len(asked) != 4 || end.Sub(asked["e00"]) > 2*rest {
+		t.Errorf("servers whose rest is over are not asked again: %v", asked)
+	}
+}
+
+// The same load, where the four servers name no time to come back: each of them took a try
+// of nearly every request while it lasted.
+func TestServersThatDeclineGoLastForAWhile(t *testing.T) {
+	declines := map[string]int{}
+	refused, _ := replayDeclines(func(s *fleet.Server, at time.Time) {
+		declines[s.ID]++
+		s.Load.Declined(at)
+	})
+	if refused > 1 {
+		t.Errorf("%d requests were refused", refused)
+	}
+	for id, n := range declines {
+		if n > 20 {
+			t.Errorf("%s declined %d requests in 20 s", id, n)
+		}
+	}
+}
+
+// A server that has answered again goes with the others at once.
+func TestAnswerEndsTheCountOfDeclines(t *testing.T) {
+	servers := pool(2)
+	l := fleet.NewList(servers)
+	servers[1].Load.Begin(5)
+	at := now
+	for range 10 {
+		servers[0].Load.Declined(at)
+	}
+	if s, _ := l.Choose(fleet.Want{Service: "s"}, at.Add(time.Second)); s != servers[1] {
+		t.Error("a server that has declined ten times goes first after a second")
+	}
+	if s, _ := l.Choose(fleet.Want{Service: "s", Avoid: []fleet.Incarnation{servers[1].Incarnation()}}, at); s != servers[0] {
+		t.Error("the last one there is not chosen")
+	}
+	at = at.Add(2 * time.Second)
+	servers[0].Load.Answered(1)
+	servers[0].Load.Declined(at)
+	if s, _ := l.Choose(fleet.Want{Service: "s"}, at.Add(150*time.Millisecond)); s != servers[0] {
+		t.Error("the count of declines outlives an answer")
+	}
+}
+
+// replayDeclines has twelve servers, four of which decline everything; declined is told of
+// each. It returns how many of the 400 requests were refused, and when it ended.
+func replayDeclines(declined func(s *fleet.Server, at time.Time)) (refused int, at time.Time) {
 	const (
-		rest     = 3 * time.Second
 		every    = 50 * time.Millisecond
 		run      = 100 * time.Millisecond
 		tries    = 3
@@ -29,9 +91,7 @@
 		of *fleet.Server
 	}
 	var running []end
-	asked := map[string]time.Time{}
-	refused, early := 0, 0
-	at := now
+	at = now
 	for n := range requests {
 		at = at.Add(every)
 		for len(running) > 0 && !running[0].at.After(at) {
@@ -51,23 +111,14 @@
 				served = true
 				break
 			}
-			if was, ok := asked[s.ID]; ok && at.Sub(was) < rest {
-				early++
-			}
-			asked[s.ID] = at
-			s.Load.Notices.Hear(notice.Notice{Rest: rest}, at)
+			declined(s, at)
 			avoid = append(avoid, s.Incarnation())
 		}
 		if !served {
 			refused++
 		}
 	}
-	if early > 0 || refused > 1 {
-		t.Errorf("%d requests reached servers in their rest, %d of %d were refused", early, refused, requests)
-	}
-	if len(asked) != 4 || at.Sub(asked["e00"]) > 2*rest {
-		t.Errorf("servers whose rest is over are not asked again: %v", asked)
-	}
+	return refused, at
 }
 
 func TestRestEndsOnlyWhereNoneIsOpen(t *testing.T) {
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -202,8 +202,11 @@
 		a.verdict, a.done = declined, true
 		j.made = j.made.With(attempts.NotRun)
 		j.avoid = append(j.avoid, a.server.Incarnation())
-		if a.head.WrongServer {
+		switch {
+		case a.head.WrongServer:
 			a.server.Load.Unreachable(now)
+		case a.head.Notice.Rest == 0:
+			a.server.Load.Declined(now)
 		}
 		return
 	}
