The soak has servers that say of themselves what stands nowhere else, and checks who heeds it

Servers say in their answers that they leave before any entry tells it, or decline and want rest, under all other faults. Checked is what a daemon has read for certain: an answer that its caller got, a decline without which a refusal could not be called not run.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -82,6 +82,9 @@
 			go b.die()
 		}
 	}
+	r.Arriving = func(id string, w standin.Word) {
+		b.site.oracle.arrived(Arrival{ID: id, Server: r.ID, Start: start, Word: w, At: time.Now()})
+	}
 	r.Play(b.fault)
 	b.runner, b.present = r, true
 	return b.list(false)
@@ -132,6 +135,7 @@
 func (b *backend) leave() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.runner.Say(standin.Word{Leaving: true})
 	if err := b.list(true); err == nil {
 		b.site.oracle.left(b.runner.ID, time.Now())
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -22,6 +22,7 @@
 		c.denied(a)
 	}
 	c.backwards()
+	c.heeded()
 	for _, o := range s.Orders {
 		if o.Bad && o.State == standin.RolloutCompleted {
 			c.found("VERDICT", "version %s fails and was completed", o.Version)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -43,6 +43,33 @@
 	}
 }
 
+// another is one more request like the good one, which reaches the same server.
+func another(s *soak.Seen, id string, seconds float64, w standin.Word) {
+	a, r := good()
+	a.ID, a.Sent, a.Ended, a.Reply.Body = id, after(10.1+seconds), after(10.2+seconds), (&standin.Runner{ID: "s"}).Answer(id)
+	r.Run.ID, r.At = id, after(10.15+seconds)
+	s.Asks, s.Runs = append(s.Asks, a), append(s.Runs, r)
+	s.Arrivals = append(s.Arrivals, soak.Arrival{ID: id, Server: "s", Start: 1, Word: w, At: after(10.15 + seconds)})
+}
+
+// leaves has the server say that it leaves, and one more request reach it some time after
+// the daemon has passed that on.
+func leaves(s *soak.Seen, seconds float64) {
+	s.Arrivals = []soak.Arrival{{ID: "a", Server: "s", Start: 1, Word: standin.Word{Leaving: true}, At: after(10.05)}}
+	s.Asks[0].Reply.Leaving = true
+	another(s, "late", seconds, standin.Word{Leaving: true})
+}
+
+// rests has the server decline the request and want three seconds of rest, and some more
+// requests reach it later.
+func rests(s *soak.Seen, n int, seconds float64) {
+	s.Asks[0].Reply, s.Runs = standin.Reply{Status: http.StatusServiceUnavailable, Whole: true}, nil
+	s.Arrivals = []soak.Arrival{{ID: "a", Server: "s", Start: 1, Word: standin.Word{Rest: 3 * time.Second}, At: after(10.05)}}
+	for i := range n {
+		another(s, fmt.Sprintf("more-%d", i), seconds+float64(i)/100, standin.Word{})
+	}
+}
+
 // TestEachRuleNoticesItsFault spoils what was seen, one thing at a time.
 func TestEachRuleNoticesItsFault(t *testing.T) {
 	refused := standin.Reply{Status: http.StatusServiceUnavailable, Whole: true}
@@ -106,6 +133,14 @@
 			s.Orders = []soak.Order{{Version: "v2", Bad: true, At: after(1), State: standin.RolloutRolledBack, Settled: after(5)}}
 			s.Runs[0].Version = "v2"
 		}},
+		{"DRAIN", func(s *soak.Seen) { leaves(s, 2.7) }},
+		{"", func(s *soak.Seen) { leaves(s, 2.4) }},
+		{"", func(s *soak.Seen) { leaves(s, 2.7); s.Arrivals[1].Start++ }},
+		{"", func(s *soak.Seen) { leaves(s, 2.7); s.Asks[1].Life++ }},
+		{"REST", func(s *soak.Seen) { rests(s, 3, 1) }},
+		{"", func(s *soak.Seen) { rests(s, 2, 1) }},
+		{"", func(s *soak.Seen) { rests(s, 3, 0.3) }},
+		{"", func(s *soak.Seen) { rests(s, 3, 4) }},
 		{"RETURN", func(s *soak.Seen) { s.Settled, s.Asks[0].Reply = after(5), cut }},
 	} {
 		a, r := good()
--- /dev/null
+++ b/soak/notices.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ladderridge.example/core/clock"
+	"ladderridge.example/platform/standin"
+)
+
+// moods has servers say something of themselves in their answers that stands nowhere else:
+// that they leave, before any entry tells it, or that they want rest.
+type moods struct {
+	site    *site
+	random  *rand.Rand
+	stopped atomic.Bool
+	running sync.WaitGroup
+}
+
+const (
+	// moodEvery is the longest pause between two servers that say something.
+	moodEvery = time.Second
+	// restFloor and restSpan bound the rest that a server wants, and for which it declines.
+	restFloor, restSpan = 500 * time.Millisecond, 2500 * time.Millisecond
+	// moodsPart tells its draws from those of others.
+	moodsPart = 7000
+)
+
+func newMoods(s *site, seed uint64) *moods {
+	return &moods{site: s, random: newRand(seed, moodsPart)}
+}
+
+func (m *moods) start(ctx context.Context) {
+	m.running.Go(func() {
+		for !m.stopped.Load() && ctx.Err() == nil {
+			m.one(ctx, m.site.first()[m.random.IntN(servers)])
+			clock.Wait(ctx, time.Duration(m.random.Int64N(int64(moodEvery))))
+		}
+	})
+}
+
+// one has a server say something, and begin again if it was to leave.
+func (m *moods) one(ctx context.Context, b *backend) {
+	if m.random.IntN(2) == 0 {
+		rest := restFloor + time.Duration(m.random.Int64N(int64(restSpan)))
+		b.say(standin.Word{Rest: rest})
+		clock.Wait(ctx, rest)
+		b.say(standin.Word{})
+		return
+	}
+	b.say(standin.Word{Leaving: true})
+	clock.Wait(ctx, leaveFor)
+	b.beginAgain(m.random.IntN(2) == 0)
+}
+
+func (m *moods) stop() {
+	m.stopped.Store(true)
+	m.running.Wait()
+}
+
+// say sets what the server says of itself.
+func (b *backend) say(w standin.Word) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runner.Say(w)
+}
+
+// Arrival is a request that reached a server, which may have declined it.
+type Arrival struct {
+	ID     string
+	Server string
+	// Start numbers the starts of the server.
+	Start int
+	// Word is what the server said of itself with its answer.
+	Word standin.Word
+	At   time.Time
+}
+
+// hearer is a life of a daemon that has heard a start of a server.
+type hearer struct {
+	daemon, life int
+	server       string
+	start        int
+}
+
+func hearerOf(a Ask, at Arrival) hearer {
+	return hearer{daemon: a.Daemon, life: a.Life, server: at.Server, start: at.Start}
+}
+
+const (
+	// restGrace is how long a daemon has from a word on until it sends nothing more, restMost
+	// how many requests may reach a server in its rest all the same.
+	restGrace = 500 * time.Millisecond
+	restMost  = 2
+)
+
+// heeded checks that daemons heed what servers say of themselves with answers that the daemons
+// have read for certain, whatever troubles there are.
+func (c *checker) heeded() {
+	left := map[hearer]time.Time{}
+	type rest struct{ from, until time.Time }
+	rests := map[hearer][]rest{}
+	for _, at := range c.seen.Arrivals {
+		a, ok := c.asks[at.ID]
+		if !ok || a.Life != a.LifeAfter {
+			continue
+		}
+		by := hearerOf(a, at)
+		if was, known := left[by]; at.Word.Leaving && a.Reply.Leaving && a.Reply.Server == at.Server && (!known || a.Ended.Before(was)) {
+			left[by] = a.Ended
+		}
+		// What is called not run, or was answered by another server though it may run only once, was
+		// known to be declined.
+		if at.Word.Rest > 0 && (a.Reply.NotRun() || a.Kind == standin.Unsafe && a.Reply.Whole && a.Reply.Status == http.StatusOK) {
+			rests[by] = append(rests[by], rest{from: a.Ended.Add(restGrace), until: at.At.Add(at.Word.Rest)})
+		}
+	}
+	inRest := map[hearer]map[time.Time]int{}
+	for _, at := range c.seen.Arrivals {
+		a, ok := c.asks[at.ID]
+		if !ok {
+			continue
+		}
+		by := hearerOf(a, at)
+		if since, heard := left[by]; heard && a.Sent.Sub(since) > leaveBound {
+			c.found("DRAIN", "daemon %d sent request %s to %s, %v after an answer of that had told it that the server leaves", a.Daemon, a.ID, at.Server, a.Sent.Sub(since))
+		}
+		for _, r := range rests[by] {
+			if a.Sent.Before(r.from) || !at.At.Before(r.until) {
+				continue
+			}
+			if inRest[by] == nil {
+				inRest[by] = map[time.Time]int{}
+			}
+			if inRest[by][r.from]++; inRest[by][r.from] == restMost+1 {
+				c.found("REST", "daemon %d sent more than %d requests to %s in the rest that it had asked for, %s the last", a.Daemon, restMost, at.Server, a.ID)
+			}
+		}
+	}
+}
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -67,9 +67,11 @@
 
 // Seen is all that was seen of a run.
 type Seen struct {
-	Asks  []Ask
-	Runs  []Ran
-	Spans []Span
+	Asks []Ask
+	Runs []Ran
+	// Arrivals are all requests that reached servers.
+	Arrivals []Arrival
+	Spans    []Span
 	// Revoked, Added and Left are when keys were taken away, routes added by
 	// the configuration's number, and servers left, as the store took it.
 	Revoked map[string]time.Time
@@ -106,7 +108,10 @@
 	f(&o.seen)
 }
 
-func (o *oracle) ran(r Ran)      { o.note(func(s *Seen) { s.Runs = append(s.Runs, r) }) }
+func (o *oracle) ran(r Ran) { o.note(func(s *Seen) { s.Runs = append(s.Runs, r) }) }
+func (o *oracle) arrived(a Arrival) {
+	o.note(func(s *Seen) { s.Arrivals = append(s.Arrivals, a) })
+}
 func (o *oracle) answered(a Ask) { o.note(func(s *Seen) { s.Asks = append(s.Asks, a) }) }
 
 func (o *oracle) revoked(key string, at time.Time) { o.note(func(s *Seen) { s.Revoked[key] = at }) }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -55,6 +55,8 @@
 	Deadly bool
 	// Stranger has somebody write entries that name no server to use.
 	Stranger bool
+	// Moods has servers say of themselves in answers what stands nowhere else.
+	Moods bool
 	// Liar makes one server break a promise, which the checks must notice.
 	Liar bool
 }
@@ -79,14 +81,18 @@
 	}
 	callers := newCallers(s, o)
 	callers.start(ctx)
-	poison, stranger := newDeadly(s, o.Seed), newStranger(s, o.Seed)
+	poison, stranger, moods := newDeadly(s, o.Seed), newStranger(s, o.Seed), newMoods(s, o.Seed)
 	if o.Deadly {
 		poison.start(ctx)
 	}
 	if o.Stranger {
 		stranger.start(ctx)
 	}
+	if o.Moods {
+		moods.start(ctx)
+	}
 	s.play(ctx, plan)
+	moods.stop()
 	back := s.awaitReady(ctx, returnWithin)
 	s.oracle.settled(time.Now())
 	clock.Wait(ctx, settleTime)
