A reader's log tells each second what was seen of a version, and how long there has been a doubt

A decision on a version that comes late could not be traced: the log had the evidence at the decision alone. No decision changes.

--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -43,7 +43,9 @@
 	toldAt    map[source]time.Time
 	withdrawn map[string]bool
 	// aside are the servers that look bad, by service.
-	aside    map[string][]string
+	aside map[string][]string
+	// sights are what was noted of roll-outs for the log, by service.
+	sights   map[string]sight
 	sequence uint64
 	sentAt   time.Time
 	// busy are services whose state is being written, by when that began.
@@ -73,7 +75,7 @@
 	return &rollouts{
 		byService: map[string]canary.Rollout{}, rows: map[string]uint64{}, own: map[countKey]canary.Count{},
 		told: map[source]relay.Evidence{}, toldAt: map[source]time.Time{}, withdrawn: map[string]bool{},
-		aside: map[string][]string{}, busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
+		aside: map[string][]string{}, sights: map[string]sight{}, busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
 	}
 }
 
