The first part of a stream is told of its version when it comes, not with its end

Cause: what an answer says of a version in roll-out was told when the answer was over, for streams up to many seconds later.

TestBrokenConnectionsDoNotSpeakAgainstAVersion wanted nothing told of a stream that broke; its first part had come at once, which is true of the version, and is told now: the test wants just that, no failure and no slow part. The tests of slowness read both facts of a stream.

--- a/daemon/exchange/harness_test.go
+++ b/daemon/exchange/harness_test.go
@@ -75,6 +75,23 @@
 	k.facts = append(k.facts, f)
 }
 
+// told are the facts so far.
+func (k *known) told() []knowledge.Fact {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.facts)
+}
+
+// last is what was told of the last answer: a stream's two facts are put together.
+func (k *known) last() knowledge.Fact {
+	all := k.told()
+	f := all[len(all)-1]
+	if f.Stage == knowledge.Over {
+		f.First = all[len(all)-2].First
+	}
+	return f
+}
+
 func (k *known) Ran(string, uint64, string) {}
 
 func (k *known) ServerEnded(server string, contents []quarantine.Fingerprint) {
--- a/daemon/exchange/observe.go
+++ b/daemon/exchange/observe.go
@@ -17,12 +17,27 @@
 	j.engine.Knowledge.Observe(f)
 }
 
+// observeBegun tells of the first part of a stream when it comes: its end may be many seconds
+// away, while other callers meet the same version.
+func (j *job) observeBegun(a *attempt) {
+	f := j.fact(a)
+	f.First, f.Stage = a.first, knowledge.Begun
+	j.engine.Knowledge.Observe(f)
+}
+
+// observeOver tells of the rest of a stream.
+func (j *job) observeOver(a *attempt, between float64) {
+	f := j.fact(a)
+	f.Between, f.Stage = between, knowledge.Over
+	j.engine.Knowledge.Observe(f)
+}
+
 // observeEnded tells of an answer that was not awaited longer: the slowest ones
 // would not count otherwise.
 func (j *job) observeEnded(a *attempt) {
 	least := j.engine.settled.of(j.like(a)).Relative(a.features(), time.Since(a.sent))
 	f := j.fact(a)
-	f.First, f.Ended = least, true
+	f.First, f.Stage = least, knowledge.NotAwaited
 	j.engine.Knowledge.Observe(f)
 }
 
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -39,7 +39,7 @@
 	switch {
 	case err == nil:
 		j.answeredWhole(a)
-		j.observe(a, false, t.between(j, a))
+		j.observeOver(a, t.between(j, a))
 		j.note(a, "whole")
 		return Answered{Status: a.reply.Status}, ""
 	case errors.Is(err, errCallerGone):
@@ -127,6 +127,7 @@
 		timer.reset(j.silence())
 		if t.events == 0 {
 			j.wentWell(a, time.Since(a.sent))
+			j.observeBegun(a)
 		}
 		t.event(time.Now())
 		if err := j.passEvent(ev, !events.waiting()); err != nil {
--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -22,11 +22,27 @@
 	// stream; 0 is not known.
 	First   float64
 	Between float64
-	// Ended tells that the answer was not awaited: First is the least that it
-	// would have taken.
-	Ended bool
+	// Stage is what of the answer it tells.
+	Stage Stage
 }
 
+// Stage is what of an answer a fact tells.
+type Stage int
+
+// The stages of an answer.
+const (
+	// Whole is all of an answer.
+	Whole Stage = iota
+	// Begun is the first part of an answer that goes on: a stream's end may come many
+	// seconds later.
+	Begun
+	// Over is the rest of an answer that has been told as begun.
+	Over
+	// NotAwaited is an answer that was given up: First is the least that it would have
+	// taken.
+	NotAwaited
+)
+
 // rollouts are the orders that a daemon knows, and what is seen of them. All
 // but open belongs to the keeper's goroutine.
 type rollouts struct {
@@ -164,18 +180,23 @@
 	if f.Version == o.Order.Version && o.Share(now) < 1 {
 		key.server = f.Server
 	}
-	c := r.own[key]
-	if f.Ended {
+	r.own[key] = f.addedTo(r.own[key])
+}
+
+// addedTo returns a count with what a fact tells.
+func (f Fact) addedTo(c canary.Count) canary.Count {
+	if f.Stage == NotAwaited {
 		c.First = c.First.WithAtLeast(f.First)
-		r.own[key] = c
-		return
+		return c
+	}
+	if f.Stage != Over {
+		c.Answers++
 	}
-	c.Answers++
 	if f.Failed {
 		c.Failed++
 	}
 	c.First, c.Between = c.First.With(f.First), c.Between.With(f.Between)
-	r.own[key] = c
+	return c
 }
 
 // hear takes what another daemon or hall has seen.
