A doubt is enough once callers have met 25 bad answers of two servers

Hypothesis: a doubt decided by two thirds of the order's time or 300 answers; a bad version of a busy service has been met often enough before. Now also when the answers that are slower than a good version's, by the pairs, and those that failed come to 25, with 12 answers of other servers than the worst one that speak against the version too; if those are missing, others are asked.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 
 	"ladderridge.example/core/evidence"
 )
@@ -157,10 +158,22 @@
 	// Doubt says why the version may not be completed, or "": there is less against it
 	// than what condemns it, but more than good versions come to.
 	Doubt string
+	// Spent tells that, if the version is bad, so many callers have met a bad answer of more
+	// than one of its servers that a doubt is enough to stop its use.
+	Spent bool
 	// Aside are servers that look bad themselves: others speak for the version.
 	Aside []string
 }
 
+const (
+	// spentAnswers is how many bad answers callers may have met of a version that is doubted
+	// before others are spared them.
+	spentAnswers = 25
+	// spentOthers is how many answers the other servers must have given for the doubt to be
+	// about more than the worst one.
+	spentOthers = 12
+)
+
 // Judge weighs the evidence. The routes are judged each for itself and together,
 // since a version may be bad on a single one.
 func (e Evidence) Judge() Verdict {
@@ -189,9 +202,29 @@
 	if !rest.speakFor(whole) {
 		v.Doubt = verdict(whole, whole, doubting)
 	}
+	v.Spent = v.Doubt != "" && whole[""].bad() >= spentAnswers && rest[""].slow()
+	if v.Doubt != "" && whole[""].bad() >= spentAnswers && rest[""].fresh.Answers < spentOthers && worst != "" && !slices.Contains(v.Aside, worst) {
+		// Others are asked whether it is the version or the server.
+		v.Aside = append(v.Aside, worst)
+	}
 	return v
 }
 
+// bad is how many of the answers are worse than those of a good version, about: those that
+// are slower than a good version's in so many pairs more, and those that failed.
+func (f finding) bad() float64 {
+	bad := float64(f.fresh.Failed)
+	if f.pairs.deviation > 0 {
+		bad += max(0, f.pairs.slower-tolerated) / (1 - tolerated) * float64(f.fresh.Answers)
+	}
+	return bad
+}
+
+// slow reports whether enough answers are slower than those of a good version, or fail.
+func (f finding) slow() bool {
+	return f.fresh.Answers >= spentOthers && (f.pairs.excess() > 0 || f.fresh.Failed > 1)
+}
+
 // speakFor reports whether what was found without the worst server speaks for the
 // version: many others have answered, and they are not slow by more than chance. If they
 // only say less against it, one server in three would be enough to complete a version of
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -197,7 +197,7 @@
 	switch {
 	case verdict.Why != "":
 		k.withdraw(r, verdict.Why, own, now)
-	case verdict.Doubt != "" && (r.Tried(now) || seen.Tried()) && k.reading.Load() && k.proven(service, seen, now):
+	case verdict.Doubt != "" && (r.Tried(now) || seen.Tried() || verdict.Spent) && k.reading.Load() && k.proven(service, seen, now):
 		k.withdraw(r, "not known to be good: "+verdict.Doubt, own, now)
 	}
 	return verdict
