--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -65,9 +65,9 @@
 
 // Open reports whether the server may get new work now.
 //
-// A server's own word counts as much as its entry, which may be late or never come: a third
-// of twelve servers that decline everything and want rest get one request each and daemon
-// in it, and otherwise more than those that serve (28 to 31 in three seconds, counted).
+// A server's own word counts as much as its entry, which may be late or never come. One that
+// declines everything is idle and would be preferred: two that had asked a daemon for three
+// seconds of rest got 28 and 31 requests in it, counted at the servers, and get none.
 func (s *Server) Open(now time.Time) bool { return !s.Leaving && s.Load.Notices.Open(now) }
 
 // List is the servers of all services. It is never changed.
--- a/daemon/exchange/observe.go
+++ b/daemon/exchange/observe.go
@@ -11,9 +11,9 @@
 // observe tells what an answer says about the version that gave it. A broken
 // connection says something about a machine or the way to it, not about what
 // runs there, and is not told.
-func (j *job) observe(a *attempt, failed bool, between float64) {
+func (j *job) observe(a *attempt, failed bool) {
 	f := j.fact(a)
-	f.Failed, f.First, f.Between = failed, a.first, between
+	f.Failed, f.First = failed, a.first
 	j.engine.Knowledge.Observe(f)
 }
 
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -18,7 +18,7 @@
 	if next, load, ok := j.mayEscalate(ctx, a); ok {
 		j.note(a, fmt.Sprintf("dropped: confidence %d, %s", a.head.Confidence, load))
 		j.learn(a, time.Since(a.sent))
-		j.observe(a, false, 0)
+		j.observe(a, false)
 		if a.relative >= busyFactor {
 			j.failed = append(j.failed, a.server.Incarnation())
 		}
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -38,7 +38,7 @@
 	if w.status >= http.StatusInternalServerError {
 		a.server.Load.Failed()
 		j.failed = append(j.failed, a.server.Incarnation())
-		j.observe(a, true, 0)
+		j.observe(a, true)
 		j.note(a, fmt.Sprintf("status %d", w.status))
 		j.kept = w
 		if ctx.Err() != nil {
@@ -48,7 +48,7 @@
 	}
 	j.answeredWhole(a)
 	j.wentWell(a, took)
-	j.observe(a, false, 0)
+	j.observe(a, false)
 	j.note(a, fmt.Sprintf("status %d", w.status))
 	return j.sendWhole(w), ""
 }
@@ -101,6 +101,6 @@
 	}
 	j.answeredWhole(a)
 	j.wentWell(a, time.Since(a.sent))
-	j.observe(a, false, 0)
+	j.observe(a, false)
 	return Answered{Status: a.reply.Status}, ""
 }
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -192,7 +192,7 @@
 func (k *Keeper) judge(seen canary.Evidence, r canary.Rollout, own map[string]int, now time.Time) canary.Verdict {
 	service, version := r.Order.Service, r.Order.Version
 	verdict := seen.Judge()
-	k.sight(r, verdict, now)
+	k.noteDoubt(r, verdict, now)
 	for _, id := range verdict.Aside {
 		if !slices.Contains(k.rollouts.aside[service], id) {
 			k.rollouts.aside[service] = append(slices.Clone(k.rollouts.aside[service]), id)
@@ -211,47 +211,47 @@
 // tried reports whether a version has been tried for so long, or so often, that a doubt which
 // stands is enough to stop its use.
 func (k *Keeper) tried(r canary.Rollout, seen canary.Evidence, now time.Time) bool {
-	stands := k.rollouts.sights[r.Order.Service].doubtFor(now) >= doubtStands
+	stands := k.rollouts.doubts[r.Order.Service].stoodFor(now) >= doubtStands
 	return stands && (r.Tried(now) || seen.Tried())
 }
 
-// sightEvery is the time between two lines of a reader about what was seen of a version.
-const sightEvery = time.Second
+// seenEvery is the time between two lines of a reader about what was seen of a version.
+const seenEvery = time.Second
 
-// sight notes since when there is a doubt, and has a reader log what was seen so far: a
+// noteDoubt notes since when there is a doubt, and has a reader log what was seen so far: a
 // decision that comes late is traced by when there was enough for it.
-func (k *Keeper) sight(r canary.Rollout, v canary.Verdict, now time.Time) {
+func (k *Keeper) noteDoubt(r canary.Rollout, v canary.Verdict, now time.Time) {
 	service := r.Order.Service
-	s := k.rollouts.sights[service]
+	s := k.rollouts.doubts[service]
 	if s.version != r.Order.Version {
-		s = sight{version: r.Order.Version}
+		s = doubt{version: r.Order.Version}
 	}
 	if v.Doubt == "" {
-		s.doubtSince = time.Time{}
-	} else if s.doubtSince.IsZero() {
-		s.doubtSince = now
+		s.since = time.Time{}
+	} else if s.since.IsZero() {
+		s.since = now
 	}
-	if k.reading.Load() && now.Sub(s.toldAt) >= sightEvery {
-		s.toldAt = now
-		k.Log.Info().Str("service", service).Str("version", s.version).Dur("age", now.Sub(r.Since)).Dur("doubt_for", s.doubtFor(now)).Bool("tried", r.Tried(now)).Str("seen", v.Seen).Msg("rollout: seen so far")
+	if k.reading.Load() && now.Sub(s.loggedAt) >= seenEvery {
+		s.loggedAt = now
+		k.Log.Info().Str("service", service).Str("version", s.version).Dur("age", now.Sub(r.Since)).Dur("doubt_for", s.stoodFor(now)).Bool("tried", r.Tried(now)).Str("seen", v.Seen).Msg("rollout: seen so far")
 	}
-	k.rollouts.sights[service] = s
+	k.rollouts.doubts[service] = s
 }
 
-// sight is what a daemon has noted of a roll-out for its log.
-type sight struct {
+// doubt is since when there is a doubt of a version in roll-out.
+type doubt struct {
 	version string
-	// doubtSince is since when there is a doubt, zero without one.
-	doubtSince time.Time
-	toldAt     time.Time
+	// since is zero without a doubt, loggedAt when what was seen was last logged.
+	since    time.Time
+	loggedAt time.Time
 }
 
-// doubtFor is how long there has been a doubt.
-func (s sight) doubtFor(now time.Time) time.Duration {
-	if s.doubtSince.IsZero() {
+// stoodFor is how long there has been a doubt.
+func (s doubt) stoodFor(now time.Time) time.Duration {
+	if s.since.IsZero() {
 		return 0
 	}
-	return now.Sub(s.doubtSince)
+	return now.Sub(s.since)
 }
 
 // withdraw stops the use of a version here and tells the others.
@@ -260,7 +260,7 @@
 	if !k.rollouts.withdraw(service, version) {
 		return
 	}
-	k.Log.Warn().Str("service", service).Str("version", version).Str("why", why).Dur("age", now.Sub(r.Since)).Dur("doubt_for", k.rollouts.sights[service].doubtFor(now)).Msg("rollout: the version is bad: it gets nothing more")
+	k.Log.Warn().Str("service", service).Str("version", version).Str("why", why).Dur("age", now.Sub(r.Since)).Dur("doubt_for", k.rollouts.doubts[service].stoodFor(now)).Msg("rollout: the version is bad: it gets nothing more")
 	k.tellEvidence(own, now)
 	k.tellWithdrawn(now)
 }
--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -65,8 +65,8 @@
 	withdrawn map[string]bool
 	// aside are the servers that look bad, by service.
 	aside map[string][]string
-	// sights are what was noted of roll-outs for the log, by service.
-	sights   map[string]sight
+	// doubts are since when there are doubts of versions, by service.
+	doubts   map[string]doubt
 	sequence uint64
 	sentAt   time.Time
 	// busy are services whose state is being written, by when that began.
@@ -96,7 +96,7 @@
 	return &rollouts{
 		byService: map[string]canary.Rollout{}, rows: map[string]uint64{}, own: map[countKey]canary.Count{},
 		told: map[source]relay.Evidence{}, departed: map[life][]relay.Count{}, halls: map[string]hallSeen{}, toldAt: map[source]time.Time{}, withdrawn: map[string]bool{},
-		aside: map[string][]string{}, sights: map[string]sight{}, busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
+		aside: map[string][]string{}, doubts: map[string]doubt{}, busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
 	}
 }
 
@@ -120,6 +120,7 @@
 	r.byService[o.Service] = canary.Rollout{Order: o, Since: now}
 	r.seenAt[o.Service] = now
 	delete(r.aside, o.Service)
+	delete(r.doubts, o.Service)
 	for _, state := range []canary.State{canary.Completed, canary.RolledBack} {
 		// What was due of an earlier order is not due of this one.
 		delete(r.seenAt, o.Service+state.String())
