--- a/soak/notices.go
+++ b/soak/notices.go
@@ -98,47 +98,82 @@
 	restMost  = 2
 )
 
+// rest is a time in which a server wants no requests of a daemon, from when that must know.
+type rest struct{ from, until time.Time }
+
+// words are what lives of daemons have heard for certain of starts of servers.
+type words struct {
+	left  map[hearer]time.Time
+	rests map[hearer][]rest
+}
+
 // heeded checks that daemons heed what servers say of themselves with answers that the daemons
 // have read for certain, whatever troubles there are.
 func (c *checker) heeded() {
-	left := map[hearer]time.Time{}
-	type rest struct{ from, until time.Time }
-	rests := map[hearer][]rest{}
+	w := c.wordsHeard()
+	inRest := map[hearer]map[rest]int{}
 	for _, at := range c.seen.Arrivals {
 		a, ok := c.asks[at.ID]
-		if !ok || a.Life != a.LifeAfter {
+		if !ok {
 			continue
 		}
 		by := hearerOf(a, at)
-		if was, known := left[by]; at.Word.Leaving && a.Reply.Leaving && a.Reply.Server == at.Server && (!known || a.Ended.Before(was)) {
-			left[by] = a.Ended
-		}
-		// What is called not run, or was answered by another server though it may run only once, was
-		// known to be declined.
-		if at.Word.Rest > 0 && (a.Reply.NotRun() || a.Kind == standin.Unsafe && a.Reply.Whole && a.Reply.Status == http.StatusOK) {
-			rests[by] = append(rests[by], rest{from: a.Ended.Add(restGrace), until: at.At.Add(at.Word.Rest)})
+		c.drained(a, at, w.left[by])
+		if inRest[by] == nil {
+			inRest[by] = map[rest]int{}
 		}
+		c.rested(a, at, w.rests[by], inRest[by])
 	}
-	inRest := map[hearer]map[time.Time]int{}
+}
+
+// wordsHeard works out what was heard for certain.
+func (c *checker) wordsHeard() words {
+	w := words{left: map[hearer]time.Time{}, rests: map[hearer][]rest{}}
 	for _, at := range c.seen.Arrivals {
 		a, ok := c.asks[at.ID]
-		if !ok {
+		if !ok || a.Life != a.LifeAfter {
 			continue
 		}
 		by := hearerOf(a, at)
-		if since, heard := left[by]; heard && a.Sent.Sub(since) > leaveBound {
-			c.found("DRAIN", "daemon %d sent request %s to %s, %v after an answer of that had told it that the server leaves", a.Daemon, a.ID, at.Server, a.Sent.Sub(since))
+		if was, known := w.left[by]; passedOn(a, at) && (!known || a.Ended.Before(was)) {
+			w.left[by] = a.Ended
+		}
+		if knownDeclined(a, at) {
+			w.rests[by] = append(w.rests[by], rest{from: a.Ended.Add(restGrace), until: at.At.Add(at.Word.Rest)})
+		}
+	}
+	return w
+}
+
+// passedOn reports whether a daemon has passed on an answer which says that its server leaves.
+func passedOn(a Ask, at Arrival) bool {
+	return at.Word.Leaving && a.Reply.Leaving && a.Reply.Server == at.Server
+}
+
+// knownDeclined reports whether a daemon must have read that a server declined and wants rest:
+// what is called not run was known to be declined, and so was what may run once only and was
+// answered by another server.
+func knownDeclined(a Ask, at Arrival) bool {
+	answered := a.Kind == standin.Unsafe && a.Reply.Whole && a.Reply.Status == http.StatusOK
+	return at.Word.Rest > 0 && (a.Reply.NotRun() || answered)
+}
+
+// drained checks one arrival at a server of which its daemon has heard at a time that it leaves;
+// zero is never.
+func (c *checker) drained(a Ask, at Arrival, since time.Time) {
+	if !since.IsZero() && a.Sent.Sub(since) > leaveBound {
+		c.found("DRAIN", "daemon %d sent request %s to %s, %v after an answer of that had told it that the server leaves", a.Daemon, a.ID, at.Server, a.Sent.Sub(since))
+	}
+}
+
+// rested counts one arrival in each rest that it falls into.
+func (c *checker) rested(a Ask, at Arrival, rests []rest, count map[rest]int) {
+	for _, r := range rests {
+		if a.Sent.Before(r.from) || !at.At.Before(r.until) {
+			continue
 		}
-		for _, r := range rests[by] {
-			if a.Sent.Before(r.from) || !at.At.Before(r.until) {
-				continue
-			}
-			if inRest[by] == nil {
-				inRest[by] = map[time.Time]int{}
-			}
-			if inRest[by][r.from]++; inRest[by][r.from] == restMost+1 {
-				c.found("REST", "daemon %d sent more than %d requests to %s in the rest that it had asked for, %s the last", a.Daemon, restMost, at.Server, a.ID)
-			}
+		if count[r]++; count[r] == restMost+1 {
+			c.found("REST", "daemon %d sent more than %d requests to %s in the rest that it had asked for, %s the last", a.Daemon, restMost, at.Server, a.ID)
 		}
 	}
 }
