The soak counts a server that left by its start, and begins none again that is down

The link's "address already in use": somebody else began a server again whose link was down for its own reason.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -137,7 +137,7 @@
 	defer b.mu.Unlock()
 	b.runner.Say(standin.Word{Leaving: true})
 	if err := b.list(true); err == nil {
-		b.site.oracle.left(b.runner.ID, time.Now())
+		b.site.oracle.left(Incarnation{Server: b.runner.ID, Start: b.starts}, time.Now())
 	}
 }
 
--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -79,7 +79,7 @@
 // leaving checks that a server that leaves gets no new work from calm daemons.
 func (c *checker) leaving(a Ask) {
 	for _, r := range c.runs[a.ID] {
-		at, ok := c.seen.Left[r.Server]
+		at, ok := c.seen.Left[Incarnation{Server: r.Server, Start: r.Start}]
 		if ok && r.At.Sub(at) > leaveBound && c.calm(a.Daemon, a.Sent, a.Ended, harmless...) {
 			c.found("LEAVING", "daemon %d sent request %s to %s, %v after that had said that it leaves", a.Daemon, a.ID, r.Server, r.At.Sub(at))
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -111,7 +111,8 @@
 			s.Asks[0].Added, s.Asks[0].Reply, s.Runs = 4, standin.Reply{Status: http.StatusNotFound}, nil
 			s.Spans = []soak.Span{{Daemon: 0, Trouble: soak.Pause, From: after(6), To: after(8)}}
 		}},
-		{"LEAVING", func(s *soak.Seen) { s.Left["s"] = after(7) }},
+		{"LEAVING", func(s *soak.Seen) { s.Left[soak.Incarnation{Server: "s"}] = after(7) }},
+		{"", func(s *soak.Seen) { s.Left[soak.Incarnation{Server: "s"}] = after(7); s.Runs[0].Start = 1 }},
 		{"LOST", func(s *soak.Seen) { s.Asks[0].Reply, s.Spans = cut, []soak.Span{stop} }},
 		{"", func(s *soak.Seen) {
 			s.Asks[0].Reply, s.Spans = cut, []soak.Span{stop, {Daemon: 0, Trouble: soak.Kill, From: after(10)}}
@@ -144,7 +145,7 @@
 		{"RETURN", func(s *soak.Seen) { s.Settled, s.Asks[0].Reply = after(5), cut }},
 	} {
 		a, r := good()
-		s := soak.Seen{Asks: []soak.Ask{a}, Runs: []soak.Ran{r}, Revoked: map[string]time.Time{}, Added: map[uint64]time.Time{}, Left: map[string]time.Time{}}
+		s := soak.Seen{Asks: []soak.Ask{a}, Runs: []soak.Ran{r}, Revoked: map[string]time.Time{}, Added: map[uint64]time.Time{}, Left: map[soak.Incarnation]time.Time{}}
 		c.spoil(&s)
 		found := append(soak.Check(s), soak.CheckBounds(s)...)
 		if c.rule == "" && len(found) > 0 {
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -52,9 +52,11 @@
 		b.say(standin.Word{})
 		return
 	}
-	b.say(standin.Word{Leaving: true})
+	start := b.say(standin.Word{Leaving: true})
 	clock.Wait(ctx, leaveFor)
-	b.beginAgain(m.random.IntN(2) == 0)
+	if same := m.random.IntN(2) == 0; b.stands(start) {
+		b.beginAgain(same)
+	}
 }
 
 func (m *moods) stop() {
@@ -62,11 +64,20 @@
 	m.running.Wait()
 }
 
-// say sets what the server says of itself.
-func (b *backend) say(w standin.Word) {
+// say sets what the server says of itself, and returns the number of its start.
+func (b *backend) say(w standin.Word) (start int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runner.Say(w)
+	return b.starts
+}
+
+// stands reports whether a start of the server is there: one that has ended has its own time
+// to be back.
+func (b *backend) stands(start int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.present && b.starts == start
 }
 
 // Arrival is a request that reached a server, which may have declined it.
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -45,6 +45,12 @@
 	At    time.Time
 }
 
+// Incarnation is one start of a server: one that begins again under its id has not left.
+type Incarnation struct {
+	Server string
+	Start  int
+}
+
 // everybody as a span's daemon is all of them.
 const everybody = -1
 
@@ -76,7 +82,7 @@
 	// the configuration's number, and servers left, as the store took it.
 	Revoked map[string]time.Time
 	Added   map[uint64]time.Time
-	Left    map[string]time.Time
+	Left    map[Incarnation]time.Time
 	// Orders are roll-outs.
 	Orders []Order
 	// Settled is when the last fault was over and all daemons were ready; zero
@@ -99,7 +105,7 @@
 }
 
 func newOracle() *oracle {
-	return &oracle{seen: Seen{Revoked: map[string]time.Time{}, Added: map[uint64]time.Time{}, Left: map[string]time.Time{}}}
+	return &oracle{seen: Seen{Revoked: map[string]time.Time{}, Added: map[uint64]time.Time{}, Left: map[Incarnation]time.Time{}}}
 }
 
 func (o *oracle) note(f func(*Seen)) {
@@ -116,7 +122,7 @@
 
 func (o *oracle) revoked(key string, at time.Time) { o.note(func(s *Seen) { s.Revoked[key] = at }) }
 func (o *oracle) added(n uint64, at time.Time)     { o.note(func(s *Seen) { s.Added[n] = at }) }
-func (o *oracle) left(server string, at time.Time) { o.note(func(s *Seen) { s.Left[server] = at }) }
+func (o *oracle) left(i Incarnation, at time.Time) { o.note(func(s *Seen) { s.Left[i] = at }) }
 func (o *oracle) settled(at time.Time)             { o.note(func(s *Seen) { s.Settled = at }) }
 
 func (o *oracle) order(r Order) { o.note(func(s *Seen) { s.Orders = append(s.Orders, r) }) }
