When servers are back from rest, and which answers ask for it, stand once

Two doors worked both out for themselves: notice.RestEnds and channel.RestAsked serve both now. A doubt no longer keeps its version: a new order begins without one.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/prompts"
 )
 
@@ -113,19 +114,14 @@
 // RestEnds returns when the first server of a service takes requests again, if all that
 // stay want rest.
 func (l *List) RestEnds(service string, now time.Time) (at time.Time, ok bool) {
-	for _, s := range l.open[service] {
-		if !s.Usable() {
-			continue
-		}
-		k := s.Load.Notices.Kept()
-		if !k.Resting(now) {
-			return time.Time{}, false
-		}
-		if !ok || k.RestUntil.Before(at) {
-			at, ok = k.RestUntil, true
+	listed := func(yield func(notice.Kept) bool) {
+		for _, s := range l.open[service] {
+			if !s.Leaving && !yield(s.Load.Notices.Kept()) {
+				return
+			}
 		}
 	}
-	return at, ok
+	return notice.RestEnds(listed, now)
 }
 
 // Want is what a request wants of its server.
--- a/core/notice/kept.go
+++ b/core/notice/kept.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"iter"
 	"sync/atomic"
 	"time"
 )
@@ -48,6 +49,21 @@
 // Open reports whether the server takes requests by all that it has said.
 func (k Kept) Open(now time.Time) bool { return !k.Leaving() && !k.Resting(now) }
 
+// RestEnds returns when the first of some servers takes requests again, if all that stay want
+// rest.
+func RestEnds(servers iter.Seq[Kept], now time.Time) (at time.Time, ok bool) {
+	for k := range servers {
+		switch {
+		case k.Leaving():
+		case !k.Resting(now):
+			return time.Time{}, false
+		case !ok || k.RestUntil.Before(at):
+			at, ok = k.RestUntil, true
+		}
+	}
+	return at, ok
+}
+
 // Held keeps a server's notices for concurrent use. The zero value holds none.
 type Held struct{ kept atomic.Pointer[Kept] }
 
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -73,23 +73,17 @@
 // comeBack is when to come back where none of some servers can take work now: when the first
 // one's rest ends if all that stay want rest, and otherwise after RetryCapacity.
 func comeBack(servers []*Server, now time.Time) time.Duration {
-	least := time.Duration(0)
-	for _, s := range servers {
-		k := s.Load.Notices.Kept()
-		if s.Leaving || k.Leaving() {
-			continue
-		}
-		if !k.Resting(now) {
-			return RetryCapacity
-		}
-		if left := k.RestUntil.Sub(now); least == 0 || left < least {
-			least = left
+	listed := func(yield func(notice.Kept) bool) {
+		for _, s := range servers {
+			if !s.Leaving && !yield(s.Load.Notices.Kept()) {
+				return
+			}
 		}
 	}
-	if least == 0 {
-		return RetryCapacity
+	if at, ok := notice.RestEnds(listed, now); ok {
+		return at.Sub(now)
 	}
-	return least
+	return RetryCapacity
 }
 
 // QualityKey names what a quality estimate is about.
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -94,11 +94,11 @@
 
 // readNotice reads what a server says of itself.
 func readNotice(status int, h http.Header) notice.Notice {
-	n := notice.Notice{Leaving: h.Get(wire.HeaderLeaving) == wire.LeavingYes || status == http.StatusServiceUnavailable && h.Get(wire.HeaderDeclined) == wire.DeclinedLeaving}
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		n.Rest = notice.Seconds(h.Get(wire.HeaderRest))
+	declines := status == http.StatusServiceUnavailable && h.Get(wire.HeaderDeclined) == wire.DeclinedLeaving
+	return notice.Notice{
+		Leaving: declines || h.Get(wire.HeaderLeaving) == wire.LeavingYes,
+		Rest:    channel.RestAsked(status, h),
 	}
-	return n
 }
 
 // leave gives the server its place back.
--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"ladderridge.example/core/notice"
 )
 
 // readBuffer is the size of a connection's read buffer, in bytes: the events of
@@ -90,6 +92,14 @@
 	return 0
 }
 
+// RestAsked is the rest that an answer asks for: only one that turns its request away does.
+func RestAsked(status int, h http.Header) time.Duration {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0
+	}
+	return notice.Seconds(h.Get("Retry-After"))
+}
+
 // writeRequest writes a request whole. Head and body leave in one write if they
 // are short.
 func (c *channel) writeRequest(x Request) error {
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -223,9 +223,6 @@
 func (k *Keeper) noteDoubt(r canary.Rollout, v canary.Verdict, now time.Time) {
 	service := r.Order.Service
 	s := k.rollouts.doubts[service]
-	if s.version != r.Order.Version {
-		s = doubt{version: r.Order.Version}
-	}
 	if v.Doubt == "" {
 		s.since = time.Time{}
 	} else if s.since.IsZero() {
@@ -233,14 +230,13 @@
 	}
 	if k.reading.Load() && now.Sub(s.loggedAt) >= seenEvery {
 		s.loggedAt = now
-		k.Log.Info().Str("service", service).Str("version", s.version).Dur("age", now.Sub(r.Since)).Dur("doubt_for", s.stoodFor(now)).Bool("tried", r.Tried(now)).Str("seen", v.Seen).Msg("rollout: seen so far")
+		k.Log.Info().Str("service", service).Str("version", r.Order.Version).Dur("age", now.Sub(r.Since)).Dur("doubt_for", s.stoodFor(now)).Bool("tried", r.Tried(now)).Str("seen", v.Seen).Msg("rollout: seen so far")
 	}
 	k.rollouts.doubts[service] = s
 }
 
 // doubt is since when there is a doubt of a version in roll-out.
 type doubt struct {
-	version string
 	// since is zero without a doubt, loggedAt when what was seen was last logged.
 	since    time.Time
 	loggedAt time.Time
