Daemons count what organisations use and tell it to their readers

Cause: the platform wants the requests of each organisation that began to run in each window, of all daemons together. Counts only grow, and merging takes the larger, so that it does not matter how often or by whom they are told; each daemon tells its hall's reader what has changed, with the questions that it asks anyway, until it is acknowledged; readers tell each other and the daemon that reports. Ruled out: sums by hall (a change of reader counts a daemon twice).

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ladderridge.example/core/canary"
+	"ladderridge.example/core/usage"
 )
 
 // Topic names a set of rows of the store.
@@ -23,6 +24,8 @@
 	// Members has what daemons tell all others: an entry for each, with its address and
 	// public key, and the requests in quarantine.
 	Members Topic = "members"
+	// Duties has a row for each duty that one daemon does for all. It is not told on.
+	Duties Topic = "duties"
 )
 
 // Row is one row of the store.
@@ -56,6 +59,9 @@
 	Sessions []uint64
 	// Work is the asker's own at the servers.
 	Work Work
+	// Usage is what the asker has counted of organisations' requests and the answerer has not
+	// acknowledged.
+	Usage []usage.Record
 }
 
 // Known is what the answerer knows of a topic.
@@ -112,6 +118,8 @@
 	Work Work
 	// Crashes are servers that ended while requests were under way there.
 	Crashes []Crash
+	// Usage is what daemons of the teller's hall have counted of organisations' requests.
+	Usage []usage.Record
 }
 
 // Crash is a server that ended while a request was under way there.
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -72,6 +72,8 @@
 	// Rate is how many requests for a service this daemon gets a second; nil is
 	// unknown.
 	Rate func(service string) float64
+	// Desk has what daemons tell each other of duties; nil is nothing.
+	Desk Desk
 	// BeganAgain, if set, is told of a server that has begun again under its id, as it was
 	// before.
 	BeganAgain func(was *fleet.Server)
@@ -157,6 +159,8 @@
 	board        *crowd.Board
 	workAskedAt  time.Time
 	workAbroadAt time.Time
+	// usageAt is when other readers were last told of usage.
+	usageAt time.Time
 	// hallSessions and awaySessions are sessions heard of since the last
 	// message about them, of this hall and of others.
 	hallSessions []uint64
@@ -451,6 +455,7 @@
 	k.tellCrashes(now)
 	k.writeQuarantines(ctx, now)
 	k.shareWork(now)
+	k.shareUsage(now)
 	k.driveRollouts(ctx, now)
 	k.refresh()
 }
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -37,6 +37,7 @@
 		if ok && m.ID == reader.ID && !k.reading.Load() {
 			// Only the reader tells sessions on; others may not even be there.
 			to.Sessions = k.sessions.news(now)
+			to.Usage = k.tellUsage(reader, ask.Nonce, now)
 		}
 		k.Peers.Send(m.ID, m.Addr, to)
 	}
@@ -136,6 +137,7 @@
 	}
 	k.listeners[to] = now
 	k.askedSessions(m.Sessions, now)
+	k.heardUsage(m.Usage)
 	tell := relay.Tell{Nonce: m.Nonce, Withdrawn: k.rollouts.withdrawnNames(), Cut: k.cut(now), Work: k.askedWork(member, m.Work, now)}
 	for _, have := range m.Have {
 		t := k.topics[have.Topic]
@@ -229,6 +231,7 @@
 		k.rollouts.withdrawNamed(name)
 	}
 	k.toldWork(from, m, now)
+	k.heardUsage(m.Usage)
 	if m.Found {
 		k.found(from, now)
 	}
@@ -236,6 +239,9 @@
 	if m.Nonce != 0 && (!ok || now.Sub(asked) > askedFor) {
 		return
 	}
+	if ok && k.Desk != nil {
+		k.Desk.Answered(m.Nonce)
+	}
 	for _, known := range m.Known {
 		t := k.topics[known.Topic]
 		if t == nil {
--- a/daemon/knowledge/view.go
+++ b/daemon/knowledge/view.go
@@ -90,6 +90,13 @@
 	return ok && r.State != canary.Completed && version == r.Order.Version
 }
 
+// Stays reports whether servers of a version are those that a service has apart from a
+// roll-out, which the platform doubles for a while.
+func (v *View) Stays(service, version string) bool {
+	r, ok := v.rollouts[service]
+	return !ok || (r.State == canary.Completed) == (version == r.Order.Version)
+}
+
 // versionName names a version of a service.
 func versionName(service, version string) string { return service + "@" + version }
 
