One daemon reports usage and orders servers: core/sizing, daemon/duties, the adapter

The holder of a lease composes a window's report, keeps it in its row and then sends it; servers are ordered by the peak of the work under way, spot servers spread so that the others carry it without one hall.

--- a/core/duty/claim.go
+++ b/core/duty/claim.go
@@ -6,9 +6,6 @@
 	// renewPart is the part of a lease, as a divisor, after which the holder renews it: so
 	// early that one renewal may be lost.
 	renewPart = 2
-	// watchPart is the part of a lease, as a divisor, after which others look at the row
-	// again. With it a duty has a holder again within twice the lease.
-	watchPart = 2
 	// guardPart is the part of a lease, as a divisor, by which the holder stops before it
 	// ends: clocks of VMs do not run alike.
 	guardPart = 10
@@ -46,6 +43,8 @@
 	// state is what is to stand in the row, raise tells that its token is to rise.
 	state string
 	raise bool
+	// tenure is the token with which this process took the duty.
+	tenure uint64
 }
 
 // Step takes an event and returns what is to be done, or nil.
@@ -64,6 +63,8 @@
 		c.busy, c.doubtful, c.holds = false, true, 0
 	case Unanswered:
 		c.busy, c.doubtful = false, true
+	case Doubted:
+		c.doubtful = true
 	case Overtaken:
 		c.doubtful, c.holds, c.raise = true, 0, true
 	}
@@ -79,7 +80,7 @@
 	case !e.Contend && !c.mine():
 		c.known, c.asked = false, false
 		return nil
-	case c.doubtful || !c.asked || now-c.readAt >= c.Lease/watchPart:
+	case c.doubtful || !c.asked || now-c.readAt >= c.Lease:
 		return c.look(now)
 	case c.free(now):
 		return c.write(Record{Holder: c.Self, Start: c.Start, Token: c.record.Token + 1, State: c.record.State}, now)
@@ -123,7 +124,7 @@
 		return
 	}
 	if !was {
-		c.state = c.record.State
+		c.state, c.tenure = c.record.State, c.record.Token
 	}
 	// A row that is this daemon's says nothing of when it was written: it is renewed.
 	c.renewed = now - c.Lease
@@ -139,7 +140,7 @@
 	c.record, c.version, c.seenAt, c.renewed = c.pending, e.Version, now, c.sentAt
 	c.holds = c.sentAt + c.Lease - c.Lease/guardPart
 	if taken {
-		c.state, c.raise = c.record.State, false
+		c.state, c.raise, c.tenure = c.record.State, false, c.record.Token
 	}
 }
 
@@ -160,6 +161,10 @@
 	return c.record.Token, c.mine() && now < c.holds
 }
 
+// Tenure is the token with which this process took the duty: it differs each time that it
+// does.
+func (c *Claim) Tenure() uint64 { return c.tenure }
+
 // State returns what stands in the row, as far as it is known.
 func (c *Claim) State() string { return c.record.State }
 
--- a/core/duty/record.go
+++ b/core/duty/record.go
@@ -34,8 +34,8 @@
 	State string
 }
 
-// Event is what a claim is told: Tick, Read, Unread, Written, Conflict, Unanswered or
-// Overtaken.
+// Event is what a claim is told: Tick, Read, Unread, Written, Conflict, Unanswered,
+// Overtaken or Doubted.
 type Event interface{ event() }
 
 // Tick tells that time has passed.
@@ -69,6 +69,10 @@
 // Overtaken tells that the platform has refused a call, as one of an earlier holder.
 type Overtaken struct{}
 
+// Doubted tells that the platform has refused a call, perhaps as one of an earlier holder:
+// the row is read, and nothing counts as kept until it was.
+type Doubted struct{}
+
 func (Tick) event()       {}
 func (Read) event()       {}
 func (Unread) event()     {}
@@ -76,6 +80,7 @@
 func (Conflict) event()   {}
 func (Unanswered) event() {}
 func (Overtaken) event()  {}
+func (Doubted) event()    {}
 
 // Order is what a claim wants done: ReadRow or WriteRow. Each is answered by one event.
 type Order interface{ order() }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Version string
 	// Slots is how many requests it works on; 0 is unknown.
 	Slots int
+	// Spot servers cost less, and the provider may take them back.
+	Spot bool
 	// Leaving servers take no new work.
 	Leaving bool
 	// Models are those that it has in memory; none means that it has no models.
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -80,6 +80,13 @@
 	return l.work
 }
 
+// All is the work of all daemons that is under way there, as far as is known.
+func (l *Load) All() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.work + l.crowd.lately
+}
+
 // Begin counts a request that is sent, by its weight: 1 is a small one.
 func (l *Load) Begin(weight float64) {
 	l.mu.Lock()
--- a/core/routemap/routemap.go
+++ b/core/routemap/routemap.go
@@ -5,9 +5,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"ladderridge.example/core/sizing"
 )
 
 // Repeat says how often a request may run.
@@ -85,6 +88,8 @@
 	ColdFor  time.Duration
 	ColdRate float64
 	Models   []Model
+	// Sizes are the terms on which its servers are ordered.
+	Sizes sizing.Terms
 }
 
 // Organisation is one that holds keys.
@@ -182,6 +187,11 @@
 	return &Service{Name: name}
 }
 
+// Services returns all services, by name.
+func (m *Map) Services() []*Service {
+	return slices.SortedFunc(maps.Values(m.services), func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // NeedsKeys reports whether routes that are not anonymous want a key.
 func (m *Map) NeedsKeys() bool { return m.organisations > 0 }
 
--- a/daemon/cmd/ladderridged/cmd_gateway.go
+++ b/daemon/cmd/ladderridged/cmd_gateway.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -67,6 +69,7 @@
 			return &platform.Door{Engine: p.Engine, BodyLimit: p.BodyLimit, Closing: p.Closing}
 		},
 	}
+	takeDuties(g, s)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -82,3 +85,16 @@
 	}()
 	return g.Run(ctx)
 }
+
+// takeDuties hands the daemon the platform's interface for duties, if there is one.
+func takeDuties(g *gateway.Gateway, s *settings.Gateway) {
+	if s.DutiesURL == "" || s.Duties == "" {
+		return
+	}
+	names, unknown := platform.DutyNames(strings.Split(s.Duties, ","))
+	if len(unknown) > 0 {
+		fmt.Fprintf(os.Stderr, "ladderridged: duties that are not known are left alone: %s\n", strings.Join(unknown, ", "))
+	}
+	g.Platform.Duties, g.Platform.DutyNames = platform.NewDuties(s.DutiesURL), names
+	g.Platform.DutyRows = platform.NewStore(s.StoreURL)
+}
--- /dev/null
+++ b/daemon/duties/order.go
@@ -0,0 +1,307 @@
+package duties
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"ladderridge.example/core/fault"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/core/sizing"
+	"ladderridge.example/daemon/knowledge"
+)
+
+const (
+	// decideEvery is the time between two looks at how many servers are needed.
+	decideEvery = 500 * time.Millisecond
+	// noneFloor and noneCeiling bound how long nothing is ordered where there was nothing to
+	// be had, which doubles.
+	noneFloor   = 2 * time.Second
+	noneCeiling = 4 * time.Second
+	// lostAgain is the least time between two orders for servers that were taken back.
+	lostAgain = 2 * time.Second
+)
+
+// ordering is the work of the holder of the duty to order servers.
+type ordering struct {
+	// services are by name.
+	services  map[string]*serviceOrders
+	decidedAt time.Time
+}
+
+// serviceOrders is what was ordered for one service.
+type serviceOrders struct {
+	demand sizing.Demand
+	stands sizing.Stand
+	places map[sizing.Place]*placeOrders
+	// planned is how many servers were last found to be needed.
+	planned int
+	toldAt  time.Time
+	// due are orders that stand in the store and have not been taken yet.
+	due []sizing.Order
+}
+
+// placeOrders is what was ordered in one place.
+type placeOrders struct {
+	count int
+	asked bool
+	at    time.Time
+	// most is how many servers have served there since the order, short since when fewer do
+	// than were ordered.
+	most  int
+	short time.Time
+	// none is until when nothing is ordered, noneFor how long that was.
+	none    time.Time
+	noneFor time.Duration
+}
+
+func newOrdering() *ordering { return &ordering{services: map[string]*serviceOrders{}} }
+
+func (w *ordering) service(name string) *serviceOrders {
+	if w.services[name] == nil {
+		w.services[name] = &serviceOrders{places: map[sizing.Place]*placeOrders{}}
+	}
+	return w.services[name]
+}
+
+func (o *serviceOrders) place(p sizing.Place) *placeOrders {
+	if o.places[p] == nil {
+		o.places[p] = &placeOrders{}
+	}
+	return o.places[p]
+}
+
+// orderBook is what the store keeps of orders.
+type orderBook struct {
+	Orders []ordered `json:"orders"`
+	// Planned is how many servers were last found to be needed, by service.
+	Planned map[string]int `json:"planned"`
+}
+
+// ordered is one order as the store keeps it.
+type ordered struct {
+	Service string      `json:"service"`
+	Hall    string      `json:"hall"`
+	Kind    sizing.Kind `json:"kind"`
+	Count   int         `json:"count"`
+}
+
+// takeOrders takes the orders that the holder before has left.
+func (d *Desk) takeOrders(h *holding, w *ordering) {
+	*w = *newOrdering()
+	state := h.claim.State()
+	if state == "" {
+		return
+	}
+	var left orderBook
+	if err := json.Unmarshal([]byte(state), &left); err != nil {
+		d.Log.Error().Err(err).Msg("duty: the orders of the holder before do not decode: what serves is taken for what was ordered")
+		return
+	}
+	for name, n := range left.Planned {
+		w.service(name).planned = n
+	}
+	for _, o := range left.Orders {
+		p := w.service(o.Service).place(sizing.Place{Hall: o.Hall, Kind: o.Kind})
+		p.count, p.asked, p.at = o.Count, true, time.Now()
+	}
+}
+
+// keepOrders has the store keep what is ordered.
+func (d *Desk) keepOrders(h *holding, w *ordering) {
+	out := orderBook{Planned: map[string]int{}}
+	for name, service := range w.services {
+		out.Planned[name] = service.planned
+		for place, p := range service.places {
+			if p.asked {
+				out.Orders = append(out.Orders, ordered{Service: name, Hall: place.Hall, Kind: place.Kind, Count: p.count})
+			}
+		}
+	}
+	slices.SortFunc(out.Orders, func(a, b ordered) int {
+		return slices.Compare([]string{a.Service, a.Hall, string(a.Kind)}, []string{b.Service, b.Hall, string(b.Kind)})
+	})
+	data, err := json.Marshal(out)
+	if err != nil {
+		d.Log.Error().Err(err).Msg("duty: orders cannot be encoded")
+		return
+	}
+	h.claim.Keep(string(data))
+}
+
+// order decides how many servers are needed, and sends orders that the store keeps.
+func (d *Desk) order(ctx context.Context, h *holding, w *ordering, now time.Time) {
+	v := d.Knowledge.View()
+	if v.Map == nil || v.Servers == nil || h.calling {
+		return
+	}
+	if now.Sub(w.decidedAt) >= decideEvery && !w.anyDue() {
+		w.decidedAt = now
+		d.decide(h, w, v, now)
+	}
+	if !h.claim.Kept() {
+		return
+	}
+	for name, service := range w.services {
+		if len(service.due) > 0 && d.mayCall(h, now) {
+			d.send(ctx, h, name, service)
+			return
+		}
+	}
+}
+
+func (w *ordering) anyDue() bool {
+	for _, service := range w.services {
+		if len(service.due) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// decide looks at each service whose servers are ordered.
+func (d *Desk) decide(h *holding, w *ordering, v *knowledge.View, now time.Time) {
+	changed := false
+	for _, s := range v.Map.Services() {
+		if !s.Sizes.Ordered() {
+			continue
+		}
+		service := w.service(s.Name)
+		in := service.input(s, v, now)
+		d.tellStands(s.Name, service, in, now)
+		service.due = sizing.Decide(in)
+		for _, o := range service.due {
+			p := service.place(o.Place)
+			p.count, p.asked, p.at, p.most, p.short = o.Count, true, now, 0, time.Time{}
+			d.Log.Info().Str("service", s.Name).Str("hall", o.Place.Hall).Str("kind", string(o.Place.Kind)).Int("count", o.Count).Str("why", o.Why).
+				Int("need", in.Need()).Float64("peak", in.Peak).Bool("known", in.Known).Int("serving", in.Places[o.Place].Serving).Msg("duty: servers are ordered")
+		}
+		if len(service.due) > 0 {
+			changed, service.planned = true, in.Need()
+		}
+	}
+	if changed {
+		d.keepOrders(h, w)
+	}
+}
+
+// standsEvery is the time between two lines about what stands.
+const standsEvery = 5 * time.Second
+
+// tellStands logs how many servers stand and are needed: why there were so few at a time.
+func (d *Desk) tellStands(name string, service *serviceOrders, in sizing.Input, now time.Time) {
+	if now.Sub(service.toldAt) < standsEvery {
+		return
+	}
+	service.toldAt = now
+	var text []string
+	for _, hall := range in.Halls {
+		for _, kind := range []sizing.Kind{sizing.Regular, sizing.Spot} {
+			p := sizing.Place{Hall: hall, Kind: kind}
+			at := in.Places[p]
+			text = append(text, fmt.Sprintf("%s %s: %d of %d, %d warm, %d of another version", hall, kind, at.Serving, at.Ordered, at.Warm, at.Coming))
+		}
+	}
+	d.Log.Info().Str("service", name).Int("need", in.Need()).Float64("peak", in.Peak).Bool("settled", in.Settled).Str("stands", strings.Join(text, "; ")).Msg("duty: what stands")
+}
+
+// send sends the first order that is due.
+func (d *Desk) send(ctx context.Context, h *holding, name string, service *serviceOrders) {
+	o := service.due[0]
+	d.call(ctx, h, func(ctx context.Context, by Signature) error { return d.Platform.Order(ctx, by, name, o) }, func(err error) {
+		p := service.place(o.Place)
+		switch {
+		case err == nil:
+			d.Orders.Add(1)
+			p.noneFor = 0
+		case fault.Is(err, Forbidden):
+			p.noneFor = min(noneCeiling, max(noneFloor, 2*p.noneFor))
+			p.none, p.asked = time.Now().Add(p.noneFor), false
+		case fault.Is(err, Unanswered):
+			// It may be carried out after the next one, unless that carries a higher token.
+			h.claim.Raise()
+			return
+		default:
+			return
+		}
+		service.due = service.due[1:]
+	})
+}
+
+// input is what an order for the service is decided by.
+func (o *serviceOrders) input(s *routemap.Service, v *knowledge.View, now time.Time) sizing.Input {
+	in := sizing.Input{Now: now, Terms: s.Sizes, Slots: s.Slots, Emptied: map[string]bool{}, Places: map[sizing.Place]sizing.Standing{}}
+	for hall := range v.Emptied {
+		in.Emptied[hall] = true
+	}
+	work := 0.0
+	for _, server := range v.Servers.Service(s.Name) {
+		work += server.Load.All()
+		if !slices.Contains(in.Halls, server.Hall) {
+			in.Halls = append(in.Halls, server.Hall)
+		}
+		place := placeOf(server)
+		if !server.Usable() {
+			continue
+		}
+		if !v.Stays(s.Name, server.Version) {
+			at := in.Places[place]
+			at.Coming++
+			in.Places[place] = at
+			continue
+		}
+		at := in.Places[place]
+		at.Serving++
+		if !now.Before(server.Load.Cold().Until) {
+			at.Warm++
+		}
+		in.Places[place] = at
+	}
+	for place := range o.places {
+		if !slices.Contains(in.Halls, place.Hall) {
+			in.Halls = append(in.Halls, place.Hall)
+		}
+	}
+	slices.Sort(in.Halls)
+	standing := 0
+	for _, at := range in.Places {
+		standing += at.Serving
+	}
+	in.Planned = o.planned
+	in.Steady = o.stands.Note(standing, now)
+	o.demand.Note(work, now)
+	in.Peak, in.Known = o.demand.Peak()
+	in.Settled = o.demand.Settled(now)
+	o.stand(&in, now)
+	return in
+}
+
+// stand adds what was ordered to what stands.
+func (o *serviceOrders) stand(in *sizing.Input, now time.Time) {
+	for place, p := range o.places {
+		at := in.Places[place]
+		p.most = max(p.most, at.Serving)
+		switch {
+		case !p.asked || at.Serving >= p.count:
+			p.short = time.Time{}
+		case p.short.IsZero():
+			p.short = now
+		}
+		at.Ordered, at.Asked, at.Short = p.count, p.asked, p.short
+		at.Lost = p.asked && at.Serving < min(p.most, p.count) && now.Sub(p.at) >= lostAgain
+		at.None = now.Before(p.none)
+		in.Places[place] = at
+	}
+}
+
+// placeOf is where a server stands.
+func placeOf(s *fleet.Server) sizing.Place {
+	if s.Spot {
+		return sizing.Place{Hall: s.Hall, Kind: sizing.Spot}
+	}
+	return sizing.Place{Hall: s.Hall, Kind: sizing.Regular}
+}
--- /dev/null
+++ b/daemon/duties/rows.go
@@ -0,0 +1,59 @@
+package duties
+
+import (
+	"context"
+	"encoding/json"
+
+	"ladderridge.example/core/duty"
+	"ladderridge.example/core/fault"
+	"ladderridge.example/core/relay"
+	"ladderridge.example/daemon/knowledge"
+)
+
+// row is a duty's row, in words that an operator can read.
+type row struct {
+	Holder string `json:"holder"`
+	Start  uint64 `json:"start"`
+	Token  uint64 `json:"token"`
+	State  string `json:"state"`
+}
+
+// read reads a duty's row.
+func (d *Desk) read(ctx context.Context, name duty.Name) duty.Event {
+	page, err := d.Rows.Read(ctx, relay.Duties)
+	if err != nil {
+		d.Log.Warn().Str("duty", string(name)).Err(err).Msg("duty: its row could not be read")
+		return duty.Unread{}
+	}
+	for _, r := range page.Rows {
+		if r.Key != string(name) {
+			continue
+		}
+		var in row
+		if err := json.Unmarshal(r.Data, &in); err != nil {
+			d.Log.Error().Str("duty", string(name)).Err(&Error{Op: "read duty", Kind: Malformed, Err: err}).Msg("duty: its row does not decode: nobody takes it until an operator removes the row")
+			return duty.Unread{}
+		}
+		return duty.Read{Found: true, Record: duty.Record{Holder: in.Holder, Start: in.Start, Token: in.Token, State: in.State}, Version: r.Version}
+	}
+	return duty.Read{}
+}
+
+// write writes a duty's row.
+func (d *Desk) write(ctx context.Context, name duty.Name, o duty.WriteRow) duty.Event {
+	data, err := json.Marshal(row{Holder: o.Record.Holder, Start: o.Record.Start, Token: o.Record.Token, State: o.Record.State})
+	if err != nil {
+		d.Log.Error().Str("duty", string(name)).Err(err).Msg("duty: its row cannot be encoded")
+		return duty.Unread{}
+	}
+	version, err := d.Rows.Swap(ctx, relay.Duties, string(name), data, o.Was)
+	switch {
+	case err == nil:
+		return duty.Written{Version: version}
+	case fault.Is(err, knowledge.Conflict):
+		return duty.Conflict{}
+	default:
+		d.Log.Warn().Str("duty", string(name)).Uint64("was", o.Was).Err(err).Msg("duty: its row may not have been written")
+		return duty.Unanswered{}
+	}
+}
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -212,11 +212,21 @@
 	}
 	a.verdict = answered
 	j.made = j.made.With(attempts.Unknown)
+	j.count()
 	if a.head.Loaded {
 		a.server.Load.Report(a.head.Load)
 	}
 }
 
+// count counts the request for its organisation when a server first takes it on: what is told
+// of usage counts requests, not the runs that one takes.
+func (j *job) count() {
+	if j.engine.Began != nil && !j.counted {
+		j.counted = true
+		j.engine.Began(j.report.Organisation)
+	}
+}
+
 // hear keeps what a server says of itself with an answer, whatever becomes of that.
 func (j *job) hear(a *attempt, now time.Time) {
 	n := a.head.Notice
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -45,6 +45,9 @@
 	StoodStill standstill.Clock
 	// Observer is told of each request that has ended; nil is nobody.
 	Observer func(Report)
+	// Began is told of each request of an organisation that a server has begun to run; nil is
+	// nobody.
+	Began func(organisation string)
 	// Noticed is told of a server that says of itself what was not known; nil is nobody.
 	Noticed func(s *fleet.Server, n notice.Notice)
 
@@ -186,6 +189,8 @@
 	made attempts.Ledger
 	// paid tells that the next attempt has been taken from the budget.
 	paid bool
+	// counted tells that the request counts as begun for its organisation.
+	counted bool
 	// begun tells that the caller has a part of an answer.
 	begun bool
 	// after is the last event that the caller has.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -16,8 +16,10 @@
 	"github.com/thejerf/suture/v4"
 
 	"ladderridge.example/core/canary"
+	"ladderridge.example/core/duty"
 	"ladderridge.example/core/retry"
 	"ladderridge.example/daemon/channel"
+	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/exchange"
 	"ladderridge.example/daemon/knowledge"
 	"ladderridge.example/daemon/logwriter"
@@ -49,6 +51,11 @@
 	Dialect exchange.Dialect
 	// Door makes the handler of callers' requests.
 	Door func(Port) http.Handler
+	// Duties takes what one daemon does for all; nil is nothing. DutyNames are what that is.
+	Duties    duties.Platform
+	DutyNames []duty.Name
+	// DutyRows are the store's rows of duties.
+	DutyRows duties.Rows
 	// ReadyPath is where the balancer asks whether the daemon is ready.
 	ReadyPath string
 }
@@ -69,6 +76,7 @@
 	log       log.Logger
 	logWriter *logwriter.Writer
 	keeper    *knowledge.Keeper
+	desk      *duties.Desk
 	peers     *peer.Transport
 	channels  *channel.Pool
 	engine    *exchange.Engine
@@ -133,6 +141,7 @@
 	g.keeper.Exposure = canary.Exposure{Share: s.ExposureShare, Slack: s.ExposureSlack}
 	g.keeper.Regions, g.keeper.ColdOverage, g.keeper.ColdSlack = s.Regions.ByHall(), s.ColdOverage, s.ColdSlack
 	g.keeper.Rate = func(service string) float64 { return g.engine.Budget.Rate(service, time.Now()) }
+	g.takeDuties(s)
 	g.apply(s)
 	g.registry = g.metrics()
 	g.callers = newServer(s.Callers, g.Platform.Door(Port{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing}))
@@ -141,6 +150,20 @@
 	return nil
 }
 
+// takeDuties sets the daemon up for what one daemon does for all, if the platform takes any
+// of that.
+func (g *Gateway) takeDuties(s *settings.Gateway) {
+	if g.Platform.Duties == nil || len(g.Platform.DutyNames) == 0 {
+		return
+	}
+	g.desk = duties.New()
+	g.desk.Self, g.desk.Start, g.desk.Log, g.desk.StoodStill = s.ID, g.Start, g.log, standstill.Total
+	g.desk.Settings = duties.Settings{Names: g.Platform.DutyNames, Lease: s.DutyLease, Window: s.UsageWindow, Late: s.UsageLate, Rate: s.DutyRate}
+	g.desk.Rows, g.desk.Platform, g.desk.Knowledge = g.Platform.DutyRows, g.Platform.Duties, g.keeper
+	g.desk.Prepare()
+	g.keeper.Desk, g.engine.Began = g.desk, g.desk.Began
+}
+
 // sender carries the keeper's messages to other daemons.
 type sender struct{ peers *peer.Transport }
 
@@ -171,6 +194,9 @@
 	coordination := suture.New("coordination", spec)
 	coordination.Add(supervise.Part{Name: "knowledge", Run: g.keeper.Run})
 	coordination.Add(supervise.Part{Name: "peers", Run: g.peers.Run})
+	if g.desk != nil {
+		coordination.Add(supervise.Part{Name: "duties", Run: g.desk.Run})
+	}
 	serving := suture.New("serving", spec)
 	serving.Add(supervise.Part{Name: "callers", Run: g.callers.run})
 	serving.Add(supervise.Part{Name: "readiness", Run: g.readiness.run})
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -63,6 +63,19 @@
 	ColdOverage float64
 	ColdSlack   float64
 
+	// DutiesURL is where the platform takes what one daemon does for all, "" if it takes
+	// nothing; Duties are its names of what that is, with commas between them.
+	DutiesURL string
+	Duties    string
+	// DutyLease is how long a daemon holds a duty after it last said so, DutyRate how many
+	// calls the platform takes a second from all daemons.
+	DutyLease time.Duration
+	DutyRate  float64
+	// UsageWindow is the length of a window of usage, UsageLate how long after its end it is
+	// reported at the latest.
+	UsageWindow time.Duration
+	UsageLate   time.Duration
+
 	// Grace is how long a stopping daemon has until it is killed.
 	Grace time.Duration
 
@@ -111,6 +124,12 @@
 	{"halls", "regions", "", false, func(s *Gateway, v string) error { return setRegions(&s.Regions, v) }},
 	{"cold", "overage", "1", false, func(s *Gateway, v string) error { return setRatio(&s.ColdOverage, v) }},
 	{"cold", "slack", "0", false, func(s *Gateway, v string) error { return setRatio(&s.ColdSlack, v) }},
+	{"duties", "url", "", false, setDutiesURL},
+	{"duties", "names", "", false, func(s *Gateway, v string) error { s.Duties = v; return nil }},
+	{"duties", "lease", "3s", false, func(s *Gateway, v string) error { return setDuration(&s.DutyLease, v, true) }},
+	{"duties", "rate", "0", false, func(s *Gateway, v string) error { return setRatio(&s.DutyRate, v) }},
+	{"usage", "window", "5s", false, func(s *Gateway, v string) error { return setDuration(&s.UsageWindow, v, true) }},
+	{"usage", "late", "10s", false, func(s *Gateway, v string) error { return setDuration(&s.UsageLate, v, true) }},
 	{"start", "first", "false", false, func(s *Gateway, v string) error { return setSwitch(&s.FirstStart, v) }},
 	{"stop", "grace", "8s", false, func(s *Gateway, v string) error { return setDuration(&s.Grace, v, true) }},
 	{"vm", "processor", "1", false, func(s *Gateway, v string) error { return setRatio(&s.Processor, v) }},
@@ -156,6 +175,12 @@
 	Regions       Regions
 	ColdOverage   float64
 	ColdSlack     float64
+
+	DutiesURL, Duties string
+	DutyLease         time.Duration
+	DutyRate          float64
+	UsageWindow       time.Duration
+	UsageLate         time.Duration
 }
 
 // Places returns what a running process cannot change about itself.
@@ -165,6 +190,7 @@
 		InForceWithin: s.InForceWithin, SessionPause: s.SessionPause, Capacity: s.Capacity(),
 		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack,
 		Regions: s.Regions, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
+		DutiesURL: s.DutiesURL, Duties: s.Duties, DutyLease: s.DutyLease, DutyRate: s.DutyRate, UsageWindow: s.UsageWindow, UsageLate: s.UsageLate,
 	}
 }
 
@@ -183,6 +209,13 @@
 	return setAddr(&s.PeersReachedAt, v)
 }
 
+func setDutiesURL(s *Gateway, v string) error {
+	if v == "" {
+		return nil
+	}
+	return setURL(&s.DutiesURL, v)
+}
+
 func setSwitch(to *bool, v string) error {
 	on, err := strconv.ParseBool(v)
 	if err != nil {
