--- a/core/sizing/sizing.go
+++ b/core/sizing/sizing.go
@@ -33,6 +33,11 @@
 // Ordered reports whether servers are started and ended by order at all.
 func (t Terms) Ordered() bool { return t.Most > 0 }
 
+// easyUse is the part of their slots that the work under way is to come to on spot servers.
+// What requests lose by waiting falls with the number of servers, what those cost grows with
+// it: the sum is least where the number grows with the root of one over the price.
+func (t Terms) easyUse() float64 { return fullUse * math.Sqrt(t.SpotPrice) }
+
 // Kind is what a server's place is paid as.
 type Kind string
 
@@ -89,6 +94,8 @@
 	Settled bool
 	// Planned is how many servers were last found to be needed, 0 if nobody has found yet.
 	Planned int
+	// EndedAt is when servers were last ended.
+	EndedAt time.Time
 	// Steady tells that as many servers as now have stood for a while.
 	Steady bool
 }
@@ -97,28 +104,25 @@
 type Order struct {
 	Place Place
 	Count int
-	// Why says in a few words what it rests on.
-	Why string
+	// Fewer tells that servers are ended by it, Why in a few words what it rests on.
+	Fewer bool
+	Why   string
 }
 
 const (
-	// targetUse is the part of a server's slots that is to be in use at the peak of a while:
-	// a server that is full answers at half of its pace, and what comes within the time to
-	// start another one has to find room.
-	targetUse = 0.5
+	// fullUse is the part of a server's slots that the work under way may come to at its peak:
+	// beyond it requests wait, so that servers are ordered at any price.
+	fullUse = 1.0
 	// againAfter is how many times the time to start a server an order may take until it is
 	// given again.
 	againAfter = 1.5
 )
 
-// Need is how many servers carry what is under way at its peak. Until that has been watched
+// Need is how many servers carry what is under way at its peak, if they are full. Until that has been watched
 // for long enough it is at least what was needed before, or what now stands without its
 // largest hall: what stands was meant to bear that.
 func (in Input) Need() int {
-	need := 1
-	if in.Known && in.Slots > 0 {
-		need = max(1, int(math.Ceil(in.Peak/(targetUse*float64(in.Slots)))))
-	}
+	need := in.carry(fullUse)
 	switch {
 	case in.Settled:
 		return need
@@ -133,6 +137,14 @@
 	return max(need, sum-largest)
 }
 
+// carry is how many servers carry what is under way at its peak with a part of their slots.
+func (in Input) carry(use float64) int {
+	if !in.Known || in.Slots == 0 {
+		return 1
+	}
+	return max(1, int(math.Ceil(in.Peak/(use*float64(in.Slots)))))
+}
+
 // Wanted is how many servers are to stand in each place of the halls that are not emptied.
 func (in Input) Wanted() map[Place]int {
 	out := map[Place]int{}
@@ -140,7 +152,11 @@
 	if len(halls) == 0 {
 		return out
 	}
-	each := int(math.Ceil(float64(in.Need()) / float64(min(len(halls), in.bearing()))))
+	need := in.Need()
+	if kind == Spot {
+		need = max(need, in.carry(in.Terms.easyUse()))
+	}
+	each := int(math.Ceil(float64(need) / float64(min(len(halls), in.bearing()))))
 	for _, hall := range in.open() {
 		for _, k := range []Kind{Regular, Spot} {
 			out[Place{hall, k}] = 0
@@ -155,8 +171,9 @@
 	return out
 }
 
-// bearing is how many halls are to carry everything: all but one, so that any one may be lost.
-func (in Input) bearing() int { return max(1, len(in.Halls)-1) }
+// bearing is how many halls are to carry everything: all that are not emptied but one, so that
+// any one may be lost while another is emptied.
+func (in Input) bearing() int { return max(1, len(in.open())-1) }
 
 // open are the halls that are not emptied.
 func (in Input) open() []string {
@@ -164,17 +181,27 @@
 }
 
 // kind is what is ordered, and where it is to be had: spot servers where they cost less, and
-// others if there are none of them anywhere.
+// others if there are none of them anywhere and what stands does not carry everything.
 func (in Input) kind() (Kind, []string) {
 	open := in.open()
-	if in.Terms.SpotPrice > 0 && in.Terms.SpotPrice < 1 {
-		if halls := in.having(open, Spot); len(halls) > 0 {
-			return Spot, halls
-		}
+	if in.Terms.SpotPrice == 0 || in.Terms.SpotPrice >= 1 {
+		return Regular, in.having(open, Regular)
+	}
+	if halls := in.having(open, Spot); len(halls) > 0 || in.carries() {
+		return Spot, halls
 	}
 	return Regular, in.having(open, Regular)
 }
 
+// carries reports whether what stands carries everything, with no hall to spare.
+func (in Input) carries() bool {
+	sum := 0
+	for _, hall := range in.open() {
+		sum += in.Places[Place{hall, Regular}].Serving + in.Places[Place{hall, Spot}].Serving
+	}
+	return sum >= in.Need()
+}
+
 func (in Input) having(halls []string, kind Kind) []string {
 	return slices.DeleteFunc(slices.Clone(halls), func(h string) bool { return in.Places[Place{h, kind}].None })
 }
@@ -186,9 +213,13 @@
 		return nil
 	}
 	wanted := in.Wanted()
+	var ends map[Place]int
+	if in.Now.Sub(in.EndedAt) >= endEvery {
+		ends = in.ends(wanted)
+	}
 	var out []Order
 	for place, n := range wanted {
-		if o, ok := in.order(place, n, wanted); ok {
+		if o, ok := in.order(place, n, ends); ok {
 			out = append(out, o)
 		}
 	}
@@ -219,12 +250,14 @@
 	return s.Serving
 }
 
-// order is what is asked of one place, if anything.
-func (in Input) order(p Place, n int, wanted map[Place]int) (Order, bool) {
+// order is what is asked of one place, if anything. ends has the places where servers may be
+// ended, by how many are to stay.
+func (in Input) order(p Place, n int, ends map[Place]int) (Order, bool) {
 	s := in.Places[p]
 	// Both kinds together have a bound: more of one wait until the other has gone.
 	stands := in.stands(p)
 	n = min(n, max(stands, in.Terms.Most-in.other(p)))
+	stay, mayEnd := ends[p]
 	switch {
 	case s.None:
 		return Order{}, false
@@ -232,8 +265,8 @@
 		return Order{Place: p, Count: n, Why: "servers were taken back"}, true
 	case n > stands:
 		return Order{Place: p, Count: n, Why: "more are needed"}, true
-	case n < stands && in.mayEnd(p, wanted):
-		return Order{Place: p, Count: n, Why: "fewer carry it"}, true
+	case mayEnd:
+		return Order{Place: p, Count: stay, Fewer: true, Why: "fewer carry it"}, true
 	case s.Asked && !s.Short.IsZero() && in.Now.Sub(s.Short).Seconds() > againAfter*in.Terms.Boot.Seconds():
 		return Order{Place: p, Count: stands, Why: "what was ordered has not come"}, true
 	}
@@ -250,33 +283,60 @@
 	return sum + in.stands(spot)
 }
 
-// mayEnd reports whether servers of a place may be ended: only once those that stay carry
-// what is needed without any one hall.
-func (in Input) mayEnd(p Place, wanted map[Place]int) bool {
-	warm, largest := 0, 0
+const (
+	// endSteps is in how many steps servers that are too many may be ended.
+	endSteps = 4
+	// endEvery is the least time between two of them: what was ended must show in what
+	// requests take before more are.
+	endEvery = 5 * time.Second
+)
+
+// ends returns the places where servers are to be ended, by how many stay: as many as leave
+// enough that are up to speed to carry what is needed without any one hall. Where spot servers
+// take the place of others, and both do not fit into a hall, that goes by steps.
+func (in Input) ends(wanted map[Place]int) map[Place]int {
+	for step := range endSteps {
+		stay := map[Place]int{}
+		for p, n := range wanted {
+			// A new holder does not know yet how many of those that cost little are needed.
+			if stands := in.stands(p); n < stands && (in.Settled || p.Kind == Regular) {
+				stay[p] = n + (stands-n)*step/endSteps
+			}
+		}
+		if in.suffices(stay) {
+			return stay
+		}
+	}
+	return nil
+}
+
+// suffices reports whether what stays carries what is needed without any one hall.
+func (in Input) suffices(stay map[Place]int) bool {
+	sum, largest := 0, 0
 	for _, hall := range in.open() {
 		of := 0
 		for _, kind := range []Kind{Regular, Spot} {
-			at := Place{hall, kind}
-			stay := in.Places[at].Warm
-			if at.Kind == p.Kind {
-				stay = min(stay, wanted[at])
+			p := Place{hall, kind}
+			warm := in.Places[p].Warm
+			if n, fewer := stay[p]; fewer {
+				warm = min(warm, n)
 			}
-			of += stay
+			of += warm
 		}
-		warm, largest = warm+of, max(largest, of)
+		sum, largest = sum+of, max(largest, of)
 	}
 	if in.lost() {
 		largest = 0
 	}
-	return warm-largest >= min(in.Need(), in.Terms.Most*in.bearing())
+	return sum-largest >= min(in.Need(), in.Terms.Most*in.bearing())
 }
 
-// lost reports whether a hall is lost already, so that no other one need be spared: it is
-// emptied, or has no servers and gets none.
+// lost reports whether a hall is lost already, so that no other one need be spared: it has no
+// servers and gets none.
 func (in Input) lost() bool {
-	return len(in.Halls) == 1 || slices.ContainsFunc(in.Halls, func(hall string) bool {
+	open := in.open()
+	return len(open) == 1 || slices.ContainsFunc(open, func(hall string) bool {
 		regular, spot := in.Places[Place{hall, Regular}], in.Places[Place{hall, Spot}]
-		return in.Emptied[hall] || (spot.None && regular.Warm+spot.Warm == 0)
+		return spot.None && regular.Warm+spot.Warm == 0
 	})
 }
--- a/daemon/duties/order.go
+++ b/daemon/duties/order.go
@@ -41,6 +41,7 @@
 	// planned is how many servers were last found to be needed.
 	planned int
 	toldAt  time.Time
+	endedAt time.Time
 	// due are orders that stand in the store and have not been taken yet.
 	due []sizing.Order
 }
@@ -175,6 +176,9 @@
 		d.tellStands(s.Name, service, in, now)
 		service.due = sizing.Decide(in)
 		for _, o := range service.due {
+			if o.Fewer {
+				service.endedAt = now
+			}
 			p := service.place(o.Place)
 			p.count, p.asked, p.at, p.most, p.short = o.Count, true, now, 0, time.Time{}
 			d.Log.Info().Str("service", s.Name).Str("hall", o.Place.Hall).Str("kind", string(o.Place.Kind)).Int("count", o.Count).Str("why", o.Why).
@@ -271,7 +275,7 @@
 	for _, at := range in.Places {
 		standing += at.Serving
 	}
-	in.Planned = o.planned
+	in.Planned, in.EndedAt = o.planned, o.endedAt
 	in.Steady = o.stands.Note(standing, now)
 	o.demand.Note(work, now)
 	in.Peak, in.Known = o.demand.Peak()
