--- a/daemon/cmd/ladderridge/main.go
+++ b/daemon/cmd/ladderridge/main.go
@@ -27,7 +27,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(tableCommand(), watchCommand(), explainCommand(), dumpCommand(), hallsCommand(),
+	root.AddCommand(tableCommand(), watchCommand(), explainCommand(), dumpCommand(), hallsCommand(), dutiesCommand(),
 		keysCommand(), traceCommand(), replayCommand(), standinCommand(), loadCommand(), billsCommand(), callCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "ladderridge:", err)
--- /dev/null
+++ b/daemon/duties/harness_test.go
@@ -0,0 +1,306 @@
+package duties_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ladderridge.example/core/duty"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/relay"
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/core/sizing"
+	"ladderridge.example/core/usage"
+	"ladderridge.example/daemon/duties"
+	"ladderridge.example/daemon/knowledge"
+)
+
+const (
+	lease  = 3 * time.Second
+	window = 5 * time.Second
+	late   = 10 * time.Second
+)
+
+// table is the store's rows of duties.
+type table struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]relay.Row
+	calls   int
+}
+
+// way is one daemon's way to the store.
+type way struct {
+	*table
+	mu sync.Mutex
+	// cut ends all calls without an answer, lossy does writes and answers none of them.
+	cut   bool
+	lossy bool
+}
+
+var errLost = &knowledge.Error{Op: "call store", Kind: knowledge.Away, Err: errors.New("no answer")}
+
+func (w *way) set(cut, lossy bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut, w.lossy = cut, lossy
+}
+
+func (w *way) faults() (cut, lossy bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut, w.lossy
+}
+
+// Read implements duties.Rows.
+func (w *way) Read(_ context.Context, topic relay.Topic) (knowledge.Page, error) {
+	if cut, _ := w.faults(); cut || topic != relay.Duties {
+		return knowledge.Page{}, errLost
+	}
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.calls++
+	page := knowledge.Page{Version: w.version}
+	for _, r := range w.rows {
+		page.Rows = append(page.Rows, r)
+	}
+	return page, nil
+}
+
+// Swap implements duties.Rows.
+func (w *way) Swap(_ context.Context, _ relay.Topic, key string, data []byte, was uint64) (uint64, error) {
+	cut, lossy := w.faults()
+	if cut {
+		return 0, errLost
+	}
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	w.calls++
+	if w.rows[key].Version != was {
+		return 0, &knowledge.Error{Op: "swap", Kind: knowledge.Conflict}
+	}
+	w.version++
+	w.rows[key] = relay.Row{Key: key, Data: data, Version: w.version}
+	if lossy {
+		return 0, errLost
+	}
+	return w.version, nil
+}
+
+// platform plays the platform's interface for duties, and notes what it must not be told.
+type platform struct {
+	t  *testing.T
+	mu sync.Mutex
+	// highest is the highest token seen, by duty and subject, holders who used which.
+	highest map[string]uint64
+	holders map[string]string
+	reports map[usage.Window][]usage.Count
+	orders  []sizing.Order
+	// mute answers no call, and keeps the orders to be carried out later.
+	mute bool
+	kept []keptOrder
+	none map[string]bool
+}
+
+type keptOrder struct {
+	by    duties.Signature
+	order sizing.Order
+}
+
+func newPlatform(t *testing.T) *platform {
+	return &platform{t: t, highest: map[string]uint64{}, holders: map[string]string{}, reports: map[usage.Window][]usage.Count{}, none: map[string]bool{}}
+}
+
+// admit takes a caller's token, or refuses it; the platform is locked.
+func (p *platform) admit(subject string, by duties.Signature) error {
+	if by.Token < p.highest[subject] {
+		return &duties.Error{Op: "call platform", Kind: duties.Forbidden}
+	}
+	p.highest[subject] = by.Token
+	who := subject + " " + strconv.FormatUint(by.Token, 10)
+	if was := p.holders[who]; was != "" && was != by.Holder {
+		p.t.Errorf("%s: %s and %s use one token", who, was, by.Holder)
+	}
+	p.holders[who] = by.Holder
+	return nil
+}
+
+// Report implements duties.Platform.
+func (p *platform) Report(_ context.Context, by duties.Signature, r usage.Report) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mute {
+		return &duties.Error{Op: "report", Kind: duties.Unanswered}
+	}
+	if err := p.admit("usage", by); err != nil {
+		return err
+	}
+	if was, ok := p.reports[r.Window]; ok && !slices.Equal(was, r.Counts) {
+		p.t.Errorf("window %d: %v, then %v", r.Window, was, r.Counts)
+	}
+	p.reports[r.Window] = r.Counts
+	return nil
+}
+
+// Order implements duties.Platform.
+func (p *platform) Order(_ context.Context, by duties.Signature, service string, o sizing.Order) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mute {
+		p.kept = append(p.kept, keptOrder{by: by, order: o})
+		return &duties.Error{Op: "order", Kind: duties.Unanswered}
+	}
+	return p.carryOut(by, service, o)
+}
+
+func (p *platform) carryOut(by duties.Signature, service string, o sizing.Order) error {
+	if err := p.admit(service+" "+o.Place.Hall, by); err != nil {
+		return err
+	}
+	if p.none[o.Place.Hall] && o.Place.Kind == sizing.Spot {
+		return &duties.Error{Op: "order", Kind: duties.Forbidden}
+	}
+	p.orders = append(p.orders, o)
+	return nil
+}
+
+// carryOutLate carries out the orders that were not answered.
+func (p *platform) carryOutLate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, k := range p.kept {
+		_ = p.carryOut(k.by, "llm", k.order)
+	}
+	p.kept = nil
+}
+
+func (p *platform) setMute(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mute = on
+}
+
+// taken is how many orders were carried out.
+func (p *platform) taken() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.orders)
+}
+
+// newest is the count last ordered in a place, -1 for none.
+func (p *platform) newest(at sizing.Place) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range slices.Backward(p.orders) {
+		if o.Place == at {
+			return o.Count
+		}
+	}
+	return -1
+}
+
+func (p *platform) reported() map[usage.Window][]usage.Count {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[usage.Window][]usage.Count{}
+	for w, counts := range p.reports {
+		out[w] = counts
+	}
+	return out
+}
+
+// known is what a daemon knows.
+type known struct{ view *knowledge.View }
+
+// View implements duties.Knowledge.
+func (k known) View() *knowledge.View { return k.view }
+
+// Reads implements duties.Knowledge.
+func (known) Reads() bool { return true }
+
+// view is a service in two halls with a number of servers in each.
+func view(each int) *knowledge.View {
+	terms := sizing.Terms{Least: 1, Most: 40, Boot: 4 * time.Second, SpotPrice: 0.2}
+	m := routemap.New(routemap.Parts{Number: 1, Services: []routemap.Service{{Name: "llm", Slots: 10, Sizes: terms}}})
+	var servers []*fleet.Server
+	for _, hall := range []string{"hall-a", "hall-b"} {
+		for i := range each {
+			servers = append(servers, &fleet.Server{ID: hall + "-" + strconv.Itoa(i), Service: "llm", Hall: hall, Version: "v1", Load: fleet.NewLoad(fleet.NewHall())})
+		}
+	}
+	return &knowledge.View{Map: m, Servers: fleet.NewList(servers)}
+}
+
+// daemon is one desk and its way to the store.
+type daemon struct {
+	*duties.Desk
+	way *way
+}
+
+// site is some daemons that tell each other what they count.
+type site struct {
+	store    *table
+	platform *platform
+	daemons  []*daemon
+}
+
+func newSite(t *testing.T, daemons int, names ...duty.Name) *site {
+	t.Helper()
+	s := &site{store: &table{rows: map[string]relay.Row{}}, platform: newPlatform(t)}
+	for i := range daemons {
+		d := &daemon{Desk: duties.New(), way: &way{table: s.store}}
+		d.Self, d.Start, d.Rows, d.Platform, d.Knowledge = "entry-"+strconv.Itoa(i), uint64(i+1), d.way, s.platform, known{view(4)}
+		d.Log = log.Logger{Level: log.PanicLevel}
+		d.Settings = duties.Settings{Names: names, Lease: lease, Window: window, Late: late}
+		d.Prepare()
+		s.daemons = append(s.daemons, d)
+	}
+	return s
+}
+
+// start runs the daemons until the test ends.
+func (s *site) start(ctx context.Context) {
+	for _, d := range s.daemons {
+		go func() { _ = d.Run(ctx) }()
+	}
+}
+
+// share has all daemons tell each other what they have counted.
+func (s *site) share() {
+	for _, d := range s.daemons {
+		records, _ := d.News(time.Now())
+		for _, other := range s.daemons {
+			if other != d {
+				other.Hear(records)
+			}
+		}
+	}
+}
+
+// play lets a while pass, in which each daemon counts a request a second.
+func (s *site) play(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		for _, daemon := range s.daemons {
+			daemon.Began("org")
+		}
+		s.share()
+	}
+}
+
+// holder is the daemon that holds a duty, or nil.
+func (s *site) holder(name duty.Name) *daemon {
+	for _, d := range s.daemons {
+		for _, status := range d.Status() {
+			if status.Duty == name && status.Held {
+				return d
+			}
+		}
+	}
+	return nil
+}
--- a/daemon/duties/order.go
+++ b/daemon/duties/order.go
@@ -76,15 +76,16 @@
 	return o.places[p]
 }
 
-// orderBook is what the store keeps of orders.
-type orderBook struct {
-	Orders []ordered `json:"orders"`
+// OrderBook is what the store keeps of orders.
+type OrderBook struct {
+	// Orders are those that the platform was last given, or is about to be.
+	Orders []Ordered `json:"orders"`
 	// Planned is how many servers were last found to be needed, by service.
 	Planned map[string]int `json:"planned"`
 }
 
-// ordered is one order as the store keeps it.
-type ordered struct {
+// Ordered is one order as the store keeps it.
+type Ordered struct {
 	Service string      `json:"service"`
 	Hall    string      `json:"hall"`
 	Kind    sizing.Kind `json:"kind"`
@@ -98,7 +99,7 @@
 	if state == "" {
 		return
 	}
-	var left orderBook
+	var left OrderBook
 	if err := json.Unmarshal([]byte(state), &left); err != nil {
 		d.Log.Error().Err(err).Msg("duty: the orders of the holder before do not decode: what serves is taken for what was ordered")
 		return
@@ -114,16 +115,16 @@
 
 // keepOrders has the store keep what is ordered.
 func (d *Desk) keepOrders(h *holding, w *ordering) {
-	out := orderBook{Planned: map[string]int{}}
+	out := OrderBook{Planned: map[string]int{}}
 	for name, service := range w.services {
 		out.Planned[name] = service.planned
 		for place, p := range service.places {
 			if p.asked {
-				out.Orders = append(out.Orders, ordered{Service: name, Hall: place.Hall, Kind: place.Kind, Count: p.count})
+				out.Orders = append(out.Orders, Ordered{Service: name, Hall: place.Hall, Kind: place.Kind, Count: p.count})
 			}
 		}
 	}
-	slices.SortFunc(out.Orders, func(a, b ordered) int {
+	slices.SortFunc(out.Orders, func(a, b Ordered) int {
 		return slices.Compare([]string{a.Service, a.Hall, string(a.Kind)}, []string{b.Service, b.Hall, string(b.Kind)})
 	})
 	data, err := json.Marshal(out)
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/peer"
 )
 
@@ -24,6 +25,8 @@
 	// Quarantine are the requests that get no server, since servers ended under them.
 	Quarantine []CaseDump   `json:"quarantine"`
 	Servers    []ServerDump `json:"servers"`
+	// Duties is what this daemon knows of what one does for all.
+	Duties []duties.Status `json:"duties"`
 }
 
 // CaseDump is a request in quarantine.
@@ -80,6 +83,7 @@
 	for _, c := range v.Quarantine.Cases(now) {
 		d.Quarantine = append(d.Quarantine, CaseDump{Content: c.Content.String(), Crashes: c.Crashes, LeftMS: c.Until.Sub(now).Milliseconds()})
 	}
+	d.Duties = g.Duties()
 	if v.Servers == nil {
 		return d
 	}
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"ladderridge.example/daemon/duties"
 )
 
 // namespace is the prefix of every metric.
@@ -18,6 +20,7 @@
 	PathMetrics = "/metrics"
 	PathDump    = "/dump"
 	PathHalls   = "/halls"
+	PathDuties  = "/duties"
 )
 
 // metrics registers what the daemon counts.
@@ -52,9 +55,29 @@
 		}
 		return 0
 	})
+	g.dutyMetrics(counter)
 	return r
 }
 
+// dutyMetrics registers what the daemon counts of duties.
+func (g *Gateway) dutyMetrics(counter func(name, help string, get func() float64)) {
+	if g.desk == nil {
+		return
+	}
+	counter("duty_reports_total", "Reports of usage that the platform has taken from this daemon.", func() float64 { return float64(g.desk.Reports.Load()) })
+	counter("duty_orders_total", "Orders for servers that the platform has taken from this daemon.", func() float64 { return float64(g.desk.Orders.Load()) })
+	counter("duty_failures_total", "Calls for duties that the platform has not taken.", func() float64 { return float64(g.desk.Failures.Load()) })
+	counter("duty_store_calls_total", "Calls to the store about duties.", func() float64 { return float64(g.desk.Calls.Load()) })
+}
+
+// Duties returns what this daemon knows of each duty.
+func (g *Gateway) Duties() []duties.Status {
+	if g.desk == nil {
+		return []duties.Status{}
+	}
+	return g.desk.Status()
+}
+
 // adminHandler serves operators.
 func (g *Gateway) adminHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -67,6 +90,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(g.Halls())
 	})
+	mux.HandleFunc("GET "+PathDuties, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g.Duties())
+	})
 	return mux
 }
 
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -154,6 +154,9 @@
 		if s.KeyAge > 0 && s.KeyAge <= keyAgeMargin {
 			return []error{&KeyError{File: name, Section: "keys", Key: "usable_for", Text: fmt.Sprintf("it must be longer than %v", keyAgeMargin)}}
 		}
+		if err := checkDuties(name, s); err != nil {
+			return []error{err}
+		}
 		s.KeyAge -= keyAgeMargin
 		s.KeyAgeCut = max(0, s.KeyAgeCut-keyAgeMargin)
 		if _, ok := s.Regions.ByHall()[s.Hall]; s.Regions != "" && !ok {
@@ -163,6 +166,22 @@
 	})
 }
 
+// leastLease is the shortest lease that can be renewed in time.
+const leastLease = time.Second
+
+// checkDuties reports settings of duties that do not go together.
+func checkDuties(file string, s *Gateway) error {
+	switch {
+	case s.DutiesURL != "" && s.Duties == "":
+		return &KeyError{File: file, Section: "duties", Key: "names", Text: "it is missing: name the duties that the platform takes at the url"}
+	case s.DutyLease < leastLease:
+		return &KeyError{File: file, Section: "duties", Key: "lease", Text: fmt.Sprintf("it must be %v or longer: a shorter one cannot be renewed in time", leastLease)}
+	case s.UsageLate < s.UsageWindow/2:
+		return &KeyError{File: file, Section: "usage", Key: "late", Text: "it must be half of a window or longer: daemons that have ended are waited for"}
+	}
+	return nil
+}
+
 // Place is what a running process cannot change about itself.
 type Place struct {
 	ID, Hall, Callers, Readiness, Admin, Peers, PeersReachedAt, StoreURL, LogLevel string
--- a/daemon/settings/gateway_test.go
+++ b/daemon/settings/gateway_test.go
@@ -77,3 +77,40 @@
 		}
 	}
 }
+
+const dutySettings = `[duties]
+url = http://10.0.0.8:9
+names = usage_report,autoscale
+lease = 3000ms
+rate = 50
+[usage]
+window = 5s
+late = 10s
+[vm]`
+
+func TestSettingsOfDutiesAreRead(t *testing.T) {
+	s, err := settings.ParseGateway("f", []byte(strings.Replace(gatewayFile, "[vm]", dutySettings, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.DutiesURL != "http://10.0.0.8:9" || s.Duties != "usage_report,autoscale" || s.DutyLease != 3*time.Second || s.DutyRate != 50 || s.UsageWindow != 5*time.Second || s.UsageLate != 10*time.Second {
+		t.Errorf("%+v", s)
+	}
+	none, err := settings.ParseGateway("f", []byte(strings.Replace(gatewayFile, "[vm]", "[duties]\n\n[usage]\n[vm]", 1)))
+	if err != nil || none.DutiesURL != "" {
+		t.Errorf("a platform without duties: %v, %q", err, none.DutiesURL)
+	}
+}
+
+func TestSettingsOfDutiesThatCannotBeMeantAreFaults(t *testing.T) {
+	for was, want := range map[string]string{
+		"names = usage_report,autoscale": "names", "lease = 3000ms": "lease", "rate = 50": "rate", "window = 5s": "window", "late = 10s": "late",
+	} {
+		key, _, _ := strings.Cut(was, " ")
+		bad := map[string]string{"names": "names =", "lease": "lease = 10ms", "rate": "rate = -1", "window": "window = 0s", "late": "late = 1s"}[key]
+		_, err := settings.ParseGateway("f", []byte(strings.Replace(gatewayFile, "[vm]", strings.Replace(dutySettings, was, bad, 1), 1)))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
