Callers that do not read are let go, and what is held for slow ones has a bound

Cause: no write to a caller had a deadline, at neither door: one that stopped to read kept its request, its connection and a place at a server until the network gave up; and each plain answer, up to a megabyte, was held whole until its caller had read it. daemon/unread sets a deadline with writes, ten seconds without progress, at both doors; a caller that reads slowly gets all of its answer. The engine holds 16 MB of whole answers at most; beyond that they are passed on as they come (which cannot be repeated then).

--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -51,9 +51,16 @@
 	// Noticed is told of a server that says of itself what was not known; nil is nobody.
 	Noticed func(s *fleet.Server, n notice.Notice)
 
+	// HoldAtMost bounds the bytes of whole answers that are held for callers, of all requests
+	// together; 0 is standardHold. Beyond it answers are passed on as they come.
+	HoldAtMost int64
+
 	// Open counts requests under way.
 	Open atomic.Int64
 
+	// held are the bytes of whole answers that are held now.
+	held atomic.Int64
+
 	// ends is when this daemon ends at the latest, if it is about to.
 	ends atomic.Pointer[time.Time]
 
--- a/daemon/exchange/whole.go
+++ b/daemon/exchange/whole.go
@@ -14,6 +14,34 @@
 // one is passed on as it comes.
 const maxWhole = 1 << 20
 
+const (
+	// standardHold bounds the bytes of all whole answers together that are held.
+	standardHold = 16 << 20
+	// unknownLength is what an answer of unknown length is taken to have, in bytes.
+	unknownLength = 64 << 10
+)
+
+// Held is how many bytes of whole answers are held for callers.
+func (e *Engine) Held() int64 { return e.held.Load() }
+
+// hold takes room for an answer of a length, -1 if that is not known; ok is false if there is
+// none. Callers that read slowly would otherwise have their answers fill the daemon's memory.
+func (e *Engine) hold(length int64) (bytes int64, ok bool) {
+	most := e.HoldAtMost
+	if most == 0 {
+		most = standardHold
+	}
+	bytes = length
+	if bytes < 0 {
+		bytes = unknownLength
+	}
+	if e.held.Add(bytes) > most {
+		e.held.Add(-bytes)
+		return 0, false
+	}
+	return bytes, true
+}
+
 // whole is a server's whole answer.
 type whole struct {
 	status int
@@ -25,6 +53,11 @@
 // request goes on.
 func (j *job) passWhole(ctx context.Context, a *attempt) (Outcome, Reason) {
 	defer j.finish(a)
+	held, ok := j.engine.hold(a.reply.Length)
+	if !ok {
+		return j.passLong(a, nil)
+	}
+	defer j.engine.held.Add(-held)
 	body, err := io.ReadAll(io.LimitReader(a.reply, maxWhole+1))
 	if err != nil {
 		return j.brokeOff(a, err)
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -28,6 +28,7 @@
 	"ladderridge.example/daemon/pins"
 	"ladderridge.example/daemon/record"
 	"ladderridge.example/daemon/settings"
+	"ladderridge.example/daemon/unread"
 	"ladderridge.example/daemon/wire"
 )
 
@@ -52,6 +53,9 @@
 	Records  *record.Log
 	Tracer   *record.Tracer
 	Log      log.Logger
+	// unread lets callers go that do not read their answers.
+	unread *unread.Guard
+
 	// Observe, if set, is told of every request of an organisation.
 	Observe func(record.Record)
 
@@ -84,12 +88,12 @@
 
 // New returns a front that has served nothing yet.
 func New() *Front {
-	f := &Front{confinement: newConfinement(), limiter: newLimiter(), retries: newRetries(), waiting: newWaiting(), start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
+	f := &Front{confinement: newConfinement(), limiter: newLimiter(), retries: newRetries(), waiting: newWaiting(), unread: &unread.Guard{}, start: strconv.FormatInt(time.Now().UnixMilli(), 36)}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	f.server = &http.Server{
-		Handler: f.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: f.unread.Wrap(f.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, Protocols: protocols,
 	}
 	return f
@@ -101,6 +105,7 @@
 // Run serves callers until Stop is called. When ctx ends it breaks off what is
 // still under way.
 func (f *Front) Run(ctx context.Context) error {
+	f.unread.Log = f.Log
 	l := f.Listener
 	f.Listener = nil
 	if l == nil {
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -10,13 +10,15 @@
 
 // Dump is the state of the whole process.
 type Dump struct {
-	Config      uint64     `json:"config"`
-	ConfigAgeMS int64      `json:"config_age_ms"`
-	Daemons     int        `json:"daemons"`
-	Stopping    bool       `json:"stopping"`
-	Open        int64      `json:"open"`
-	Connections int        `json:"idle_connections"`
-	Peers       peer.Usage `json:"peers"`
+	Config      uint64 `json:"config"`
+	ConfigAgeMS int64  `json:"config_age_ms"`
+	Daemons     int    `json:"daemons"`
+	Stopping    bool   `json:"stopping"`
+	Open        int64  `json:"open"`
+	Connections int    `json:"idle_connections"`
+	// HeldBytes are those of whole answers that are held for callers.
+	HeldBytes int64      `json:"held_answer_bytes"`
+	Peers     peer.Usage `json:"peers"`
 	// Emptied are the data halls whose servers get nothing, by since when this daemon
 	// knows, in milliseconds.
 	Emptied map[string]int64 `json:"emptied_halls"`
@@ -70,7 +72,7 @@
 	now := time.Now()
 	d := Dump{
 		ConfigAgeMS: v.ConfigAge(now).Milliseconds(), Daemons: v.Daemons, Stopping: g.phase.stopping.Load(),
-		Open: g.engine.Open.Load(), Connections: g.channels.Idle(), Peers: g.peers.Usage(),
+		Open: g.engine.Open.Load(), Connections: g.channels.Idle(), HeldBytes: g.engine.Held(), Peers: g.peers.Usage(),
 	}
 	if v.Map != nil {
 		d.Config = v.Map.Number
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"ladderridge.example/daemon/settings"
 	"ladderridge.example/daemon/standstill"
 	"ladderridge.example/daemon/supervise"
+	"ladderridge.example/daemon/unread"
 )
 
 // Engine serves the requests that a door has read.
@@ -82,6 +83,7 @@
 	engine    *exchange.Engine
 	reporter  *reporter
 	registry  *prometheus.Registry
+	unread    unread.Guard
 	callers   *server
 	readiness *server
 	admin     *server
@@ -144,7 +146,8 @@
 	g.takeDuties(s)
 	g.apply(s)
 	g.registry = g.metrics()
-	g.callers = newServer(s.Callers, g.Platform.Door(Port{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing}))
+	g.unread.Log = g.log
+	g.callers = newServer(s.Callers, g.unread.Wrap(g.Platform.Door(Port{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing})))
 	g.readiness = newServer(s.Readiness, g.readyHandler())
 	g.admin = newServer(s.Admin, g.adminHandler())
 	return nil
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -103,6 +103,9 @@
 // passed the check a moment ago must not leave after the time is over.
 const keyAgeMargin = 250 * time.Millisecond
 
+// sectionDuties has the settings of what one daemon does for all.
+const sectionDuties = "duties"
+
 var gatewayOptions = []option[Gateway]{
 	{sectionDaemon, "id", "", true, func(s *Gateway, v string) error { return setName(&s.ID, v) }},
 	{sectionDaemon, "hall", "", true, func(s *Gateway, v string) error { return setName(&s.Hall, v) }},
@@ -124,10 +127,10 @@
 	{"halls", "regions", "", false, func(s *Gateway, v string) error { return setRegions(&s.Regions, v) }},
 	{"cold", "overage", "1", false, func(s *Gateway, v string) error { return setRatio(&s.ColdOverage, v) }},
 	{"cold", "slack", "0", false, func(s *Gateway, v string) error { return setRatio(&s.ColdSlack, v) }},
-	{"duties", "url", "", false, setDutiesURL},
-	{"duties", "names", "", false, func(s *Gateway, v string) error { s.Duties = v; return nil }},
-	{"duties", "lease", "3s", false, func(s *Gateway, v string) error { return setDuration(&s.DutyLease, v, true) }},
-	{"duties", "rate", "0", false, func(s *Gateway, v string) error { return setRatio(&s.DutyRate, v) }},
+	{sectionDuties, "url", "", false, setDutiesURL},
+	{sectionDuties, "names", "", false, func(s *Gateway, v string) error { s.Duties = v; return nil }},
+	{sectionDuties, "lease", "3s", false, func(s *Gateway, v string) error { return setDuration(&s.DutyLease, v, true) }},
+	{sectionDuties, "rate", "0", false, func(s *Gateway, v string) error { return setRatio(&s.DutyRate, v) }},
 	{"usage", "window", "5s", false, func(s *Gateway, v string) error { return setDuration(&s.UsageWindow, v, true) }},
 	{"usage", "late", "10s", false, func(s *Gateway, v string) error { return setDuration(&s.UsageLate, v, true) }},
 	{"start", "first", "false", false, func(s *Gateway, v string) error { return setSwitch(&s.FirstStart, v) }},
@@ -173,9 +176,9 @@
 func checkDuties(file string, s *Gateway) error {
 	switch {
 	case s.DutiesURL != "" && s.Duties == "":
-		return &KeyError{File: file, Section: "duties", Key: "names", Text: "it is missing: name the duties that the platform takes at the url"}
+		return &KeyError{File: file, Section: sectionDuties, Key: "names", Text: "it is missing: name the duties that the platform takes at the url"}
 	case s.DutyLease < leastLease:
-		return &KeyError{File: file, Section: "duties", Key: "lease", Text: fmt.Sprintf("it must be %v or longer: a shorter one cannot be renewed in time", leastLease)}
+		return &KeyError{File: file, Section: sectionDuties, Key: "lease", Text: fmt.Sprintf("it must be %v or longer: a shorter one cannot be renewed in time", leastLease)}
 	case s.UsageLate < s.UsageWindow/2:
 		return &KeyError{File: file, Section: "usage", Key: "late", Text: "it must be half of a window or longer: daemons that have ended are waited for"}
 	}
