A change of one server costs that one's entry, and a duty's holder rests after a call that came to nothing

Entries are decoded once for each of their versions; a topic's sum follows by differences, and news are applied in place. Test first: 20 changes among 2,000 servers decoded 40,000 entries at the reader and at the one that is told; now 20 each. The platform's entries are JSON of some ten fields, which the benchmark does not have.

--- a/core/duty/claim.go
+++ b/core/duty/claim.go
@@ -6,6 +6,10 @@
 	// renewPart is the part of a lease, as a divisor, after which the holder renews it: so
 	// early that one renewal may be lost.
 	renewPart = 2
+	// restPart is the part of a lease, as a divisor, for which nothing is asked after a call
+	// that came to nothing: a store that turns calls away is not helped by more of them, and
+	// a renewal still has two tries.
+	restPart = 6
 	// guardPart is the part of a lease, as a divisor, by which the holder stops before it
 	// ends: clocks of VMs do not run alike.
 	guardPart = 10
@@ -38,8 +42,10 @@
 	holds   time.Duration
 	sentAt  time.Duration
 	renewed time.Duration
-	busy    bool
-	pending Record
+	// restUntil is until when nothing is asked of the store.
+	restUntil time.Duration
+	busy      bool
+	pending   Record
 	// state is what is to stand in the row, raise tells that its token is to rise.
 	state string
 	raise bool
@@ -55,14 +61,14 @@
 	case Read:
 		c.read(e, now)
 	case Unread:
-		c.busy = false
+		c.busy, c.restUntil = false, now+c.Lease/restPart
 	case Written:
 		c.written(e, now)
 	case Conflict:
 		// The row is another holder's, or this daemon's own after a write that was done late.
 		c.busy, c.doubtful, c.holds = false, true, 0
 	case Unanswered:
-		c.busy, c.doubtful = false, true
+		c.busy, c.doubtful, c.restUntil = false, true, now+c.Lease/restPart
 	case Doubted:
 		c.doubtful = true
 	case Overtaken:
@@ -73,7 +79,7 @@
 
 func (c *Claim) tick(e Tick, now time.Duration) Order {
 	switch {
-	case c.busy:
+	case c.busy, now < c.restUntil:
 		return nil
 	case c.mine() && !c.doubtful:
 		return c.renew(now)
--- a/core/duty/claim_test.go
+++ b/core/duty/claim_test.go
@@ -174,3 +174,24 @@
 		t.Errorf("token %d, %v", token, ok)
 	}
 }
+
+// While the store turned all calls away or lost their answers, a holder read and wrote its row
+// at every look, ten times a second.
+func TestStoreThatIsAwayIsNotAskedAtEveryLook(t *testing.T) {
+	s, a := &store{}, claim("a")
+	s.run(a, 0, time.Second)
+	calls := 0
+	for now := time.Second; now < 10*time.Second; now += 100 * time.Millisecond {
+		switch a.Step(duty.Tick{Contend: true}, now).(type) {
+		case duty.ReadRow:
+			calls++
+			a.Step(duty.Unread{}, now)
+		case duty.WriteRow:
+			calls++
+			a.Step(duty.Unanswered{}, now)
+		}
+	}
+	if calls > 9*2 {
+		t.Errorf("%d calls in nine seconds", calls)
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -88,14 +88,20 @@
 func Sum(rows []Row) uint64 {
 	var sum uint64
 	for _, row := range rows {
-		var d xxhash.Digest
-		d.ResetWithSeed(row.Version)
-		_, _ = d.WriteString(row.Key)
-		sum += d.Sum64()
+		sum += row.Sum()
 	}
 	return sum
 }
 
+// Sum is the row's part of a topic's hash, which is the sum of them: a change of one row
+// changes it by the difference.
+func (r Row) Sum() uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(r.Version)
+	_, _ = d.WriteString(r.Key)
+	return d.Sum64()
+}
+
 // Tell answers Ask, or tells news.
 type Tell struct {
 	_ struct{} `cbor:",toarray"`
--- /dev/null
+++ b/daemon/knowledge/bench_test.go
@@ -0,0 +1,36 @@
+package knowledge_test
+
+import (
+	"strconv"
+	"testing"
+
+	"ladderridge.example/core/relay"
+	"ladderridge.example/daemon/knowledge"
+)
+
+// fleetRows are entries of 10,000 servers.
+func fleetRows() []relay.Row {
+	rows := make([]relay.Row, 10_000)
+	for i := range rows {
+		rows[i] = relay.Row{Key: "i-" + strconv.Itoa(i), Data: []byte("v1@h" + strconv.Itoa(i%5)), Version: uint64(i + 1)}
+	}
+	return rows
+}
+
+// BenchmarkChangeOfOneServer is what a daemon does when one server of 10,000 has changed.
+func BenchmarkChangeOfOneServer(b *testing.B) {
+	rows := fleetRows()
+	for name, take := range map[string]func(*knowledge.Table, relay.Row){"read": (*knowledge.Table).Change, "told": (*knowledge.Table).Told} {
+		b.Run(name, func(b *testing.B) {
+			table := knowledge.NewTable(decoder{}, rows)
+			version := uint64(len(rows))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				version++
+				row := rows[i%len(rows)]
+				row.Version = version
+				take(table, row)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/daemon/knowledge/growth_test.go
@@ -0,0 +1,98 @@
+package knowledge_test
+
+import (
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/relay"
+)
+
+// countingDecoder counts the servers' rows that are decoded.
+type countingDecoder struct {
+	decoder
+	decoded *atomic.Int64
+}
+
+func (d countingDecoder) Server(row relay.Row) (fleet.Server, error) {
+	d.decoded.Add(1)
+	return d.decoder.Server(row)
+}
+
+// A daemon of a fleet of 10,000 servers decoded all of their entries whenever one of them had
+// changed: the work of a change grew with the fleet, and so did the number of changes.
+func TestWorkOfAChangeDoesNotGrowWithTheServers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const servers, changes = 2000, 20
+		s := newSystem(t)
+		s.config(1, "k")
+		for i := range servers {
+			s.rows.set(relay.Servers, "i-"+strconv.Itoa(i), "v1@h")
+		}
+		reader, told := s.daemon("a"), s.daemon("b")
+		var atReader, atTold atomic.Int64
+		reader.Decoder, told.Decoder = countingDecoder{decoded: &atReader}, countingDecoder{decoded: &atTold}
+		pass(3 * time.Second)
+		atReader.Store(0)
+		atTold.Store(0)
+		for i := range changes {
+			s.rows.set(relay.Servers, "i-"+strconv.Itoa(i), "v2@h")
+			pass(time.Second)
+		}
+		for name, decoded := range map[string]int64{"the reader": atReader.Load(), "the one that is told": atTold.Load()} {
+			if decoded < changes || decoded > 2*changes {
+				t.Errorf("%s decoded %d entries for %d changes", name, decoded, changes)
+			}
+		}
+		if n := len(told.View().Servers.Service("s")); n != servers {
+			t.Errorf("%d servers are known", n)
+		}
+	})
+}
+
+// Changes that come one by one must lead to the same list as reading all of it.
+func TestListByChangesIsTheListThatIsRead(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.config(1, "k")
+		for i := range 50 {
+			s.rows.set(relay.Servers, "i-"+strconv.Itoa(i), "v1@h")
+		}
+		long, told := s.daemon("a"), s.daemon("b")
+		pass(2 * time.Second)
+		for i := range 60 {
+			data := "v" + strconv.Itoa(i) + "@h"
+			switch i % 4 {
+			case 2:
+				data = ""
+			case 3:
+				data = "!spoiled"
+			}
+			s.rows.set(relay.Servers, "i-"+strconv.Itoa(i*7%70), data)
+			if i%3 == 0 {
+				pass(700 * time.Millisecond)
+			}
+		}
+		pass(5 * time.Second)
+		fresh := s.daemon("c")
+		pass(3 * time.Second)
+		want := describe(fresh.View().Servers.Service("s"))
+		if got := describe(long.View().Servers.Service("s")); got != want {
+			t.Errorf("the reader knows\n%s\nand not\n%s", got, want)
+		}
+		if got := describe(told.View().Servers.Service("s")); got != want {
+			t.Errorf("the one that is told knows\n%s\nand not\n%s", got, want)
+		}
+	})
+}
+
+// describe writes servers and their versions.
+func describe(servers []*fleet.Server) string {
+	text := ""
+	for _, s := range servers {
+		text += s.ID + " " + s.Version + " " + s.Hall + "\n"
+	}
+	return text
+}
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -128,6 +128,8 @@
 	// toldSums are the sums of the topics at the last news.
 	toldSums map[relay.Topic]uint64
 	loads    map[fleet.Incarnation]*fleet.Load
+	// decoded are the entries of servers, by key.
+	decoded map[string]decodedServer
 	// unlisted are the notices of servers that are not listed any more.
 	unlisted map[fleet.Incarnation]unlisted
 	halls    map[string]*fleet.Hall
@@ -220,7 +222,7 @@
 		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]uint64{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), board: crowd.NewBoard(),
-		starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]confined{},
+		decoded: map[string]decodedServer{}, starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]confined{},
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
 		k.topics[t] = newTopicState()
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -77,7 +77,8 @@
 	var servers []*fleet.Server
 	v.Spoiled = map[string]string{}
 	for _, row := range t.rows {
-		s, err := k.Decoder.Server(row)
+		d := k.decode(row)
+		s, err := d.server, d.err
 		if err == nil {
 			err = k.checkStart(s)
 		}
@@ -95,6 +96,7 @@
 		}
 	}
 	servers = latestAtAddress(servers)
+	k.forgetDecoded()
 	k.forgetLoads(servers, now)
 	k.noteVersions(servers, first, now)
 	was := v.Servers
@@ -104,6 +106,36 @@
 	k.beganAgain(was, servers)
 }
 
+// decodedServer is what the entry of a server says in one of its versions.
+type decodedServer struct {
+	version uint64
+	server  fleet.Server
+	err     error
+}
+
+// decode reads a server's entry, once for each of its versions: most of them have not changed
+// when one has, and there may be thousands.
+func (k *Keeper) decode(row relay.Row) decodedServer {
+	if d, ok := k.decoded[row.Key]; ok && d.version == row.Version {
+		return d
+	}
+	d := decodedServer{version: row.Version}
+	d.server, d.err = k.Decoder.Server(row)
+	k.decoded[row.Key] = d
+	return d
+}
+
+// forgetDecoded forgets entries that are not listed any more.
+func (k *Keeper) forgetDecoded() {
+	rows := k.topics[relay.Servers].rows
+	if len(k.decoded) > len(rows) {
+		maps.DeleteFunc(k.decoded, func(key string, _ decodedServer) bool {
+			_, listed := rows[key]
+			return !listed
+		})
+	}
+}
+
 func (k *Keeper) withLoad(s fleet.Server) *fleet.Server {
 	i := s.Incarnation()
 	if k.loads[i] == nil {
--- a/daemon/knowledge/topic.go
+++ b/daemon/knowledge/topic.go
@@ -1,7 +1,6 @@
 package knowledge
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -63,16 +62,55 @@
 			changed = append(changed, key)
 		}
 	}
-	t.rows, t.version, t.known = next, version, true
-	t.remember(changed)
+	before := t.sum
+	t.rows, t.version, t.known, t.sum = next, version, true, relay.Sum(rows)
+	t.remember(before, changed)
 	t.confirm(confirmed)
 	return gone, newer
 }
 
-// remember notes which rows have changed.
-func (t *topicState) remember(keys []string) {
-	before := t.sum
-	t.sum = relay.Sum(t.list())
+// set takes rows that have changed, and those that are gone. The sum follows by their
+// differences: adding all rows up again at each change is work that grows with the fleet.
+func (t *topicState) set(rows []relay.Row, removed []string) (gone []string) {
+	before, changed := t.sum, make([]string, 0, len(rows)+len(removed))
+	for _, row := range rows {
+		if was, ok := t.rows[row.Key]; ok {
+			t.sum -= was.Sum()
+		}
+		t.sum += row.Sum()
+		t.rows[row.Key] = row
+		changed = append(changed, row.Key)
+	}
+	for _, key := range removed {
+		if was, ok := t.rows[key]; ok {
+			t.sum -= was.Sum()
+			delete(t.rows, key)
+			gone = append(gone, key)
+		}
+	}
+	t.remember(before, append(changed, gone...))
+	return gone
+}
+
+// sumWith is what the sum would be with changed rows and without those that are gone.
+func (t *topicState) sumWith(rows []relay.Row, removed []string) uint64 {
+	sum := t.sum
+	for _, row := range rows {
+		if was, ok := t.rows[row.Key]; ok {
+			sum -= was.Sum()
+		}
+		sum += row.Sum()
+	}
+	for _, key := range removed {
+		if was, ok := t.rows[key]; ok {
+			sum -= was.Sum()
+		}
+	}
+	return sum
+}
+
+// remember notes which rows have changed since the rows had a sum.
+func (t *topicState) remember(before uint64, keys []string) {
 	if t.sum == before {
 		return
 	}
@@ -108,21 +146,12 @@
 
 // apply takes what has changed, if that leads to the rows that the teller has.
 func (t *topicState) apply(k relay.Known, confirmed time.Time) (gone []string, ok bool) {
-	if t.sum != k.Base {
-		return nil, false
-	}
-	next := maps.Clone(t.rows)
-	for _, row := range k.Rows {
-		next[row.Key] = row
-	}
-	for _, key := range k.Removed {
-		delete(next, key)
-	}
-	rows := slices.Collect(maps.Values(next))
-	if relay.Sum(rows) != k.Sum {
+	if t.sum != k.Base || t.sumWith(k.Rows, k.Removed) != k.Sum {
 		return nil, false
 	}
-	gone, _ = t.replace(rows, max(k.Version, t.version), confirmed)
+	gone = t.set(k.Rows, k.Removed)
+	t.version, t.known = max(k.Version, t.version), true
+	t.confirm(confirmed)
 	return gone, true
 }
 
@@ -131,25 +160,15 @@
 	if p.Version < t.version {
 		return nil, false
 	}
-	var changed []string
-	for _, row := range p.Rows {
-		if was, ok := t.rows[row.Key]; !ok || row.Version > was.Version {
-			t.rows[row.Key] = row
-			changed = append(changed, row.Key)
-		}
-	}
-	for _, key := range p.Removed {
-		if _, ok := t.rows[key]; ok {
-			delete(t.rows, key)
-			gone = append(gone, key)
-		}
-	}
-	changed = append(changed, gone...)
-	newer = len(changed) > 0
-	t.remember(changed)
+	before := t.sum
+	rows := slices.DeleteFunc(slices.Clone(p.Rows), func(row relay.Row) bool {
+		was, ok := t.rows[row.Key]
+		return ok && row.Version <= was.Version
+	})
+	gone = t.set(rows, p.Removed)
 	t.version = p.Version
 	t.confirm(confirmed)
-	return gone, newer
+	return gone, len(rows) > 0 || len(gone) > 0 || t.sum != before
 }
 
 func (t *topicState) confirm(at time.Time) {
