Daemons that are cut off do not ask for the duties' rows

One contends only while what it knows of the configuration is younger than a lease; a holder goes on.

--- a/core/usage/book.go
+++ b/core/usage/book.go
@@ -82,7 +82,8 @@
 	// daemons have told of it twice by then.
 	settleTime = 2500 * time.Millisecond
 	// patiencePart is the part of the time until a report is late, as a divisor, for which
-	// daemons that do not tell the rest of a window are waited for: they may have ended.
+	// daemons that do not tell the rest of a window are waited for: they may have ended. What
+	// is left is for a new holder, should this one end.
 	patiencePart = 2
 )
 
--- a/daemon/duties/desk_test.go
+++ b/daemon/duties/desk_test.go
@@ -218,3 +218,23 @@
 		}
 	})
 }
+
+// While a hall was cut off from the store all of its daemons tried to read it, and each of them
+// asked for the duties' rows as well.
+func TestDaemonsThatAreCutOffDoNotAskForDuties(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newSite(t, 2, duty.Usage)
+		for _, d := range s.daemons {
+			d.Knowledge = known{view: view(4), age: 2 * lease}
+		}
+		s.start(ctx)
+		time.Sleep(20 * time.Second)
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		if s.store.calls > 0 {
+			t.Errorf("%d calls", s.store.calls)
+		}
+	})
+}
--- a/daemon/duties/duties.go
+++ b/daemon/duties/duties.go
@@ -276,9 +276,14 @@
 }
 
 // contends reports whether this daemon takes duties that nobody holds: those that read the
-// store for their halls do, so that calls grow with halls and not with daemons.
+// store for their halls do, so that calls grow with halls and not with daemons. While the store
+// is away for a hall all of its daemons try to read it: none of them contends then.
 func (d *Desk) contends(now time.Time) bool {
-	return now.Sub(d.began) >= contendAfter && d.Knowledge.Reads() && d.Knowledge.View().Ready()
+	if now.Sub(d.began) < contendAfter || !d.Knowledge.Reads() {
+		return false
+	}
+	v := d.Knowledge.View()
+	return v.Ready() && v.ConfigAge(now) < d.Settings.Lease
 }
 
 // noteHolder logs that this daemon has begun or ceased to hold a duty.
--- a/daemon/duties/harness_test.go
+++ b/daemon/duties/harness_test.go
@@ -215,11 +215,18 @@
 	return out
 }
 
-// known is what a daemon knows.
-type known struct{ view *knowledge.View }
+// known is what a daemon knows: it is as old as age says.
+type known struct {
+	view *knowledge.View
+	age  time.Duration
+}
 
 // View implements duties.Knowledge.
-func (k known) View() *knowledge.View { return k.view }
+func (k known) View() *knowledge.View {
+	v := *k.view
+	v.ConfigAt = time.Now().Add(-k.age)
+	return &v
+}
 
 // Reads implements duties.Knowledge.
 func (known) Reads() bool { return true }
@@ -255,7 +262,7 @@
 	s := &site{store: &table{rows: map[string]relay.Row{}}, platform: newPlatform(t)}
 	for i := range daemons {
 		d := &daemon{Desk: duties.New(), way: &way{table: s.store}}
-		d.Self, d.Start, d.Rows, d.Platform, d.Knowledge = "entry-"+strconv.Itoa(i), uint64(i+1), d.way, s.platform, known{view(4)}
+		d.Self, d.Start, d.Rows, d.Platform, d.Knowledge = "entry-"+strconv.Itoa(i), uint64(i+1), d.way, s.platform, known{view: view(4)}
 		d.Log = log.Logger{Level: log.PanicLevel}
 		d.Settings = duties.Settings{Names: names, Lease: lease, Window: window, Late: late}
 		d.Prepare()
