--- a/core/sizing/sizing_test.go
+++ b/core/sizing/sizing_test.go
@@ -329,3 +329,13 @@
 		t.Errorf("%+v", orders)
 	}
 }
+
+// Without the number of a server's slots the work under way says nothing of how many are needed,
+// and one server seemed to be enough.
+func TestServersOfUnknownSlotsAreLeftAlone(t *testing.T) {
+	in := newSite(20).input()
+	in.Slots, in.Known, in.Settled, in.Peak = 0, true, true, 1500
+	if orders := sizing.Decide(in); len(orders) > 0 {
+		t.Errorf("%+v", orders)
+	}
+}
--- a/daemon/duties/desk_test.go
+++ b/daemon/duties/desk_test.go
@@ -238,3 +238,29 @@
 		}
 	})
 }
+
+// The supervisor runs a part again that has failed. The leases were measured from when the part
+// began to run, so that one that was over seemed to last for as long as the daemon had run.
+func TestDeskThatIsRunAgainGoesOnFromItsRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, duty.Usage)
+		first, cancel := context.WithCancel(t.Context())
+		s.start(first)
+		s.play(30 * time.Second)
+		cancel()
+		synctest.Wait()
+		s.daemons[0].way.set(true, false)
+		second, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s.start(second)
+		time.Sleep(2 * lease)
+		if s.holder(duty.Usage) != nil {
+			t.Error("it holds the duty by a lease that is over")
+		}
+		s.daemons[0].way.set(false, false)
+		s.play(8 * time.Second)
+		if s.holder(duty.Usage) == nil {
+			t.Error("it does not take its duty up again")
+		}
+	})
+}
--- a/daemon/duties/duties.go
+++ b/daemon/duties/duties.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -117,16 +118,6 @@
 	run      func(ctx context.Context) error
 }
 
-// Status is what is known of a duty here.
-type Status struct {
-	Duty   duty.Name `json:"duty"`
-	Holder string    `json:"holder"`
-	Token  uint64    `json:"token"`
-	// Held tells that this daemon holds it, State what its row holds.
-	Held  bool   `json:"held"`
-	State string `json:"state"`
-}
-
 // holding is this daemon's part in one duty.
 type holding struct {
 	name  duty.Name
@@ -136,9 +127,10 @@
 	held   uint64
 	tenure uint64
 	// calling tells that a call to the platform is under way, restUntil when the next may be
-	// made.
+	// made, rest how long the last pause was.
 	calling   bool
 	restUntil time.Time
+	rest      time.Duration
 	work      work
 }
 
@@ -178,8 +170,10 @@
 	// storeTimeout and platformTimeout bound calls.
 	storeTimeout    = 700 * time.Millisecond
 	platformTimeout = 1500 * time.Millisecond
-	// restAfter is the pause after a call that was not taken.
-	restAfter = 500 * time.Millisecond
+	// restFloor and restCeiling bound the pause after a call that was not taken, which doubles.
+	// A report has several tries until it is late.
+	restFloor   = 500 * time.Millisecond
+	restCeiling = 2 * time.Second
 	// backlog bounds the answers that wait.
 	backlog = 64
 )
@@ -197,24 +191,33 @@
 	d.ledger.own = usage.Own{
 		Process: usage.Process{ID: d.Self, Start: d.Start}, Length: d.Settings.Window, Keep: 2 * d.Settings.Late,
 	}
+	d.ledger.counts = slices.Contains(d.Settings.Names, duty.Usage)
+	// It never begins anew: the leases are measured from it.
+	d.began = time.Now()
+}
+
+// newHoldings returns the duties as a daemon begins with them that knows nothing of them yet.
+func (d *Desk) newHoldings() []*holding {
+	var out []*holding
 	for _, name := range d.Settings.Names {
 		h := &holding{name: name, claim: duty.Claim{Self: d.Self, Start: d.Start, Lease: d.Settings.Lease}}
 		switch name {
 		case duty.Usage:
 			h.work = &reporting{}
-			d.ledger.counts = true
 		case duty.Sizes:
 			h.work = newOrdering()
 		}
-		d.holdings = append(d.holdings, h)
+		out = append(out, h)
 	}
+	return out
 }
 
 // Run does the duties that fall to this daemon until ctx ends.
 func (d *Desk) Run(ctx context.Context) error { return d.run(ctx) }
 
 func (d *Desk) loop(ctx context.Context) error {
-	d.began = time.Now()
+	// What was under way when this was restarted is answered to nobody: the rows say what stands.
+	d.holdings = d.newHoldings()
 	tick := clock.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -244,9 +247,12 @@
 // called takes what the platform answered.
 func (d *Desk) called(e called) {
 	e.to.calling = false
-	if e.err != nil {
+	if e.err == nil {
+		e.to.rest = 0
+	} else {
 		d.Failures.Add(1)
-		e.to.restUntil = time.Now().Add(restAfter)
+		e.to.rest = min(restCeiling, max(restFloor, 2*e.to.rest))
+		e.to.restUntil = time.Now().Add(e.to.rest)
 		d.Log.Warn().Str("duty", string(e.to.name)).Uint64("token", e.by.Token).Err(e.err).Msg("duty: the platform has not taken a call")
 	}
 	if fault.Is(e.err, Forbidden) {
@@ -366,19 +372,3 @@
 		d.deliver(ctx, called{to: h, by: by, err: send(within, by), done: done})
 	}()
 }
-
-// publish makes what is known of the duties known to operators.
-func (d *Desk) publish() {
-	var out []Status
-	for _, h := range d.holdings {
-		s := Status{Duty: h.name, Held: h.held != 0}
-		if r, ok := h.claim.Record(); ok {
-			s.Holder, s.Token, s.State = r.Holder, r.Token, r.State
-		}
-		out = append(out, s)
-	}
-	d.status.Store(&out)
-}
-
-// Status returns what is known of the duties here.
-func (d *Desk) Status() []Status { return *d.status.Load() }
