--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -74,6 +74,14 @@
 // seconds of rest got 28 and 31 requests in it, counted at the servers, and get none.
 func (s *Server) Open(now time.Time) bool { return !s.Leaving && s.Load.Notices.Open(now) }
 
+// identify works out what the server is told apart by, once: lists that are in use share it.
+func (s *Server) identify() {
+	if s.hash == 0 {
+		s.hash = xxhash.Sum64String(s.ID)
+		s.name = s.Incarnation().String()
+	}
+}
+
 // List is the servers of all services. It is never changed.
 type List struct {
 	byService map[string][]*Server
@@ -85,10 +93,7 @@
 func NewList(servers []*Server) *List {
 	l := &List{byService: map[string][]*Server{}}
 	for _, s := range servers {
-		if s.hash == 0 {
-			s.hash = xxhash.Sum64String(s.ID)
-			s.name = s.Incarnation().String()
-		}
+		s.identify()
 		l.byService[s.Service] = append(l.byService[s.Service], s)
 	}
 	for _, of := range l.byService {
@@ -117,7 +122,7 @@
 		}
 	}
 	for _, s := range added {
-		s.name, s.hash = s.Incarnation().String(), xxhash.Sum64String(s.ID)
+		s.identify()
 		servers := of(s.Service)
 		at, _ := position(servers, s.ID)
 		out.byService[s.Service] = slices.Insert(servers, at, s)
--- a/daemon/knowledge/changes.go
+++ b/daemon/knowledge/changes.go
@@ -58,31 +58,29 @@
 // takeServer takes one row that has changed or is gone. It returns false if the address is
 // another server's too.
 func (k *Keeper) takeServer(key string, c *serverChanges, now time.Time) bool {
-	old := k.listed[key]
-	next, err := k.serverOf(key, now)
+	old := k.entries[key].server
+	next := k.entryNow(key, now)
 	delete(c.spoiled, key)
-	if err != nil {
-		c.spoiled[key] = err.Error()
+	if next.err != nil {
+		c.spoiled[key] = next.err.Error()
 	}
 	if old != nil {
 		c.removed = append(c.removed, old)
-		delete(k.listed, key)
 		k.leaveAddress(old.Addr)
 	}
-	if next == nil || (old != nil && old.Incarnation() != next.Incarnation()) {
+	if next.server == nil || (old != nil && old.Incarnation() != next.server.Incarnation()) {
 		k.forgetServer(old, now)
 	}
-	if next == nil {
+	if next.server == nil {
 		return true
 	}
-	if k.atAddress[next.Addr] > 0 {
+	if k.atAddress[next.server.Addr] > 0 {
 		return false
 	}
-	k.listed[key] = next
-	k.atAddress[next.Addr]++
-	c.added = append(c.added, next)
-	if old != nil && old.Born != next.Born {
-		c.again = append(c.again, begunAgain{was: old, is: next})
+	k.atAddress[next.server.Addr]++
+	c.added = append(c.added, next.server)
+	if old != nil && old.Born != next.server.Born {
+		c.again = append(c.again, begunAgain{was: old, is: next.server})
 	}
 	return true
 }
@@ -94,24 +92,18 @@
 	}
 }
 
-// serverOf is the server that a key's row names, nil if there is no row or it names none.
-func (k *Keeper) serverOf(key string, now time.Time) (*fleet.Server, error) {
+// entryNow is what a key's row says now; without a row it is empty.
+func (k *Keeper) entryNow(key string, now time.Time) serverEntry {
 	row, there := k.topics[relay.Servers].rows[key]
 	if !there {
-		delete(k.decoded, key)
-		return nil, nil
+		delete(k.entries, key)
+		return serverEntry{}
 	}
-	d := k.decode(row)
-	s, err := d.server, d.err
-	if err == nil {
-		err = k.checkStart(s)
+	e := k.decode(row, now)
+	if e.err != nil {
+		k.malformed(relay.Servers, row, e.err)
 	}
-	if err != nil {
-		k.malformed(relay.Servers, row, err)
-		return nil, err
-	}
-	k.noteCold(&s, row.Version, now)
-	return k.withLoad(s), nil
+	return e
 }
 
 // forgetServer forgets what is known of an incarnation that is not listed any more, but for
@@ -129,11 +121,10 @@
 	delete(k.coldRows, i)
 }
 
-// noteListed notes the servers of the whole list.
-func (k *Keeper) noteListed(servers []*fleet.Server) {
-	k.listed, k.atAddress = make(map[string]*fleet.Server, len(servers)), make(map[string]int, len(servers))
+// noteAddresses notes the addresses of the servers of the whole list.
+func (k *Keeper) noteAddresses(servers []*fleet.Server) {
+	k.atAddress = make(map[string]int, len(servers))
 	for _, s := range servers {
-		k.listed[s.ID] = s
 		k.atAddress[s.Addr]++
 	}
 }
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -128,11 +128,9 @@
 	// toldSums are the sums of the topics at the last news.
 	toldSums map[relay.Topic]uint64
 	loads    map[fleet.Incarnation]*fleet.Load
-	// decoded are the entries of servers, by key.
-	decoded map[string]decodedServer
-	// listed are the servers of the present list by their keys, atAddress how many of them
-	// have an address.
-	listed    map[string]*fleet.Server
+	// entries are the servers' rows as they were decoded, by key; atAddress is how many of the
+	// listed servers have an address.
+	entries   map[string]serverEntry
 	atAddress map[string]int
 	// hidden tells that servers are left out at whose address a later one has begun: they come
 	// back when that one goes.
@@ -229,7 +227,7 @@
 		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]uint64{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), board: crowd.NewBoard(),
-		decoded: map[string]decodedServer{}, starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]confined{},
+		entries: map[string]serverEntry{}, starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]confined{},
 	}
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
 		k.topics[t] = newTopicState()
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -78,18 +78,13 @@
 	var servers []*fleet.Server
 	v.Spoiled = map[string]string{}
 	for _, row := range t.rows {
-		d := k.decode(row)
-		s, err := d.server, d.err
-		if err == nil {
-			err = k.checkStart(s)
-		}
-		if err != nil {
-			k.malformed(relay.Servers, row, err)
-			v.Spoiled[row.Key] = err.Error()
+		e := k.decode(row, now)
+		if e.err != nil {
+			k.malformed(relay.Servers, row, e.err)
+			v.Spoiled[row.Key] = e.err.Error()
 			continue
 		}
-		k.noteCold(&s, row.Version, now)
-		servers = append(servers, k.withLoad(s))
+		servers = append(servers, e.server)
 	}
 	for _, s := range k.stillLapsed(v.Servers, now) {
 		if _, listed := t.rows[s.ID]; !listed {
@@ -99,8 +94,8 @@
 	all := len(servers)
 	servers = latestAtAddress(servers)
 	k.hidden = len(servers) < all
-	k.forgetDecoded()
-	k.noteListed(servers)
+	k.forgetEntries()
+	k.noteAddresses(servers)
 	k.forgetLoads(servers, now)
 	k.noteVersions(servers, first, now)
 	was := v.Servers
@@ -110,32 +105,49 @@
 	k.beganAgain(was, servers)
 }
 
-// decodedServer is what the entry of a server says in one of its versions.
-type decodedServer struct {
+// serverEntry is what the row of a server says in one of its versions: the server that it
+// names, or why it names none.
+type serverEntry struct {
 	version uint64
-	server  fleet.Server
+	server  *fleet.Server
 	err     error
 }
 
-// decode reads a server's entry, once for each of its versions: most of them have not changed
+// decode reads a server's row, once for each of its versions: most of them have not changed
 // when one has, and there may be thousands.
-func (k *Keeper) decode(row relay.Row) decodedServer {
-	if d, ok := k.decoded[row.Key]; ok && d.version == row.Version {
-		return d
-	}
-	d := decodedServer{version: row.Version}
-	d.server, d.err = k.Decoder.Server(row)
-	k.decoded[row.Key] = d
-	return d
+func (k *Keeper) decode(row relay.Row, now time.Time) serverEntry {
+	e, ok := k.entries[row.Key]
+	if !ok || e.version != row.Version {
+		e = k.decodeAnew(row, now)
+	} else if e.err == nil {
+		// A later start may have been seen meanwhile.
+		if err := k.checkStart(*e.server); err != nil {
+			e = serverEntry{version: row.Version, err: err}
+		}
+	}
+	k.entries[row.Key] = e
+	return e
+}
+
+func (k *Keeper) decodeAnew(row relay.Row, now time.Time) serverEntry {
+	s, err := k.Decoder.Server(row)
+	if err == nil {
+		err = k.checkStart(s)
+	}
+	if err != nil {
+		return serverEntry{version: row.Version, err: err}
+	}
+	k.noteCold(&s, row.Version, now)
+	return serverEntry{version: row.Version, server: k.withLoad(s)}
 }
 
-// forgetDecoded forgets entries that are not listed any more.
-func (k *Keeper) forgetDecoded() {
+// forgetEntries forgets rows that are not there any more.
+func (k *Keeper) forgetEntries() {
 	rows := k.topics[relay.Servers].rows
-	if len(k.decoded) > len(rows) {
-		maps.DeleteFunc(k.decoded, func(key string, _ decodedServer) bool {
-			_, listed := rows[key]
-			return !listed
+	if len(k.entries) > len(rows) {
+		maps.DeleteFunc(k.entries, func(key string, _ serverEntry) bool {
+			_, there := rows[key]
+			return !there
 		})
 	}
 }
