--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -70,8 +70,7 @@
 // Open reports whether the server may get new work now.
 //
 // A server's own word counts as much as its entry, which may be late or never come. One that
-// declines everything is idle and would be preferred: two that had asked a daemon for three
-// seconds of rest got 28 and 31 requests in it, counted at the servers, and get none.
+// declines everything is idle and would be preferred.
 func (s *Server) Open(now time.Time) bool { return !s.Leaving && s.Load.Notices.Open(now) }
 
 // identify works out what the server is told apart by, once: lists that are in use share it.
@@ -229,11 +228,9 @@
 	return fit[:n]
 }
 
-// leastTried is how many servers a version in roll-out is tried on. Servers of one
-// version differ by a third in how fast they are, and where one carried all requests of
-// the version it decided what came out: the share of pairs in which a good version is
-// slower had a standard deviation of 0.05 over 24 roll-outs, a third of how far one is off
-// of which half of the requests take twice as long.
+// leastTried is how many servers a version in roll-out is tried on. Servers of one version
+// differ in how fast they are: where one carries all requests of the version, it decides
+// what comes out.
 const leastTried = 3
 
 // turnOfFew is how many servers are passed over in a phase when n are used at a time.
@@ -251,8 +248,7 @@
 
 // mostOfFew is how many requests a server may have that is one of few. Without a
 // bound, sessions that are busier than others meet on one server and make a good
-// version look slow: under a burst and a busy organisation it is taken back in two of
-// four plays of a day, with the bound in two of six.
+// version look slow.
 func (l *List) mostOfFew(w Want) float64 {
 	sum, n := 0.0, 0.0
 	for _, s := range l.byService[w.Service] {
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -181,8 +181,7 @@
 
 // Declined notes a server that has not run a request and named no time to come back: others
 // go first for a while, which doubles until it answers. It is idle, so it would be the first
-// choice of the next request again: where a third of the servers decline everything, the mean
-// worth rose by 0.033 of what is owed (0.813 to 0.846, one day, three seeds).
+// choice of the next request again.
 func (l *Load) Declined(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -81,9 +81,7 @@
 // to be had; until it is called no key passes.
 //
 // A hall that is cut from the store so goes on serving its callers where operators
-// allow it: the mean worth of days with trouble, in which halls are cut and the store
-// is away for some seconds, rose by 0.011 of what is owed (0.571 to 0.582, two and
-// three scores of five days each).
+// allow it.
 func (e *Engine) SetKeyAge(confirmed, cut time.Duration) {
 	e.keyAge.Store(int64(confirmed))
 	e.keyAgeCut.Store(int64(max(confirmed, cut)))
@@ -264,7 +262,7 @@
 	j.content = j.request.fingerprint(j.report.Organisation)
 	j.report.Content = j.content
 	// A request that ends each server that begins to run it would end one after the other, with
-	// all that others have there: twelve of twelve in twelve attempts without this, three or four with it.
+	// all that others have there.
 	if left, ok := j.quarantined(now); ok {
 		return Refused{Reason: Quarantined, RetryAfter: left}
 	}
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -68,8 +68,7 @@
 
 // firstStartPatience is how long a daemon leaves the reading to its hall's reader at
 // the first start: that one reads within half a second, and the connections of a
-// hundred daemons to it take one or two on small VMs. Of 295 daemons in five halls it
-// saves two calls to the store each, a third of those of a calm day.
+// hundred daemons to it take one or two on small VMs. It saves two calls to the store each.
 const firstStartPatience = 3 * time.Second
 
 // endPatience ends the time in which a daemon leaves the reading to another one: once
