What duties wrote again or did not need goes

Read over as a whole; behaviour stays as it is. Tests keep their assertions; two give a read without Found.

--- a/core/duty/claim_test.go
+++ b/core/duty/claim_test.go
@@ -19,7 +19,7 @@
 func (s *store) serve(c *duty.Claim, o duty.Order, now time.Duration) {
 	switch o := o.(type) {
 	case duty.ReadRow:
-		c.Step(duty.Read{Found: s.version > 0, Record: s.row, Version: s.version}, now)
+		c.Step(duty.Read{Record: s.row, Version: s.version}, now)
 	case duty.WriteRow:
 		if o.Was != s.version {
 			c.Step(duty.Conflict{}, now)
--- a/core/duty/explore_test.go
+++ b/core/duty/explore_test.go
@@ -102,7 +102,7 @@
 		ticked := w
 		switch o := ticked.claims[i].Step(duty.Tick{Contend: true}, w.now).(type) {
 		case duty.ReadRow:
-			ticked.claims[i].Step(duty.Read{Found: w.version > 0, Record: w.row, Version: w.version}, w.now)
+			ticked.claims[i].Step(duty.Read{Record: w.row, Version: w.version}, w.now)
 		case duty.WriteRow:
 			ticked.calls[i] = call{waits: true, write: o}
 		}
--- a/core/duty/record.go
+++ b/core/duty/record.go
@@ -23,15 +23,14 @@
 
 // Record is a duty's row in the store.
 type Record struct {
-	_ struct{} `cbor:",toarray"`
 	// Holder is the id of the daemon that holds the duty, Start tells its processes apart.
-	Holder string
-	Start  uint64
+	Holder string `json:"holder"`
+	Start  uint64 `json:"start"`
 	// Token rises with each change of the holder, and when the holder asks for it.
-	Token uint64
+	Token uint64 `json:"token"`
 	// State is what the holder needs and leaves to the next one, encoded. It is a string so
 	// that records can be compared.
-	State string
+	State string `json:"state"`
 }
 
 // Event is what a claim is told: Tick, Read, Unread, Written, Conflict, Unanswered,
@@ -47,8 +46,6 @@
 
 // Read is a duty's row as the store has it.
 type Read struct {
-	// Found is false if there is no row.
-	Found  bool
 	Record Record
 	// Version is that of the row, 0 if there is none.
 	Version uint64
--- a/daemon/cmd/ladderridge/cmd_duties.go
+++ b/daemon/cmd/ladderridge/cmd_duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -95,11 +94,8 @@
 
 // showOrders says what stands in the row of orders.
 func showOrders(state string) string {
-	if state == "" {
-		return "nothing"
-	}
-	var book duties.OrderBook
-	if err := json.Unmarshal([]byte(state), &book); err != nil {
+	book, err := duties.ReadOrders(state)
+	if err != nil {
 		return err.Error()
 	}
 	var out []string
--- a/daemon/cmd/ladderridged/cmd_gateway.go
+++ b/daemon/cmd/ladderridged/cmd_gateway.go
@@ -63,8 +63,9 @@
 	g := gateway.New(s)
 	g.Start = uint64(time.Now().UnixNano())
 	g.Load = func() (*settings.Gateway, error) { return settings.LoadGateway(path) }
+	store := platform.NewStore(s.StoreURL)
 	g.Platform = gateway.Platform{
-		Store: platform.NewStore(s.StoreURL), Decoder: platform.Rows{}, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
+		Store: store, DutyRows: store, Decoder: platform.Rows{}, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
 		Door: func(p gateway.Port) http.Handler {
 			return &platform.Door{Engine: p.Engine, BodyLimit: p.BodyLimit, Closing: p.Closing}
 		},
@@ -96,5 +97,4 @@
 		fmt.Fprintf(os.Stderr, "ladderridged: duties that are not known are left alone: %s\n", strings.Join(unknown, ", "))
 	}
 	g.Platform.Duties, g.Platform.DutyNames = platform.NewDuties(s.DutiesURL), names
-	g.Platform.DutyRows = platform.NewStore(s.StoreURL)
 }
--- a/daemon/duties/desk_test.go
+++ b/daemon/duties/desk_test.go
@@ -24,10 +24,8 @@
 
 func TestOneDaemonReportsWhatAllHaveCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 3, duty.Usage)
-		s.start(ctx)
+		s.start(t.Context())
 		s.play(40 * time.Second)
 		if n := full(s.platform.reported(), 3*5); n < 6 {
 			t.Errorf("%d windows are told with all requests: %v", n, s.platform.reported())
@@ -40,10 +38,8 @@
 
 func TestAnotherDaemonReportsOnceTheHolderIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 3, duty.Usage)
-		s.start(ctx)
+		s.start(t.Context())
 		s.play(20 * time.Second)
 		was := s.holder(duty.Usage)
 		was.way.set(true, false)
@@ -66,10 +62,8 @@
 // on with its token.
 func TestHolderWhoseAnswersAreLostLosesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 2, duty.Usage)
-		s.start(ctx)
+		s.start(t.Context())
 		s.play(12 * time.Second)
 		was := s.holder(duty.Usage)
 		was.way.set(false, true)
@@ -87,10 +81,8 @@
 
 func TestReportsWaitForAPlatformThatIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 1, duty.Usage)
-		s.start(ctx)
+		s.start(t.Context())
 		s.play(9 * time.Second)
 		s.platform.setMute(true)
 		s.play(6 * time.Second)
@@ -105,10 +97,8 @@
 
 func TestHolderOrdersServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 2, duty.Sizes)
-		s.start(ctx)
+		s.start(t.Context())
 		time.Sleep(10 * time.Second)
 		for _, hall := range []string{"hall-a", "hall-b"} {
 			if n := s.platform.newest(sizing.Place{Hall: hall, Kind: sizing.Spot}); n != 4 {
@@ -122,11 +112,9 @@
 // one. The newer one has a higher token, so that the late one is refused.
 func TestLateOrderDoesNotUndoANewerOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 1, duty.Sizes)
 		s.platform.mute = true
-		s.start(ctx)
+		s.start(t.Context())
 		time.Sleep(6 * time.Second)
 		s.platform.setMute(false)
 		time.Sleep(4 * time.Second)
@@ -142,11 +130,9 @@
 // the duty.
 func TestRefusedOrderDoesNotCostTheDuty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 1, duty.Sizes)
 		s.platform.none["hall-a"] = true
-		s.start(ctx)
+		s.start(t.Context())
 		time.Sleep(20 * time.Second)
 		if s.holder(duty.Sizes) == nil {
 			t.Error("nobody holds the duty")
@@ -162,10 +148,8 @@
 
 func TestNextHolderKnowsWhatWasOrdered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 2, duty.Sizes)
-		s.start(ctx)
+		s.start(t.Context())
 		time.Sleep(8 * time.Second)
 		orders := s.platform.taken()
 		s.holder(duty.Sizes).way.set(true, false)
@@ -183,12 +167,10 @@
 // A row that does not decode is nobody's to overwrite: two daemons might hold the duty.
 func TestRowThatDoesNotDecodeIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 2, duty.Usage)
 		s.store.version = 1
 		s.store.rows["usage"] = relay.Row{Key: "usage", Data: []byte("{"), Version: 1}
-		s.start(ctx)
+		s.start(t.Context())
 		time.Sleep(10 * time.Second)
 		s.store.mu.Lock()
 		defer s.store.mu.Unlock()
@@ -200,10 +182,8 @@
 
 func TestCallsToTheStoreGrowWithDuties(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 1, duty.Usage)
-		s.start(ctx)
+		s.start(t.Context())
 		time.Sleep(10 * time.Second)
 		s.store.mu.Lock()
 		before := s.store.calls
@@ -223,13 +203,11 @@
 // asked for the duties' rows as well.
 func TestDaemonsThatAreCutOffDoNotAskForDuties(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		s := newSite(t, 2, duty.Usage)
 		for _, d := range s.daemons {
 			d.Knowledge = known{view: view(4), age: 2 * lease}
 		}
-		s.start(ctx)
+		s.start(t.Context())
 		time.Sleep(20 * time.Second)
 		s.store.mu.Lock()
 		defer s.store.mu.Unlock()
--- a/daemon/duties/order.go
+++ b/daemon/duties/order.go
@@ -92,15 +92,23 @@
 	Count   int         `json:"count"`
 }
 
+// ReadOrders reads what the store keeps of orders.
+func ReadOrders(state string) (OrderBook, error) {
+	var b OrderBook
+	if state == "" {
+		return b, nil
+	}
+	if err := json.Unmarshal([]byte(state), &b); err != nil {
+		return OrderBook{}, &Error{Op: "read orders", Kind: Malformed, Err: err}
+	}
+	return b, nil
+}
+
 // takeOrders takes the orders that the holder before has left.
 func (d *Desk) takeOrders(h *holding, w *ordering) {
 	*w = *newOrdering()
-	state := h.claim.State()
-	if state == "" {
-		return
-	}
-	var left OrderBook
-	if err := json.Unmarshal([]byte(state), &left); err != nil {
+	left, err := ReadOrders(h.claim.State())
+	if err != nil {
 		d.Log.Error().Err(err).Msg("duty: the orders of the holder before do not decode: what serves is taken for what was ordered")
 		return
 	}
@@ -253,15 +261,14 @@
 		if !server.Usable() {
 			continue
 		}
-		if !v.Stays(s.Name, server.Version) {
-			at := in.Places[place]
-			at.Coming++
-			in.Places[place] = at
-			continue
-		}
 		at := in.Places[place]
-		at.Serving++
-		if !now.Before(server.Load.Cold().Until) {
+		switch {
+		case !v.Stays(s.Name, server.Version):
+			at.Coming++
+		case now.Before(server.Load.Cold().Until):
+			at.Serving++
+		default:
+			at.Serving++
 			at.Warm++
 		}
 		in.Places[place] = at
--- a/daemon/duties/rows.go
+++ b/daemon/duties/rows.go
@@ -10,14 +10,6 @@
 	"ladderridge.example/daemon/knowledge"
 )
 
-// row is a duty's row, in words that an operator can read.
-type row struct {
-	Holder string `json:"holder"`
-	Start  uint64 `json:"start"`
-	Token  uint64 `json:"token"`
-	State  string `json:"state"`
-}
-
 // read reads a duty's row.
 func (d *Desk) read(ctx context.Context, name duty.Name) duty.Event {
 	page, err := d.Rows.Read(ctx, relay.Duties)
@@ -29,19 +21,19 @@
 		if r.Key != string(name) {
 			continue
 		}
-		var in row
+		var in duty.Record
 		if err := json.Unmarshal(r.Data, &in); err != nil {
 			d.Log.Error().Str("duty", string(name)).Err(&Error{Op: "read duty", Kind: Malformed, Err: err}).Msg("duty: its row does not decode: nobody takes it until an operator removes the row")
 			return duty.Unread{}
 		}
-		return duty.Read{Found: true, Record: duty.Record{Holder: in.Holder, Start: in.Start, Token: in.Token, State: in.State}, Version: r.Version}
+		return duty.Read{Record: in, Version: r.Version}
 	}
 	return duty.Read{}
 }
 
 // write writes a duty's row.
 func (d *Desk) write(ctx context.Context, name duty.Name, o duty.WriteRow) duty.Event {
-	data, err := json.Marshal(row{Holder: o.Record.Holder, Start: o.Record.Start, Token: o.Record.Token, State: o.Record.State})
+	data, err := json.Marshal(o.Record)
 	if err != nil {
 		d.Log.Error().Str("duty", string(name)).Err(err).Msg("duty: its row cannot be encoded")
 		return duty.Unread{}
--- a/daemon/knowledge/desk.go
+++ b/daemon/knowledge/desk.go
@@ -51,14 +51,5 @@
 	if len(records) == 0 {
 		return
 	}
-	to := map[string]string{}
-	for _, other := range k.abroad() {
-		to[other.ID] = other.Addr
-	}
-	if m, ok := (*k.members.Load())[holder]; ok && holder != k.Self.ID {
-		to[holder] = m.Addr
-	}
-	if len(to) > 0 {
-		k.Peers.SendAll(to, relay.Tell{Usage: records})
-	}
+	k.tellAbroadAnd((*k.members.Load())[holder], relay.Tell{Usage: records})
 }
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -103,11 +103,16 @@
 }
 
 // tellAbroad tells the likely readers of other halls.
-func (k *Keeper) tellAbroad(m relay.Tell) {
+func (k *Keeper) tellAbroad(m relay.Tell) { k.tellAbroadAnd(Member{}, m) }
+
+// tellAbroadAnd tells them and another daemon, unless that is this one or none.
+func (k *Keeper) tellAbroadAnd(more Member, m relay.Tell) {
 	to := map[string]string{}
-	for _, other := range k.abroad() {
+	for _, other := range append(k.abroad(), more) {
 		to[other.ID] = other.Addr
 	}
+	delete(to, "")
+	delete(to, k.Self.ID)
 	if len(to) > 0 {
 		k.Peers.SendAll(to, m)
 	}
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -232,6 +232,7 @@
 	for _, t := range []relay.Topic{relay.Operator, relay.Servers, relay.Progress, relay.Members} {
 		k.topics[t] = newTopicState()
 	}
+	k.topics[relay.Servers].takeFresh()
 	k.view.Store(&View{sessions: k.sessions, Quarantine: k.ledger})
 	k.members.Store(&map[string]Member{})
 	k.reading.Store(true)
--- a/daemon/knowledge/topic.go
+++ b/daemon/knowledge/topic.go
@@ -21,7 +21,8 @@
 	// sum is the hash of the rows; past has the latest changes, oldest first.
 	sum  uint64
 	past []change
-	// fresh are the keys of rows that have changed since they were last taken.
+	// fresh are the keys of rows that have changed since they were last taken; nil if nobody
+	// takes them.
 	fresh map[string]bool
 }
 
@@ -40,9 +41,7 @@
 // one that lags further is told all rows.
 const pastChanges = 64
 
-func newTopicState() *topicState {
-	return &topicState{rows: map[string]relay.Row{}, fresh: map[string]bool{}}
-}
+func newTopicState() *topicState { return &topicState{rows: map[string]relay.Row{}} }
 
 // takeFresh returns the keys of rows that have changed since it was last called.
 func (t *topicState) takeFresh() map[string]bool {
@@ -125,8 +124,10 @@
 	if t.sum == before {
 		return
 	}
-	for _, key := range keys {
-		t.fresh[key] = true
+	if t.fresh != nil {
+		for _, key := range keys {
+			t.fresh[key] = true
+		}
 	}
 	t.past = append(t.past, change{before: before, keys: keys, at: time.Now()})
 	if len(t.past) > pastChanges {
@@ -174,7 +175,6 @@
 	if p.Version < t.version {
 		return nil, false
 	}
-	before := t.sum
 	rows := slices.DeleteFunc(slices.Clone(p.Rows), func(row relay.Row) bool {
 		was, ok := t.rows[row.Key]
 		return ok && row.Version <= was.Version
@@ -182,7 +182,7 @@
 	gone = t.set(rows, p.Removed)
 	t.version = p.Version
 	t.confirm(confirmed)
-	return gone, len(rows) > 0 || len(gone) > 0 || t.sum != before
+	return gone, len(rows) > 0 || len(gone) > 0
 }
 
 func (t *topicState) confirm(at time.Time) {
--- a/daemon/unread/unread.go
+++ b/daemon/unread/unread.go
@@ -26,9 +26,7 @@
 
 // Guard lets callers go that do not read. Set the exported fields, then Wrap.
 type Guard struct {
-	// Longest is how long a caller may take nothing; 0 is the constant of that name.
-	Longest time.Duration
-	Log     log.Logger
+	Log log.Logger
 
 	// Gone counts callers that were let go.
 	Gone atomic.Int64
@@ -44,13 +42,6 @@
 	})
 }
 
-func (g *Guard) longest() time.Duration {
-	if g.Longest > 0 {
-		return g.Longest
-	}
-	return Longest
-}
-
 // writer is an answer whose writes have a deadline.
 type writer struct {
 	http.ResponseWriter
@@ -68,11 +59,11 @@
 // deadlines, as in tests of handlers, is not guarded.
 func (w *writer) renew() {
 	now := time.Now()
-	if now.Sub(w.renewed) < min(renewAfter, w.guard.longest()/2) {
+	if now.Sub(w.renewed) < renewAfter {
 		return
 	}
 	w.renewed = now
-	_ = w.control.SetWriteDeadline(now.Add(w.guard.longest()))
+	_ = w.control.SetWriteDeadline(now.Add(Longest))
 }
 
 // Write implements http.ResponseWriter.
@@ -98,5 +89,5 @@
 	}
 	w.gone = true
 	w.guard.Gone.Add(1)
-	w.guard.Log.Warn().Str("path", w.path).Dur("unread_for", w.guard.longest()).Msg("caller: does not read its answer: it is let go")
+	w.guard.Log.Warn().Str("path", w.path).Dur("unread_for", Longest).Msg("caller: does not read its answer: it is let go")
 }
