--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -6,6 +6,8 @@
 package retry
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,9 +28,20 @@
 	services map[string]*budgetWindow
 }
 
-// budgetWindow counts by slots of a tenth of the window.
+// budgetWindow counts by slots of a tenth of the window, and since the start.
 type budgetWindow struct {
 	slots [budgetSlots]budgetSlot
+	total Usage
+}
+
+// Usage is what one daemon has counted for a service since its start.
+type Usage struct {
+	Service string
+	// Requests came for the service, Repeats were sent beyond the first attempt of each,
+	// Denied were not sent since the budget had nothing left.
+	Requests, Repeats, Denied int64
+	// Left is how many repeats may be sent now.
+	Left float64
 }
 
 type budgetSlot struct {
@@ -103,7 +116,9 @@
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service).slot(b.number(now)).requests++
+	w := b.window(service)
+	w.slot(b.number(now)).requests++
+	w.total.Requests++
 }
 
 // Rate is how many requests for a service came a second, within the window; 0 is
@@ -125,14 +140,35 @@
 	defer b.mu.Unlock()
 	w := b.window(service)
 	n := b.number(now)
-	requests, repeats := w.counts(n)
-	if float64(repeats+1) > budgetMargin*b.Ratio*float64(requests)+b.Slack/float64(max(daemons, fewestDaemons)) {
+	if b.left(w, n, daemons) < 1 {
+		w.total.Denied++
 		return false
 	}
 	w.slot(n).repeats++
+	w.total.Repeats++
 	return true
 }
 
+// left is how many repeats may be sent in a slot.
+func (b *Budget) left(w *budgetWindow, number int64, daemons int) float64 {
+	requests, repeats := w.counts(number)
+	return budgetMargin*b.Ratio*float64(requests) + b.Slack/float64(max(daemons, fewestDaemons)) - float64(repeats)
+}
+
+// Usage returns what was counted for each service, ordered by name.
+func (b *Budget) Usage(daemons int, now time.Time) []Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []Usage
+	for service, w := range b.services {
+		u := w.total
+		u.Service, u.Left = service, max(0, b.left(w, b.number(now), daemons))
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(x, y Usage) int { return cmp.Compare(x.Service, y.Service) })
+	return all
+}
+
 // fewestDaemons is the least number of daemons that the slack is divided by: a
 // daemon that has just started knows no others.
 const fewestDaemons = 8
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -206,6 +206,7 @@
 	serving.Add(supervise.Part{Name: "admin", Run: g.admin.run})
 	serving.Add(supervise.Part{Name: "channels", Run: g.channels.Run})
 	serving.Add(supervise.Part{Name: "reports", Run: g.reporter.run})
+	serving.Add(supervise.Part{Name: "repeats", Run: g.logRepeats})
 	serving.Add(supervise.Part{Name: "settings", Run: g.watchSettings})
 	root.Add(coordination)
 	root.Add(serving)
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -58,6 +58,7 @@
 		return 0
 	})
 	g.dutyMetrics(counter)
+	r.MustRegister(newRepeatCollector(g))
 	return r
 }
 
--- a/measure/pairs.sh
+++ b/measure/pairs.sh
@@ -64,18 +64,7 @@
 	'faults|kind="srv_crash",service="SERVICE",share=%0.2-0.6%,for_s=%3-5%'
 )
 
-RANDOM=0
-# between draws a number between two bounds, in hundredths.
-between() { awk -v a="$1" -v b="$2" -v r="$RANDOM" 'BEGIN{printf "%.2f", a+(b-a)*r/32767}'; }
-
-# drawn fills in a kind's numbers.
-drawn() {
-	local entry=${1//SERVICE/$service}
-	while [[ $entry =~ %([0-9.]+)-([0-9.]+)% ]]; do
-		entry=${entry/"${BASH_REMATCH[0]}"/$(between "${BASH_REMATCH[1]}" "${BASH_REMATCH[2]}")}
-	done
-	echo "$entry"
-}
+. measure/days.bash
 
 # day draws a day by its seed and writes it to a file.
 day() {
@@ -99,28 +88,7 @@
 		entry="{ at = $(between 1 18), $(drawn "${kind#*|}") }, "
 		if [[ $kind == plan* ]]; then plan+=$entry; else faults+=$entry; fi
 	fi
-	{
-		printf '[[day]]\nname = "pairs-%s"\nslot = "trouble"\nseed = %s\nlength_s = 34.0\none = 0.7\nzero = 0.3\ngoal = { floor = 0.3 }\n' "$seed" "$seed"
-		[[ -z ${SMALL:-} ]] || echo "$twin"
-		[[ -z $plan ]] || echo "plan = [ ${plan%, } ]"
-		[[ -z $faults ]] || echo "faults = [ ${faults%, } ]"
-	} >"$file"
-}
-
-# play plays a day and prints a line of it.
-play() {
-	local seed=$1 file=$keep/pairs-$1.toml out=$keep/pairs-$1.out
-	day "$seed" "$file"
-	"$bench" run "$site" "$file" --seed "$seed" --no-cpu ${SMALL:+--small} >"$out" 2>&1 || true
-	awk -v n="pairs-$seed" '$1==n{printf "%-10s worth %s served %s", n, $4, $5; f=1} END{if(!f)printf "%-10s not played", n}' "$out"
-	grep -oE 'BROKEN: [A-Z0-9 ,]+' "$out" | head -1 | sed 's/^/  /' | tr -d '\n' || true
-	grep -oE 'kind="[a-z_]+"' "$file" | cut -d'"' -f2 | tr '\n' ' ' | sed 's/^/  /'
-	echo
+	write_day "$file" "pairs-$seed" "$seed" 34.0 "$plan" "$faults"
 }
 
-for ((seed = first; seed < first + draws; seed++)); do
-	play "$seed" &
-	while (($(jobs -rp | wc -l) >= ${JOBS:-4})); do wait -n || true; done
-done | tee "$keep/lines.txt"
-wait
-echo "$draws days, $(grep -c BROKEN "$keep/lines.txt" || true) with a rule broken, $(grep -c 'not played' "$keep/lines.txt" || true) not played"
+play_all day pairs "$draws" "$first"
