--- a/daemon/control/dump.go
+++ b/daemon/control/dump.go
@@ -94,10 +94,17 @@
 	PlatformByte int64            `json:"platform_bytes"`
 }
 
-// Dump returns the whole control state.
+// Dump returns the whole control state. Changes that wait to be published are published
+// first, so that requests see what it tells.
 func (c *Control) Dump() (Dump, error) {
 	var d Dump
-	err := c.askLoop(func(l *loop) { d = l.dump(time.Now()) })
+	err := c.askLoop(func(l *loop) {
+		now := time.Now()
+		if l.dirty {
+			l.publish(now)
+		}
+		d = l.dump(now)
+	})
 	return d, err
 }
 
