--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -335,5 +335,5 @@
 		j.paid = false
 		return true
 	}
-	return j.engine.Budget.Spend(j.service, j.view.Daemons, time.Now())
+	return j.engine.spendRepeat(j.service, j.view)
 }
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -213,7 +213,7 @@
 	if out := j.prepare(now); out != nil {
 		return out
 	}
-	j.engine.Budget.Request(j.service, now)
+	j.engine.Budget.Request(j.service, j.engine.sharers(j.view), j.engine.budgetTime())
 	if !j.end.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, j.end)
--- a/daemon/exchange/patience.go
+++ b/daemon/exchange/patience.go
@@ -23,9 +23,9 @@
 	if wait <= 0 {
 		return t
 	}
-	service, daemons := j.service, j.view.Daemons
+	service, view := j.service, j.view
 	t.timer = time.AfterFunc(wait, func() {
-		if j.engine.Budget.Spend(service, daemons, time.Now()) {
+		if j.engine.spendRepeat(service, view) {
 			t.ended.Store(true)
 			a.cancel()
 		}
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -70,7 +70,7 @@
 	}
 	now := time.Now()
 	load := j.load(a, now)
-	if !j.step.Escalate(a.head.Confidence, a.head.Confident, load) || !j.engine.Budget.Spend(j.service, j.view.Daemons, now) {
+	if !j.step.Escalate(a.head.Confidence, a.head.Confident, load) || !j.engine.spendRepeat(j.service, j.view) {
 		return j.step, load, false
 	}
 	j.paid = true
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -138,11 +138,11 @@
 	g.engine.Knowledge, g.engine.Channels, g.engine.Dialect = g.keeper, g.channels, g.Platform.Dialect
 	g.keeper.StoodStill, g.engine.StoodStill = standstill.Total, standstill.Total
 	g.engine.Hall, g.engine.Observer, g.engine.Noticed = s.Hall, g.reporter.report, g.reporter.noticed
-	g.engine.Budget = &retry.Budget{}
+	g.engine.Budget = &retry.Budget{Seed: g.Start}
 	g.keeper.BeganAgain = g.engine.BeganAgain
 	g.keeper.Exposure = canary.Exposure{Share: s.ExposureShare, Slack: s.ExposureSlack}
 	g.keeper.Regions, g.keeper.ColdOverage, g.keeper.ColdSlack = s.Regions.ByHall(), s.ColdOverage, s.ColdSlack
-	g.keeper.Rate = func(service string) float64 { return g.engine.Budget.Rate(service, time.Now()) }
+	g.keeper.Rate = g.engine.RequestRate
 	g.takeDuties(s)
 	g.apply(s)
 	g.registry = g.metrics()
--- a/daemon/gateway/repeats.go
+++ b/daemon/gateway/repeats.go
@@ -24,7 +24,7 @@
 		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "repeat", name), help, []string{"service"}, labels)
 	}
 	return &repeatCollector{
-		usage:    g.repeatUsage,
+		usage:    g.engine.Repeats,
 		requests: desc("budget_requests_total", "Requests for a service that pay for repeats."),
 		repeats:  desc("sent_total", "Repeats sent to a service beyond the first attempt of each request."),
 		denied:   desc("denied_total", "Repeats that were not sent since the budget had nothing left."),
@@ -49,11 +49,6 @@
 	}
 }
 
-// repeatUsage is what the budget has counted since the start.
-func (g *Gateway) repeatUsage() []retry.Usage {
-	return g.engine.Budget.Usage(g.keeper.View().Daemons, time.Now())
-}
-
 // repeatLogEvery is the time between two lines about a service's repeats.
 const repeatLogEvery = time.Second
 
@@ -66,7 +61,7 @@
 	for {
 		select {
 		case <-tick.C:
-			for _, u := range g.repeatUsage() {
+			for _, u := range g.engine.Repeats() {
 				if was := last[u.Service]; u.Repeats != was.Repeats || u.Denied != was.Denied {
 					g.logRepeat(u)
 				}
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -187,7 +187,7 @@
 func (k *Keeper) firstShare(o canary.Order) float64 {
 	requests := 0.0
 	if k.Rate != nil {
-		requests = k.Rate(o.Service) * float64(k.view.Load().Daemons) * o.Within.Seconds()
+		requests = k.Rate(o.Service) * float64(max(1, k.view.Load().Daemons)) * o.Within.Seconds()
 	}
 	return k.Exposure.First(requests, o.Within)
 }
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -440,7 +440,7 @@
 	v := *k.view.Load()
 	v.ConfigAt = k.topics[relay.Operator].confirmed
 	v.ServersAt = k.topics[relay.Servers].confirmed
-	v.Daemons = max(1, len(*k.members.Load()))
+	v.Daemons = k.daemons()
 	v.Stood, v.WokeAt = k.stood, k.wokeAt
 	v.rollouts, v.withdrawn, v.aside, v.firstSeen = k.rollouts.snapshot(), k.rollouts.withdrawnCopy(), maps.Clone(k.rollouts.aside), k.firstSeen
 	k.view.Store(&v)
--- a/daemon/knowledge/members.go
+++ b/daemon/knowledge/members.go
@@ -82,6 +82,18 @@
 	k.readers.list(members)
 }
 
+// daemons is how many daemons there are, this one included; 0 while their list is not known.
+func (k *Keeper) daemons() int {
+	if !k.topics[relay.Members].known {
+		return 0
+	}
+	members := *k.members.Load()
+	if _, ok := members[k.Self.ID]; ok {
+		return len(members)
+	}
+	return len(members) + 1
+}
+
 // PublicKey returns the key that a daemon has published, or nil.
 func (k *Keeper) PublicKey(id string) ed25519.PublicKey {
 	m, ok := (*k.members.Load())[id]
--- a/daemon/knowledge/view.go
+++ b/daemon/knowledge/view.go
@@ -21,7 +21,8 @@
 	// daemon that had asked it, confirmed the configuration and the servers.
 	ConfigAt  time.Time
 	ServersAt time.Time
-	// Daemons is how many daemons there are, this one included.
+	// Daemons is how many daemons there are, this one included; 0 while their list is not
+	// known.
 	Daemons int
 	// Emptied are the data halls whose servers get nothing, by since when this daemon
 	// knows.
