--- a/core/fleet/cold.go
+++ b/core/fleet/cold.go
@@ -10,6 +10,9 @@
 // whose hall has just been taken back: it is slow at first and falls over if all
 // daemons, which see that it is idle, send to it at once.
 type Cold struct {
+	// From is when this daemon may begin to send: a daemon that has just started does not
+	// know what was sent before it.
+	From time.Time
 	// Until is when the server is warm.
 	Until time.Time
 	// Most is how many requests this daemon may send within ColdSpan.
@@ -22,8 +25,7 @@
 	// into one, whatever the second begins with, and the rest is for what a link adds.
 	ColdSpan = 1050 * time.Millisecond
 	// coldPart is the part of what a cold server bears that daemons plan for: their
-	// lists of daemons may differ for a moment, and one that has just started does not
-	// know what it sent before.
+	// lists of daemons may differ for a moment.
 	coldPart = 0.8
 )
 
@@ -74,7 +76,7 @@
 	if !now.Before(c.Until) {
 		return false
 	}
-	return c.Most <= 0 || len(c.sent) >= c.Most && now.Sub(c.sent[len(c.sent)-c.Most]) < ColdSpan
+	return now.Before(c.From) || c.Most <= 0 || len(c.sent) >= c.Most && now.Sub(c.sent[len(c.sent)-c.Most]) < ColdSpan
 }
 
 // taken counts a request.
--- a/core/fleet/cold_test.go
+++ b/core/fleet/cold_test.go
@@ -84,6 +84,32 @@
 	}
 }
 
+// A daemon that ends and starts again within a second does not send its share twice.
+func TestStartRenewsNoShareOfAColdServer(t *testing.T) {
+	const most, downFor = 4, 100 * time.Millisecond
+	var sent []time.Time
+	start := now
+	for range 5 {
+		servers := pool(1)
+		servers[0].Load.SetCold(fleet.Cold{From: start.Add(fleet.ColdSpan), Until: now.Add(time.Minute), Most: most})
+		list, end := fleet.NewList(servers), start.Add(fleet.ColdSpan+300*time.Millisecond)
+		for at := start; at.Before(end); at = at.Add(7 * time.Millisecond) {
+			if _, ok := list.Choose(fleet.Want{Service: "s", Hall: "h"}, at); ok {
+				sent = append(sent, at)
+			}
+		}
+		start = end.Add(downFor)
+	}
+	for i, at := range sent {
+		if n := len(slices.DeleteFunc(slices.Clone(sent[i:]), func(o time.Time) bool { return o.Sub(at) > time.Second })); n > most {
+			t.Fatalf("%d requests in a second", n)
+		}
+	}
+	if len(sent) != 5*most {
+		t.Errorf("%d requests in all", len(sent))
+	}
+}
+
 // However many daemons there are, and however their requests fall to them, together they
 // send a cold server no more than it bears.
 func TestSharesOfAColdServerAddUp(t *testing.T) {
