--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -27,6 +27,8 @@
 	// Quarantine are the requests that get no server, since servers ended under them.
 	Quarantine []CaseDump   `json:"quarantine"`
 	Servers    []ServerDump `json:"servers"`
+	// Repeats is the budget of repeats, by service.
+	Repeats []RepeatDump `json:"repeats"`
 	// Duties is what this daemon knows of what one does for all.
 	Duties []duties.Status `json:"duties"`
 }
@@ -40,6 +42,15 @@
 	LeftMS  int64 `json:"left_ms"`
 }
 
+// RepeatDump is the budget of repeats of one service, with counts since the start.
+type RepeatDump struct {
+	Service  string  `json:"service"`
+	Requests int64   `json:"requests"`
+	Repeats  int64   `json:"repeats"`
+	Denied   int64   `json:"denied"`
+	Left     float64 `json:"left"`
+}
+
 // ServerDump is what is known of one server.
 type ServerDump struct {
 	ID string `json:"id"`
@@ -85,6 +96,9 @@
 	for _, c := range v.Quarantine.Cases(now) {
 		d.Quarantine = append(d.Quarantine, CaseDump{Content: c.Content.String(), Crashes: c.Crashes, LeftMS: c.Until.Sub(now).Milliseconds()})
 	}
+	for _, u := range g.engine.Repeats() {
+		d.Repeats = append(d.Repeats, RepeatDump(u))
+	}
 	d.Duties = g.Duties()
 	if v.Servers == nil {
 		return d
