--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -4,7 +4,7 @@
 //
 // The share of the new version is a function of the order's age and of one
 // figure that is fixed at its start, and a request falls to a version by the hash
-// of its session: daemons agree without a word, and a session moves to the new
+// of its session: daemons agree without a message, and a session moves to the new
 // version at most once.
 package canary
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -185,7 +185,7 @@
 		g.rebuild()
 	}
 	if m.Incarnation == 0 {
-		// Its first word is no news for the others.
+		// Its first message is no news for the others.
 		m.Incarnation = incarnation
 	}
 	if incarnation > m.Incarnation {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -235,14 +235,14 @@
 // probeAbroad keeps each data hall in touch with every other one: two of its
 // daemons ask one daemon there at every tick.
 func (n *Node) probeAbroad(now time.Time) {
-	for _, id := range n.abroad() {
+	for _, id := range n.otherHalls() {
 		n.send(id, n.probe(now))
 	}
 }
 
-// abroad are the daemons of other data halls, one each, that this one is in
+// otherHalls are the daemons of other data halls, one each, that this one is in
 // touch with at this turn; none if it does not lead its hall.
-func (n *Node) abroad() []string {
+func (n *Node) otherHalls() []string {
 	if n.Group.Rank() < 0 || n.Group.Rank() >= readers {
 		return nil
 	}
@@ -396,7 +396,7 @@
 	for _, id := range n.Group.Fingers() {
 		n.send(id, n.heartbeat(now))
 	}
-	for _, id := range n.abroad() {
+	for _, id := range n.otherHalls() {
 		n.send(id, n.heartbeat(now))
 	}
 }
--- a/core/usage/own.go
+++ b/core/usage/own.go
@@ -62,9 +62,9 @@
 // daemon that ends has not told is lost.
 const tellEvery = time.Second
 
-// Tell returns what a target does not know yet, to go along with the question of a number.
+// Unacknowledged returns what a target does not know yet, to go along with the question of a number.
 // What is not acknowledged is told again.
-func (o *Own) Tell(target string, nonce uint64, now time.Time) []Record {
+func (o *Own) Unacknowledged(target string, nonce uint64, now time.Time) []Record {
 	o.turn(now)
 	if target != o.target {
 		o.target, o.told, o.sentAt = target, map[Window]*entry{}, time.Time{}
@@ -96,9 +96,9 @@
 	return r, len(r.Counts) > 0 || e.over != told.over
 }
 
-// Answered notes that the question of a number was answered: what went along with it has
+// Acknowledged notes that the question of a number was answered: what went along with it has
 // arrived.
-func (o *Own) Answered(nonce uint64) {
+func (o *Own) Acknowledged(nonce uint64) {
 	if nonce == 0 || nonce != o.nonce {
 		return
 	}
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -60,12 +60,12 @@
 					want[name]++
 				}
 				nonce := uint64(s*2) + 1
-				told = append(told, o.Tell("reader", nonce, at(s))...)
+				told = append(told, o.Unacknowledged("reader", nonce, at(s))...)
 				if rapid.Bool().Draw(t, "answered") {
-					o.Answered(nonce)
+					o.Acknowledged(nonce)
 				}
 			}
-			told = append(told, o.Tell("reader", 99, at(6.5))...)
+			told = append(told, o.Unacknowledged("reader", 99, at(6.5))...)
 		}
 		for _, i := range rapid.Permutation(indices(len(told))).Draw(t, "order") {
 			pool.Merge(told[i : i+1])
@@ -93,10 +93,10 @@
 func TestPartOfARecordIsNotWhole(t *testing.T) {
 	o, pool := own("entry-1"), usage.NewPool()
 	o.Begin("org-a", at(1))
-	o.Tell("reader", 1, at(1))
-	o.Answered(1)
+	o.Unacknowledged("reader", 1, at(1))
+	o.Acknowledged(1)
 	o.Begin("org-b", at(2))
-	pool.Merge(o.Tell("reader", 2, at(6)))
+	pool.Merge(o.Unacknowledged("reader", 2, at(6)))
 	if pool.Whole(first) {
 		t.Error("what was acknowledged before is missing")
 	}
@@ -109,12 +109,12 @@
 func TestNewReaderIsToldAll(t *testing.T) {
 	o, pool := own("entry-1"), usage.NewPool()
 	o.Begin("org-a", at(1))
-	o.Tell("reader-1", 1, at(1))
-	o.Answered(1)
-	if news := o.Tell("reader-1", 2, at(2.5)); len(news) > 0 {
+	o.Unacknowledged("reader-1", 1, at(1))
+	o.Acknowledged(1)
+	if news := o.Unacknowledged("reader-1", 2, at(2.5)); len(news) > 0 {
 		t.Errorf("told again: %v", news)
 	}
-	pool.Merge(o.Tell("reader-2", 3, at(4)))
+	pool.Merge(o.Unacknowledged("reader-2", 3, at(4)))
 	if diff := cmp.Diff(counts(map[string]uint64{"org-a": 1}), pool.Sum(first)); diff != "" {
 		t.Error(diff)
 	}
@@ -125,10 +125,10 @@
 	o, messages := own("entry-1"), 0
 	for s := 0.0; s < 50; s += 0.45 {
 		nonce := uint64(s*100) + 1
-		if len(o.Tell("reader", nonce, at(s))) > 0 {
+		if len(o.Unacknowledged("reader", nonce, at(s))) > 0 {
 			messages++
 		}
-		o.Answered(nonce)
+		o.Acknowledged(nonce)
 	}
 	if messages > 2*11 {
 		t.Errorf("%d messages in ten windows without requests", messages)
--- a/daemon/duties/duties.go
+++ b/daemon/duties/duties.go
@@ -88,9 +88,9 @@
 	Reads() bool
 }
 
-// Desk is one daemon's part in all duties. Get one from New, set the exported fields, then
+// Leaseholder is one daemon's part in all duties. Get one from New, set the exported fields, then
 // Run.
-type Desk struct {
+type Leaseholder struct {
 	Self      string
 	Start     uint64
 	Settings  Settings
@@ -178,16 +178,16 @@
 	backlog = 64
 )
 
-// New returns a desk without duties.
-func New() *Desk {
-	d := &Desk{events: make(chan event, backlog), ledger: newLedger()}
+// New returns a leaseholder without duties.
+func New() *Leaseholder {
+	d := &Leaseholder{events: make(chan event, backlog), ledger: newLedger()}
 	d.status.Store(&[]Status{})
 	d.run = func(ctx context.Context) error { return d.loop(ctx) }
 	return d
 }
 
-// Prepare sets the desk up. It is called before Run and before anything is counted.
-func (d *Desk) Prepare() {
+// Prepare sets the leaseholder up. It is called before Run and before anything is counted.
+func (d *Leaseholder) Prepare() {
 	d.ledger.own = usage.Own{
 		Process: usage.Process{ID: d.Self, Start: d.Start}, Length: d.Settings.Window, Keep: 2 * d.Settings.Late,
 	}
@@ -197,7 +197,7 @@
 }
 
 // newHoldings returns the duties as a daemon begins with them that knows nothing of them yet.
-func (d *Desk) newHoldings() []*holding {
+func (d *Leaseholder) newHoldings() []*holding {
 	var out []*holding
 	for _, name := range d.Settings.Names {
 		h := &holding{name: name, claim: duty.Claim{Self: d.Self, Start: d.Start, Lease: d.Settings.Lease}}
@@ -213,9 +213,9 @@
 }
 
 // Run does the duties that fall to this daemon until ctx ends.
-func (d *Desk) Run(ctx context.Context) error { return d.run(ctx) }
+func (d *Leaseholder) Run(ctx context.Context) error { return d.run(ctx) }
 
-func (d *Desk) loop(ctx context.Context) error {
+func (d *Leaseholder) loop(ctx context.Context) error {
 	// What was under way when this was restarted is answered to nobody: the rows say what stands.
 	d.holdings = d.newHoldings()
 	tick := clock.NewTicker(tickEvery)
@@ -233,9 +233,9 @@
 }
 
 // clock is a time that also counts while the VM is suspended.
-func (d *Desk) clock() time.Duration { return time.Since(d.began) + d.StoodStill.Now() }
+func (d *Leaseholder) clock() time.Duration { return time.Since(d.began) + d.StoodStill.Now() }
 
-func (d *Desk) handle(e event) {
+func (d *Leaseholder) handle(e event) {
 	switch e := e.(type) {
 	case stepped:
 		e.to.claim.Step(e.by, d.clock())
@@ -245,7 +245,7 @@
 }
 
 // called takes what the platform answered.
-func (d *Desk) called(e called) {
+func (d *Leaseholder) called(e called) {
 	e.to.calling = false
 	if e.err == nil {
 		e.to.rest = 0
@@ -262,7 +262,7 @@
 }
 
 // tick does what is due of each duty.
-func (d *Desk) tick(ctx context.Context, now time.Time) {
+func (d *Leaseholder) tick(ctx context.Context, now time.Time) {
 	for _, h := range d.holdings {
 		order := h.claim.Step(duty.Tick{Contend: d.contends(now)}, d.clock())
 		d.do(ctx, h, order)
@@ -284,7 +284,7 @@
 // contends reports whether this daemon takes duties that nobody holds: those that read the
 // store for their halls do, so that calls grow with halls and not with daemons. While the store
 // is away for a hall all of its daemons try to read it: none of them contends then.
-func (d *Desk) contends(now time.Time) bool {
+func (d *Leaseholder) contends(now time.Time) bool {
 	if now.Sub(d.began) < contendAfter || !d.Knowledge.Reads() {
 		return false
 	}
@@ -293,7 +293,7 @@
 }
 
 // noteHolder logs that this daemon has begun or ceased to hold a duty.
-func (d *Desk) noteHolder(h *holding, token uint64, held bool) {
+func (d *Leaseholder) noteHolder(h *holding, token uint64, held bool) {
 	if !held {
 		token = 0
 	}
@@ -319,7 +319,7 @@
 }
 
 // do makes the call to the store that a claim wants.
-func (d *Desk) do(ctx context.Context, h *holding, o duty.Order) {
+func (d *Leaseholder) do(ctx context.Context, h *holding, o duty.Order) {
 	if o == nil {
 		return
 	}
@@ -338,8 +338,8 @@
 	}()
 }
 
-// deliver hands an event to the desk's goroutine.
-func (d *Desk) deliver(ctx context.Context, e event) {
+// deliver hands an event to the goroutine of the leaseholder.
+func (d *Leaseholder) deliver(ctx context.Context, e event) {
 	select {
 	case d.events <- e:
 	case <-ctx.Done():
@@ -347,7 +347,7 @@
 }
 
 // mayCall reports whether the platform may be called now, and notes that it is.
-func (d *Desk) mayCall(h *holding, now time.Time) bool {
+func (d *Leaseholder) mayCall(h *holding, now time.Time) bool {
 	if h.calling || now.Before(h.restUntil) {
 		return false
 	}
@@ -359,7 +359,7 @@
 }
 
 // call calls the platform. Whether this daemon holds the duty is asked right before.
-func (d *Desk) call(ctx context.Context, h *holding, send func(ctx context.Context, by Signature) error, done func(err error)) {
+func (d *Leaseholder) call(ctx context.Context, h *holding, send func(ctx context.Context, by Signature) error, done func(err error)) {
 	token, held := h.claim.Holds(d.clock())
 	if !held {
 		h.calling = false
--- a/daemon/duties/harness_test.go
+++ b/daemon/duties/harness_test.go
@@ -244,9 +244,9 @@
 	return &knowledge.View{Map: m, Servers: fleet.NewList(servers)}
 }
 
-// daemon is one desk and its way to the store.
+// daemon is one leaseholder and its way to the store.
 type daemon struct {
-	*duties.Desk
+	*duties.Leaseholder
 	way *way
 }
 
@@ -261,7 +261,7 @@
 	t.Helper()
 	s := &site{store: &table{rows: map[string]relay.Row{}}, platform: newPlatform(t)}
 	for i := range daemons {
-		d := &daemon{Desk: duties.New(), way: &way{table: s.store}}
+		d := &daemon{Leaseholder: duties.New(), way: &way{table: s.store}}
 		d.Self, d.Start, d.Rows, d.Platform, d.Knowledge = "entry-"+strconv.Itoa(i), uint64(i+1), d.way, s.platform, known{view: view(4)}
 		d.Log = log.Logger{Level: log.PanicLevel}
 		d.Settings = duties.Settings{Names: names, Lease: lease, Window: window, Late: late}
@@ -281,10 +281,10 @@
 // share has all daemons tell each other what they have counted.
 func (s *site) share() {
 	for _, d := range s.daemons {
-		records, _ := d.News(time.Now())
+		records, _ := d.Updates(time.Now())
 		for _, other := range s.daemons {
 			if other != d {
-				other.Hear(records)
+				other.Merge(records)
 			}
 		}
 	}
--- a/daemon/duties/ledger.go
+++ b/daemon/duties/ledger.go
@@ -28,7 +28,7 @@
 func newLedger() *ledger { return &ledger{pool: usage.NewPool()} }
 
 // Began counts a request of an organisation that begins to run now.
-func (d *Desk) Began(organisation string) {
+func (d *Leaseholder) Began(organisation string) {
 	if organisation == "" || !d.ledger.counts {
 		return
 	}
@@ -37,26 +37,26 @@
 	d.ledger.own.Begin(organisation, time.Now())
 }
 
-// Tell returns what a reader does not know yet of this daemon's counts, to go along with the
+// Unacknowledged returns what a reader does not know yet of this daemon's counts, to go along with the
 // question of a number.
-func (d *Desk) Tell(reader string, nonce uint64, now time.Time) []usage.Record {
+func (d *Leaseholder) Unacknowledged(reader string, nonce uint64, now time.Time) []usage.Record {
 	if !d.ledger.counts {
 		return nil
 	}
 	d.ledger.mu.Lock()
 	defer d.ledger.mu.Unlock()
-	return d.ledger.own.Tell(reader, nonce, now)
+	return d.ledger.own.Unacknowledged(reader, nonce, now)
 }
 
-// Answered notes that a question was answered.
-func (d *Desk) Answered(nonce uint64) {
+// Acknowledged notes that a question was answered.
+func (d *Leaseholder) Acknowledged(nonce uint64) {
 	d.ledger.mu.Lock()
 	defer d.ledger.mu.Unlock()
-	d.ledger.own.Answered(nonce)
+	d.ledger.own.Acknowledged(nonce)
 }
 
-// Hear takes what other daemons have counted.
-func (d *Desk) Hear(records []usage.Record) {
+// Merge takes in what other daemons have counted.
+func (d *Leaseholder) Merge(records []usage.Record) {
 	if len(records) == 0 || !d.ledger.counts {
 		return
 	}
@@ -65,8 +65,8 @@
 	d.ledger.pool.Merge(records)
 }
 
-// News returns what other readers are to be told, and who holds the duty.
-func (d *Desk) News(now time.Time) (records []usage.Record, holder string) {
+// Updates returns what other readers are to be told, and who holds the duty.
+func (d *Leaseholder) Updates(now time.Time) (records []usage.Record, holder string) {
 	if !d.ledger.counts {
 		return nil, ""
 	}
--- a/daemon/duties/order.go
+++ b/daemon/duties/order.go
@@ -105,7 +105,7 @@
 }
 
 // takeOrders takes the orders that the holder before has left.
-func (d *Desk) takeOrders(h *holding, w *ordering) {
+func (d *Leaseholder) takeOrders(h *holding, w *ordering) {
 	*w = *newOrdering()
 	left, err := ReadOrders(h.claim.State())
 	if err != nil {
@@ -122,7 +122,7 @@
 }
 
 // keepOrders has the store keep what is ordered.
-func (d *Desk) keepOrders(h *holding, w *ordering) {
+func (d *Leaseholder) keepOrders(h *holding, w *ordering) {
 	out := OrderBook{Planned: map[string]int{}}
 	for name, service := range w.services {
 		out.Planned[name] = service.planned
@@ -144,7 +144,7 @@
 }
 
 // order decides how many servers are needed, and sends orders that the store keeps.
-func (d *Desk) order(ctx context.Context, h *holding, w *ordering, now time.Time) {
+func (d *Leaseholder) order(ctx context.Context, h *holding, w *ordering, now time.Time) {
 	v := d.Knowledge.View()
 	if v.Map == nil || v.Servers == nil || h.calling {
 		return
@@ -174,7 +174,7 @@
 }
 
 // decide looks at each service whose servers are ordered.
-func (d *Desk) decide(h *holding, w *ordering, v *knowledge.View, now time.Time) {
+func (d *Leaseholder) decide(h *holding, w *ordering, v *knowledge.View, now time.Time) {
 	changed := false
 	for _, s := range v.Map.Services() {
 		if !s.Sizes.Ordered() {
@@ -206,7 +206,7 @@
 const standsEvery = 5 * time.Second
 
 // tellStands logs how many servers stand and are needed: why there were so few at a time.
-func (d *Desk) tellStands(name string, service *serviceOrders, in sizing.Input, now time.Time) {
+func (d *Leaseholder) tellStands(name string, service *serviceOrders, in sizing.Input, now time.Time) {
 	if now.Sub(service.toldAt) < standsEvery {
 		return
 	}
@@ -223,7 +223,7 @@
 }
 
 // send sends the first order that is due.
-func (d *Desk) send(ctx context.Context, h *holding, name string, service *serviceOrders) {
+func (d *Leaseholder) send(ctx context.Context, h *holding, name string, service *serviceOrders) {
 	o := service.due[0]
 	d.call(ctx, h, func(ctx context.Context, by Signature) error { return d.Platform.Order(ctx, by, name, o) }, func(err error) {
 		p := service.place(o.Place)
--- a/daemon/duties/report.go
+++ b/daemon/duties/report.go
@@ -14,7 +14,7 @@
 }
 
 // takeBook takes the book that the holder before has left.
-func (d *Desk) takeBook(h *holding, w *reporting) {
+func (d *Leaseholder) takeBook(h *holding, w *reporting) {
 	book, err := usage.ReadBook(h.claim.State())
 	if err != nil {
 		d.Log.Error().Err(err).Msg("duty: the book of reports does not decode: a new one is begun")
@@ -23,7 +23,7 @@
 }
 
 // report composes the report of the next window, and sends those that the store keeps.
-func (d *Desk) report(ctx context.Context, h *holding, w *reporting, now time.Time) {
+func (d *Leaseholder) report(ctx context.Context, h *holding, w *reporting, now time.Time) {
 	d.compose(h, w, now)
 	r, ok := w.book.Due(now, d.Settings.Window, d.Settings.Late)
 	if !ok || !h.claim.Kept() || !d.mayCall(h, now) {
@@ -41,7 +41,7 @@
 
 // compose puts the report of the next window into the book, which the store keeps from then
 // on.
-func (d *Desk) compose(h *holding, w *reporting, now time.Time) {
+func (d *Leaseholder) compose(h *holding, w *reporting, now time.Time) {
 	d.ledger.mu.Lock()
 	d.ledger.turn(now)
 	r, ok := w.book.Next(d.ledger.pool, now, d.Settings.Window, d.Settings.Late)
@@ -60,7 +60,7 @@
 }
 
 // holderOfUsage is who holds the duty to report usage, as far as is known here.
-func (d *Desk) holderOfUsage() string {
+func (d *Leaseholder) holderOfUsage() string {
 	for _, s := range d.Status() {
 		if s.Duty == duty.Usage {
 			return s.Holder
--- a/daemon/duties/rows.go
+++ b/daemon/duties/rows.go
@@ -11,7 +11,7 @@
 )
 
 // read reads a duty's row.
-func (d *Desk) read(ctx context.Context, name duty.Name) duty.Event {
+func (d *Leaseholder) read(ctx context.Context, name duty.Name) duty.Event {
 	page, err := d.Rows.Read(ctx, relay.Duties)
 	if err != nil {
 		d.Log.Warn().Str("duty", string(name)).Err(err).Msg("duty: its row could not be read")
@@ -32,7 +32,7 @@
 }
 
 // write writes a duty's row.
-func (d *Desk) write(ctx context.Context, name duty.Name, o duty.WriteRow) duty.Event {
+func (d *Leaseholder) write(ctx context.Context, name duty.Name, o duty.WriteRow) duty.Event {
 	data, err := json.Marshal(o.Record)
 	if err != nil {
 		d.Log.Error().Str("duty", string(name)).Err(err).Msg("duty: its row cannot be encoded")
--- a/daemon/duties/status.go
+++ b/daemon/duties/status.go
@@ -13,7 +13,7 @@
 }
 
 // publish makes what is known of the duties known to operators.
-func (d *Desk) publish() {
+func (d *Leaseholder) publish() {
 	var out []Status
 	for _, h := range d.holdings {
 		s := Status{Duty: h.name, Held: h.held != 0}
@@ -26,4 +26,4 @@
 }
 
 // Status returns what is known of the duties here.
-func (d *Desk) Status() []Status { return *d.status.Load() }
+func (d *Leaseholder) Status() []Status { return *d.status.Load() }
--- a/daemon/exchange/ended.go
+++ b/daemon/exchange/ended.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// serverEnded tells what was under way at a server that has ended without a word. What a
+// serverEnded tells what was under way at a server that has ended without notice. What a
 // server leaves behind that was to go, or is no longer listed, tells nothing.
 func (e *Engine) serverEnded(p quarantine.Place) {
 	now := time.Now()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -74,20 +74,20 @@
 	// holds the addresses already hands them over here, so that nobody takes one between.
 	Listen func(ctx context.Context, addr string) (net.Listener, error)
 
-	log       log.Logger
-	logWriter *logwriter.Writer
-	keeper    *knowledge.Keeper
-	desk      *duties.Desk
-	peers     *peer.Transport
-	channels  *channel.Pool
-	engine    *exchange.Engine
-	reporter  *reporter
-	registry  *prometheus.Registry
-	unread    unread.Guard
-	callers   *server
-	readiness *server
-	admin     *server
-	phase     phase
+	log         log.Logger
+	logWriter   *logwriter.Writer
+	keeper      *knowledge.Keeper
+	leaseholder *duties.Leaseholder
+	peers       *peer.Transport
+	channels    *channel.Pool
+	engine      *exchange.Engine
+	reporter    *reporter
+	registry    *prometheus.Registry
+	unread      unread.Guard
+	callers     *server
+	readiness   *server
+	admin       *server
+	phase       phase
 
 	// settings are those in force; reloads asks for them to be read again.
 	settings    atomic.Pointer[settings.Gateway]
@@ -159,12 +159,12 @@
 	if g.Platform.Duties == nil || len(g.Platform.DutyNames) == 0 {
 		return
 	}
-	g.desk = duties.New()
-	g.desk.Self, g.desk.Start, g.desk.Log, g.desk.StoodStill = s.ID, g.Start, g.log, standstill.Total
-	g.desk.Settings = duties.Settings{Names: g.Platform.DutyNames, Lease: s.DutyLease, Window: s.UsageWindow, Late: s.UsageLate, Rate: s.DutyRate}
-	g.desk.Rows, g.desk.Platform, g.desk.Knowledge = g.Platform.DutyRows, g.Platform.Duties, g.keeper
-	g.desk.Prepare()
-	g.keeper.Desk, g.engine.Began = g.desk, g.desk.Began
+	g.leaseholder = duties.New()
+	g.leaseholder.Self, g.leaseholder.Start, g.leaseholder.Log, g.leaseholder.StoodStill = s.ID, g.Start, g.log, standstill.Total
+	g.leaseholder.Settings = duties.Settings{Names: g.Platform.DutyNames, Lease: s.DutyLease, Window: s.UsageWindow, Late: s.UsageLate, Rate: s.DutyRate}
+	g.leaseholder.Rows, g.leaseholder.Platform, g.leaseholder.Knowledge = g.Platform.DutyRows, g.Platform.Duties, g.keeper
+	g.leaseholder.Prepare()
+	g.keeper.Usage, g.engine.Began = g.leaseholder, g.leaseholder.Began
 }
 
 // sender carries the keeper's messages to other daemons.
@@ -197,8 +197,8 @@
 	coordination := suture.New("coordination", spec)
 	coordination.Add(supervise.Part{Name: "knowledge", Run: g.keeper.Run})
 	coordination.Add(supervise.Part{Name: "peers", Run: g.peers.Run})
-	if g.desk != nil {
-		coordination.Add(supervise.Part{Name: "duties", Run: g.desk.Run})
+	if g.leaseholder != nil {
+		coordination.Add(supervise.Part{Name: "duties", Run: g.leaseholder.Run})
 	}
 	serving := suture.New("serving", spec)
 	serving.Add(supervise.Part{Name: "callers", Run: g.callers.run})
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -44,7 +44,7 @@
 	counter("log_lines_dropped_total", "Log lines that found the backlog full or could not be written.", func() float64 { return float64(g.logWriter.Dropped()) })
 	counter("standstills_total", "Times that the VM has stood still.", func() float64 { return float64(g.keeper.Standstills.Load()) })
 	counter("rows_spoiled_total", "Rows of the store that came and do not decode.", func() float64 { return float64(g.keeper.Spoiled.Load()) })
-	counter("servers_ended_total", "Servers that ended without a word while requests of this daemon were under way there.", func() float64 { return float64(g.keeper.Ended.Load()) })
+	counter("servers_ended_total", "Servers that ended without notice while requests of this daemon were under way there.", func() float64 { return float64(g.keeper.Ended.Load()) })
 	counter("callers_unread_total", "Callers that were let go since they did not read their answer.", func() float64 { return float64(g.unread.Gone.Load()) })
 	gauge("held_answer_bytes", "Bytes of whole answers that are held for callers.", func() float64 { return float64(g.engine.Held()) })
 	gauge("requests_quarantined", "Requests that get no server, since servers ended under them.", func() float64 { return float64(len(g.keeper.View().Quarantine.Cases(time.Now()))) })
@@ -64,21 +64,21 @@
 
 // dutyMetrics registers what the daemon counts of duties.
 func (g *Gateway) dutyMetrics(counter func(name, help string, get func() float64)) {
-	if g.desk == nil {
+	if g.leaseholder == nil {
 		return
 	}
-	counter("duty_reports_total", "Reports of usage that the platform has taken from this daemon.", func() float64 { return float64(g.desk.Reports.Load()) })
-	counter("duty_orders_total", "Orders for servers that the platform has taken from this daemon.", func() float64 { return float64(g.desk.Orders.Load()) })
-	counter("duty_failures_total", "Calls for duties that the platform has not taken.", func() float64 { return float64(g.desk.Failures.Load()) })
-	counter("duty_store_calls_total", "Calls to the store about duties.", func() float64 { return float64(g.desk.Calls.Load()) })
+	counter("duty_reports_total", "Reports of usage that the platform has taken from this daemon.", func() float64 { return float64(g.leaseholder.Reports.Load()) })
+	counter("duty_orders_total", "Orders for servers that the platform has taken from this daemon.", func() float64 { return float64(g.leaseholder.Orders.Load()) })
+	counter("duty_failures_total", "Calls for duties that the platform has not taken.", func() float64 { return float64(g.leaseholder.Failures.Load()) })
+	counter("duty_store_calls_total", "Calls to the store about duties.", func() float64 { return float64(g.leaseholder.Calls.Load()) })
 }
 
 // Duties returns what this daemon knows of each duty.
 func (g *Gateway) Duties() []duties.Status {
-	if g.desk == nil {
+	if g.leaseholder == nil {
 		return []duties.Status{}
 	}
-	return g.desk.Status()
+	return g.leaseholder.Status()
 }
 
 // adminHandler serves operators.
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -80,14 +80,14 @@
 		return
 	}
 	m := k.rollouts.message(k.Self.Start, k.Self.Hall, k.rollouts.totals(), k.rollouts.oldInFlight(own))
-	for _, other := range k.abroad() {
+	for _, other := range k.readersOfOtherHalls() {
 		k.Peers.Send(other.ID, other.Addr, m)
 	}
 }
 
-// abroad are the daemons that read for the other halls: the first two in the
+// readersOfOtherHalls are the daemons that read for the other halls: the first two in the
 // order of each, since one of them may be gone.
-func (k *Keeper) abroad() []Member {
+func (k *Keeper) readersOfOtherHalls() []Member {
 	halls := map[string][]Member{}
 	for _, m := range k.others() {
 		if m.Hall != k.Self.Hall {
@@ -102,13 +102,13 @@
 	return out
 }
 
-// tellAbroad tells the likely readers of other halls.
-func (k *Keeper) tellAbroad(m relay.Tell) { k.tellAbroadAnd(Member{}, m) }
+// broadcast sends a message to the likely readers of other halls.
+func (k *Keeper) broadcast(m relay.Tell) { k.broadcastWith(Member{}, m) }
 
-// tellAbroadAnd tells them and another daemon, unless that is this one or none.
-func (k *Keeper) tellAbroadAnd(more Member, m relay.Tell) {
+// broadcastWith sends it to them and another daemon, unless that is this one or none.
+func (k *Keeper) broadcastWith(more Member, m relay.Tell) {
 	to := map[string]string{}
-	for _, other := range append(k.abroad(), more) {
+	for _, other := range append(k.readersOfOtherHalls(), more) {
 		to[other.ID] = other.Addr
 	}
 	delete(to, "")
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -72,8 +72,8 @@
 	// Rate is how many requests for a service this daemon gets a second; nil is
 	// unknown.
 	Rate func(service string) float64
-	// Desk has what daemons tell each other of duties; nil is nothing.
-	Desk Desk
+	// Usage is what daemons exchange of usage; nil is nothing.
+	Usage UsageExchange
 	// BeganAgain, if set, is told of a server that has begun again under its id, as it was
 	// before.
 	BeganAgain func(was *fleet.Server)
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -136,7 +136,7 @@
 	}
 	k.listeners[to] = now
 	k.askedSessions(m.Sessions, now)
-	k.heardUsage(m.Usage)
+	k.mergeUsage(m.Usage)
 	tell := relay.Tell{Nonce: m.Nonce, Withdrawn: k.rollouts.withdrawnNames(), Cut: k.cut(now), Work: k.askedWork(member, m.Work, now)}
 	for _, have := range m.Have {
 		t := k.topics[have.Topic]
@@ -230,7 +230,7 @@
 		k.rollouts.withdrawNamed(name)
 	}
 	k.toldWork(from, m, now)
-	k.heardUsage(m.Usage)
+	k.mergeUsage(m.Usage)
 	if m.Found {
 		k.found(from, now)
 	}
@@ -238,8 +238,8 @@
 	if m.Nonce != 0 && (!ok || now.Sub(asked) > askedFor) {
 		return
 	}
-	if ok && k.Desk != nil {
-		k.Desk.Answered(m.Nonce)
+	if ok && k.Usage != nil {
+		k.Usage.Acknowledged(m.Nonce)
 	}
 	for _, known := range m.Known {
 		t := k.topics[known.Topic]
--- a/daemon/knowledge/quarantine.go
+++ b/daemon/knowledge/quarantine.go
@@ -35,9 +35,9 @@
 // crashNews is a crash that is to be told, and how often still.
 type crashNews struct {
 	crash quarantine.Crash
-	// abroad tells that other halls do not know it.
-	abroad bool
-	left   int
+	// otherHalls tells that other halls do not know it yet.
+	otherHalls bool
+	left       int
 }
 
 // retellFor is how long after it a daemon tells a crash again that it has seen itself, once
@@ -82,7 +82,7 @@
 // crashed takes servers that ended under requests of this daemon.
 func (k *Keeper) crashed(e crashed, now time.Time) {
 	for _, c := range e.crashes {
-		k.spread(crashNews{crash: c, abroad: true, left: crashTold})
+		k.spread(crashNews{crash: c, otherHalls: true, left: crashTold})
 		k.noteQuarantine(c.Content, now, confined{due: now, own: true})
 	}
 	k.ownCrashes = append(k.ownCrashes, e.crashes...)
@@ -101,7 +101,7 @@
 	}
 	k.crashReader = reader.ID
 	for _, c := range k.ownCrashes {
-		k.spread(crashNews{crash: c, abroad: true, left: crashTold})
+		k.spread(crashNews{crash: c, otherHalls: true, left: crashTold})
 	}
 }
 
@@ -115,7 +115,7 @@
 			continue
 		}
 		if k.reading.Load() {
-			k.spread(crashNews{crash: c, abroad: known && m.Hall == k.Self.Hall, left: crashTold})
+			k.spread(crashNews{crash: c, otherHalls: known && m.Hall == k.Self.Hall, left: crashTold})
 		}
 		k.noteQuarantine(c.Content, now, confined{due: now.Add(k.turnAfter(canary.RolledBack))})
 	}
@@ -139,7 +139,7 @@
 	if !k.reading.Load() && !ok {
 		return
 	}
-	var all, abroad []relay.Crash
+	var all, otherHalls []relay.Crash
 	var waiting []crashNews
 	for i, n := range k.crashNews {
 		if i >= crashesAtOnce {
@@ -148,8 +148,8 @@
 		}
 		c := relay.Crash{Content: uint64(n.crash.Content), Server: n.crash.Server, AgeMS: uint64(max(0, now.Sub(n.crash.At).Milliseconds()))}
 		all = append(all, c)
-		if n.abroad {
-			abroad = append(abroad, c)
+		if n.otherHalls {
+			otherHalls = append(otherHalls, c)
 		}
 		if n.left--; n.left > 0 {
 			waiting = append(waiting, n)
@@ -163,8 +163,8 @@
 	if to := k.hallAudience(now); len(to) > 0 {
 		k.Peers.SendAll(to, relay.Tell{Crashes: all})
 	}
-	if len(abroad) > 0 {
-		k.tellAbroad(relay.Tell{Crashes: abroad})
+	if len(otherHalls) > 0 {
+		k.broadcast(relay.Tell{Crashes: otherHalls})
 	}
 }
 
--- a/daemon/knowledge/sessions.go
+++ b/daemon/knowledge/sessions.go
@@ -110,7 +110,7 @@
 	if len(own) == 0 {
 		return
 	}
-	k.tellAbroad(relay.Tell{Sessions: own})
+	k.broadcast(relay.Tell{Sessions: own})
 }
 
 // hallAudience are the daemons of this hall that this one reads for. Those of
--- a/daemon/knowledge/work.go
+++ b/daemon/knowledge/work.go
@@ -78,6 +78,6 @@
 	}
 	k.workAbroadAt = now
 	b := k.workBoard()
-	k.tellAbroad(relay.Tell{Work: b.Hall(k.ownWork(), now)})
+	k.broadcast(relay.Tell{Work: b.Hall(k.ownWork(), now)})
 	k.View().Servers.Crowd(b.Others(now), now)
 }
