--- a/core/retry/patience.go
+++ b/core/retry/patience.go
@@ -31,11 +31,8 @@
 // Patience is how long a server may take to the first part of an answer before another one
 // is asked, by the route's objective and the time left; 0 is as long as there is time.
 //
-// Nobody is given up where another server would have no time left for what answers take:
-// requests that came with less than a tenth of a second left, as callers' second attempts
-// do, were cut at three servers in turn after 40, 16 and 10 ms, each of which had begun to
-// work on them. Of 742 requests without an answer in a day with a hall cut off those were
-// 11, by their log lines.
+// Nobody is given up where another server would have no time left for what answers take: a
+// request with little time would otherwise be cut at one server after the other.
 func Patience(e Expected, objective, left time.Duration) time.Duration {
 	if e.Now > objective/busyPart {
 		return 0
