--- a/daemon/duties/duties.go
+++ b/daemon/duties/duties.go
@@ -31,8 +31,10 @@
 	Unanswered Kind = "unanswered"
 	// Declined is a call that was not carried out, for now.
 	Declined Kind = "declined"
-	// Forbidden is a call that was not carried out since a later holder has called, or, of an
-	// order, since there is nothing to be had.
+	// Overtaken is a call that was not carried out since a later holder has called.
+	Overtaken Kind = "overtaken"
+	// Forbidden is an order that was not carried out since a later holder has called, or
+	// since there is nothing to be had.
 	Forbidden Kind = "forbidden"
 	// Malformed is a row that does not decode.
 	Malformed Kind = "malformed"
@@ -255,7 +257,10 @@
 		e.to.restUntil = time.Now().Add(e.to.rest)
 		d.Log.Warn().Str("duty", string(e.to.name)).Uint64("token", e.by.Token).Err(e.err).Msg("duty: the platform has not taken a call")
 	}
-	if fault.Is(e.err, Forbidden) {
+	switch {
+	case fault.Is(e.err, Overtaken):
+		e.to.claim.Step(duty.Overtaken{}, d.clock())
+	case fault.Is(e.err, Forbidden):
 		e.to.claim.Step(duty.Doubted{}, d.clock())
 	}
 	e.done(e.err)
--- a/daemon/duties/harness_test.go
+++ b/daemon/duties/harness_test.go
@@ -93,6 +93,9 @@
 	return w.version, nil
 }
 
+// usageSubject is what reports of usage are about.
+const usageSubject = "usage"
+
 // platform plays the platform's interface for duties, and notes what it must not be told.
 type platform struct {
 	t  *testing.T
@@ -102,6 +105,8 @@
 	holders map[string]string
 	reports map[usage.Window][]usage.Count
 	orders  []sizing.Order
+	// refused counts the calls that were refused, by their token.
+	refused map[uint64]int
 	// mute answers no call, and keeps the orders to be carried out later.
 	mute bool
 	kept []keptOrder
@@ -114,13 +119,18 @@
 }
 
 func newPlatform(t *testing.T) *platform {
-	return &platform{t: t, highest: map[string]uint64{}, holders: map[string]string{}, reports: map[usage.Window][]usage.Count{}, none: map[string]bool{}}
+	return &platform{t: t, highest: map[string]uint64{}, holders: map[string]string{}, reports: map[usage.Window][]usage.Count{}, refused: map[uint64]int{}, none: map[string]bool{}}
 }
 
 // admit takes a caller's token, or refuses it; the platform is locked.
 func (p *platform) admit(subject string, by duties.Signature) error {
 	if by.Token < p.highest[subject] {
-		return &duties.Error{Op: "call platform", Kind: duties.Forbidden}
+		p.refused[by.Token]++
+		kind := duties.Forbidden
+		if subject == usageSubject {
+			kind = duties.Overtaken
+		}
+		return &duties.Error{Op: "call platform", Kind: kind}
 	}
 	p.highest[subject] = by.Token
 	who := subject + " " + strconv.FormatUint(by.Token, 10)
@@ -138,7 +148,7 @@
 	if p.mute {
 		return &duties.Error{Op: "report", Kind: duties.Unanswered}
 	}
-	if err := p.admit("usage", by); err != nil {
+	if err := p.admit(usageSubject, by); err != nil {
 		return err
 	}
 	if was, ok := p.reports[r.Window]; ok && !slices.Equal(was, r.Counts) {
--- a/daemon/duties/leaseholder_test.go
+++ b/daemon/duties/leaseholder_test.go
@@ -58,6 +58,31 @@
 	})
 }
 
+// A holder whose row still stands, but whose token the platform refuses, does not go on
+// with that token.
+func TestOvertakenHolderDoesNotReportUnderItsToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, duty.Usage)
+		s.start(t.Context())
+		s.play(20 * time.Second)
+		before := len(s.platform.reported())
+		s.platform.mu.Lock()
+		s.platform.highest[usageSubject] += 3
+		s.platform.mu.Unlock()
+		s.play(60 * time.Second)
+		s.platform.mu.Lock()
+		defer s.platform.mu.Unlock()
+		for token, n := range s.platform.refused {
+			if n > 1 {
+				t.Errorf("%d calls were refused under token %d", n, token)
+			}
+		}
+		if len(s.platform.refused) == 0 || len(s.platform.reports) < before+8 {
+			t.Errorf("%d refused tokens, %d reports after %d", len(s.platform.refused), len(s.platform.reports), before)
+		}
+	})
+}
+
 // All renewals are done and none of them is answered: the holder reads its row again, and goes
 // on with its token.
 func TestHolderWhoseAnswersAreLostLosesNothing(t *testing.T) {
@@ -219,7 +244,7 @@
 
 // The supervisor runs a part again that has failed. The leases were measured from when the part
 // began to run, so that one that was over seemed to last for as long as the daemon had run.
-func TestDeskThatIsRunAgainGoesOnFromItsRows(t *testing.T) {
+func TestLeaseholderThatIsRunAgainGoesOnFromItsRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1, duty.Usage)
 		first, cancel := context.WithCancel(t.Context())
