--- a/core/retry/restarts_test.go
+++ b/core/retry/restarts_test.go
@@ -162,7 +162,7 @@
 			return nil
 		},
 		"in turn": func(at time.Duration) []int {
-			every := 10 * s / time.Duration(daemons) / tick * tick
+			every := (10 * s / time.Duration(daemons)).Truncate(tick)
 			if at >= 12*s && at < 32*s && at%max(tick, every) == 0 {
 				return some(int(at/max(tick, every)), max(1, int(tick*time.Duration(daemons)/(10*s))))
 			}
