--- a/measure/days.bash
+++ b/measure/days.bash
@@ -1,16 +1,31 @@
 # Functions of the scripts that draw days and play them, sourced by them. They use
-# bench, site, keep, service and twin, and SMALL and JOBS of the environment.
+# bench, site, keep, service, twin, plan and faults, and SMALL and JOBS of the environment.
 
-# between draws a number between two bounds, in hundredths.
-between() { awk -v a="$1" -v b="$2" -v r="$RANDOM" 'BEGIN{printf "%.2f", a+(b-a)*r/32767}'; }
+# A command substitution seeds RANDOM anew: what draws returns its result in a variable, so
+# that the same seed draws the same day.
 
-# drawn fills in the numbers of an entry: %A-B% is drawn between A and B.
-drawn() {
-	local entry=${1//SERVICE/$service}
+# between draws a number between two bounds, in hundredths, into number.
+between() {
+	local r=$RANDOM
+	number=$(awk -v a="$1" -v b="$2" -v r="$r" 'BEGIN{printf "%.2f", a+(b-a)*r/32767}')
+}
+
+# fill fills in the numbers of an entry, into entry: %A-B% is drawn between A and B.
+fill() {
+	entry=${1//SERVICE/$service}
+	local range
 	while [[ $entry =~ %([0-9.]+)-([0-9.]+)% ]]; do
-		entry=${entry/"${BASH_REMATCH[0]}"/$(between "${BASH_REMATCH[1]}" "${BASH_REMATCH[2]}")}
+		range=${BASH_REMATCH[0]}
+		between "${BASH_REMATCH[1]}" "${BASH_REMATCH[2]}"
+		entry=${entry/"$range"/$number}
 	done
-	echo "$entry"
+}
+
+# add puts an entry at a time into plan or faults, as its first word says.
+add() {
+	local at=$1 entry
+	fill "${2#*|}"
+	if [[ $2 == plan* ]]; then plan+="{ at = $at, $entry }, "; else faults+="{ at = $at, $entry }, "; fi
 }
 
 # write_day writes a day to a file: its name, seed, length in seconds, plan and faults.
--- a/measure/pairs.sh
+++ b/measure/pairs.sh
@@ -68,25 +68,22 @@
 
 # day draws a day by its seed and writes it to a file.
 day() {
-	local seed=$1 file=$2 plan='' faults='' n kind entry at
+	local seed=$1 file=$2 plan='' faults='' n kind
 	RANDOM=$seed
 	if ((RANDOM % 4)); then
-		kind=${rollouts[RANDOM % ${#rollouts[@]}]}
-		plan="{ at = 2.0, $(drawn "${kind#*|}") }, "
+		add 2.0 "${rollouts[RANDOM % ${#rollouts[@]}]}"
 	fi
 	n=$((1 + RANDOM % 2))
 	[[ -n $plan ]] || n=2
 	while ((n--)); do
 		kind=${others[RANDOM % ${#others[@]}]}
-		RANDOM=$((seed * 31 + n))
-		at=$(between 1 20)
-		entry="{ at = $at, $(drawn "${kind#*|}") }, "
-		if [[ $kind == plan* ]]; then plan+=$entry; else faults+=$entry; fi
+		between 1 20
+		add "$number" "$kind"
 	done
 	if [[ -n ${COLD:-} ]]; then
 		kind=${cold[RANDOM % ${#cold[@]}]}
-		entry="{ at = $(between 1 18), $(drawn "${kind#*|}") }, "
-		if [[ $kind == plan* ]]; then plan+=$entry; else faults+=$entry; fi
+		between 1 18
+		add "$number" "$kind"
 	fi
 	write_day "$file" "pairs-$seed" "$seed" 34.0 "$plan" "$faults"
 }
--- a/measure/restarts.sh
+++ b/measure/restarts.sh
@@ -46,20 +46,14 @@
 )
 plan='' faults=''
 
-# add puts an entry at a time into the day.
-add() {
-	local entry
-	entry="{ at = $1, $(drawn "${2#*|}") }, "
-	if [[ $2 == plan* ]]; then plan+=$entry; else faults+=$entry; fi
-}
-
 # draw draws a day by its seed and writes it to a file.
 draw() {
 	local seed=$1 file=$2 at from span n end
 	RANDOM=$seed
 	plan='' faults=''
 	service=${services[RANDOM % ${#services[@]}]}
-	from=$(between 3 7) span=$(between 8 16)
+	between 3 7 && from=$number
+	between 8 16 && span=$number
 	add "$from" "faults|kind=\"srv_grey\",service=\"SERVICE\",share=1.0,x=%0.6-1%,how=\"errors\",for_s=$span"
 	if [[ -n ${EVERY:-} ]]; then
 		for at in $(seq "$from" "$EVERY" "$(awk -v a="$from" -v b="$span" 'BEGIN{print a+b}')"); do add "$at" "${ends[0]}"; done
@@ -67,11 +61,16 @@
 		n=$((2 + RANDOM % 3))
 		while ((n--)); do
 			end=${ends[RANDOM % ${#ends[@]}]}
-			add "$(awk -v a="$from" -v b="$span" -v r="$(between 0.05 0.95)" 'BEGIN{printf "%.2f", a+b*r}')" "$end"
+			between 0.05 0.95
+			at=$(awk -v a="$from" -v b="$span" -v r="$number" 'BEGIN{printf "%.2f", a+b*r}')
+			add "$at" "$end"
 		done
 	fi
 	n=${TROUBLES:-3}
-	while ((n-- > 0)); do add "$(between 2 16)" "${troubles[RANDOM % ${#troubles[@]}]}"; done
+	while ((n-- > 0)); do
+		between 2 16
+		add "$number" "${troubles[RANDOM % ${#troubles[@]}]}"
+	done
 	write_day "$file" "restarts-$seed" "$seed" 23.0 "$plan" "$faults"
 }
 
