Sight: what servers say of the rate that they take is read, logged, counted and in the dump

Callers of the licence desk's servers saw nothing; operators saw servers that had named a limit get as many requests as before. No line, metric or dump could tell whether a daemon had read the limit. A line now tells when a limit begins, changes and ends, server_notices_total counts the answers that name one, and the dump has it by server. Nothing is decided by it yet.

What an answer says is put in order by when its request was sent: one that was under way when the last word was heard may only lower the limit. Malformed limits change nothing and are logged once.

--- a/core/notice/kept.go
+++ b/core/notice/kept.go
@@ -17,6 +17,8 @@
 	LeavingAt time.Time
 	// RestUntil is the latest time until which it wants no requests.
 	RestUntil time.Time
+	// Limit is the rate that it takes from all daemons together.
+	Limit Standing
 }
 
 // With returns what is kept after one more notice. A shorter rest does not end a longer one:
@@ -89,6 +91,20 @@
 	return n.Leaving && !was.Leaving() || n.Rest > 0 && !was.Resting(now)
 }
 
+// HearLimit keeps what an answer says of the server's limit, and returns what stood before and
+// what stands now. The request of the answer was sent at asked; from is the daemon that has
+// told of it, "" for an answer to a request of this one.
+func (h *Held) HearLimit(l Limit, asked, heard time.Time, from string) (was, is Standing) {
+	if old := h.kept.Load(); old == nil && l.Rate == 0 && l.Malformed == "" {
+		return Standing{}, Standing{}
+	}
+	old := h.replace(func(k Kept) Kept {
+		k.Limit = k.Limit.With(l, asked, heard, from)
+		return k
+	}).Limit
+	return old, old.With(l, asked, heard, from)
+}
+
 // Stays notes that the server has said at a time that it does not leave.
 func (h *Held) Stays(at time.Time) { h.replace(func(k Kept) Kept { return k.WithStay(at) }) }
 
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -1,5 +1,5 @@
 // Package notice is what a backend server says of itself with an answer: that it ends soon,
-// or that it wants no requests for a time.
+// that it wants no requests for a time, or how many it takes a second.
 package notice
 
 import (
@@ -16,10 +16,14 @@
 	// Rest is how long the server wants no requests from whom it answers; 0 asks for
 	// none.
 	Rest time.Duration
+	// Limit is the rate that the server takes from all daemons together.
+	Limit Limit
 }
 
 // Says reports whether the notice says anything.
-func (n Notice) Says() bool { return n.Leaving || n.Rest > 0 }
+func (n Notice) Says() bool {
+	return n.Leaving || n.Rest > 0 || n.Limit.Rate > 0 || n.Limit.Malformed != ""
+}
 
 // String is the notice for a log line, "" if it says nothing.
 func (n Notice) String() string {
@@ -30,6 +34,12 @@
 	if n.Rest > 0 {
 		words = append(words, "wants rest "+n.Rest.Round(time.Millisecond).String())
 	}
+	if n.Limit.Rate > 0 {
+		words = append(words, "takes "+strconv.FormatFloat(n.Limit.Rate, 'g', 4, 64)+" a second")
+	}
+	if n.Limit.Malformed != "" {
+		words = append(words, "names a limit that is none: "+strconv.Quote(n.Limit.Malformed))
+	}
 	return strings.Join(words, ", ")
 }
 
--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -230,9 +230,12 @@
 // hear keeps what a server says of itself with an answer, whatever becomes of that.
 func (j *job) hear(a *attempt, now time.Time) {
 	n := a.head.Notice
-	if n.Says() && a.server.Load.Notices.Hear(n, now) && j.engine.Noticed != nil {
+	if (n.Leaving || n.Rest > 0) && a.server.Load.Notices.Hear(n, now) && j.engine.Noticed != nil {
 		j.engine.Noticed(a.server, n)
 	}
+	if was, is := a.server.Load.Notices.HearLimit(n.Limit, a.sent, now, ""); is.Differs(was) && j.engine.Limited != nil {
+		j.engine.Limited(a.server, was, is)
+	}
 }
 
 // errNotOpen stops a request whose server has said meanwhile that it takes none.
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"ladderridge.example/core/fleet"
 	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/peer"
 )
@@ -70,6 +71,8 @@
 	// longer it wants no requests.
 	SaysLeaving bool  `json:"says_leaving"`
 	WantsRestMS int64 `json:"wants_rest_ms"`
+	// Limit is the rate that it takes from all daemons, if it names one.
+	Limit *LimitDump `json:"limit,omitempty"`
 	// Emptied tells that its data hall is emptied; ColdMS is how much longer it is cold
 	// and ColdMost how many requests this daemon may then send in a second.
 	Emptied  bool  `json:"emptied"`
@@ -77,6 +80,25 @@
 	ColdMost int   `json:"cold_most"`
 }
 
+// LimitDump is the limit that a server names.
+type LimitDump struct {
+	// PerSecond is what it takes from all daemons together.
+	PerSecond float64 `json:"per_second"`
+	// SinceMS is how long this daemon has known it, in milliseconds.
+	SinceMS int64 `json:"since_ms"`
+	// ToldBy is the daemon that has told it, "" an answer to a request of this one.
+	ToldBy string `json:"told_by"`
+}
+
+// limitDump returns the limit of a server, nil if it has none.
+func limitDump(s *fleet.Server, now time.Time) *LimitDump {
+	is := s.Load.Notices.Kept().Limit
+	if is.Rate == 0 {
+		return nil
+	}
+	return &LimitDump{PerSecond: is.Rate, SinceMS: now.Sub(is.Since).Milliseconds(), ToldBy: is.From}
+}
+
 // Dump returns the state of the whole process.
 func (g *Gateway) Dump() Dump {
 	v := g.keeper.View()
@@ -111,6 +133,7 @@
 		}
 		kept := s.Load.Notices.Kept()
 		out.SaysLeaving = kept.Leaving()
+		out.Limit = limitDump(s, now)
 		if kept.Resting(now) {
 			out.WantsRestMS = kept.RestUntil.Sub(now).Milliseconds()
 		}
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -68,7 +68,7 @@
 			[]string{"route"}),
 		tries: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Attempts at servers, by service and version."},
 			[]string{"service", "version"}),
-		notices: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_notices_total", Help: "Answers with which a server said that it leaves, or asked for rest."},
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "server_notices_total", Help: "Answers with which a server said that it leaves, asked for rest, or named a limit."},
 			[]string{"service", "notice"}),
 		fine: quota{perSecond: fineLines}, wrong: quota{perSecond: wrongLines},
 	}
@@ -117,6 +117,21 @@
 	r.log.Info().Str("server", s.Incarnation().String()).Str("service", s.Service).Bool("listed_leaving", s.Leaving).Stringer("notice", n).Msg("server: says of itself what it takes")
 }
 
+// limited logs a server whose limit begins, changes or ends.
+func (r *reporter) limited(s *fleet.Server, was, is notice.Standing) {
+	e, what := r.log.Info(), "server: its limit has changed"
+	switch {
+	case is.Rate == was.Rate:
+		e, what = r.log.Warn(), "server: names a limit that is none: what stood before stands"
+	case was.Rate == 0:
+		what = "server: names a limit"
+	case is.Rate == 0:
+		what = "server: its limit has ended"
+	}
+	e.Str("server", s.Incarnation().String()).Str("service", s.Service).Float64("per_second", is.Rate).Float64("was", was.Rate).
+		Str("told_by", is.From).Str("malformed", is.Malformed).Dur("stood", is.Heard.Sub(was.Since)).Msg(what)
+}
+
 // countNotices counts what servers said of themselves in answers.
 func (r *reporter) countNotices(rep exchange.Report) {
 	for _, t := range rep.Tries {
@@ -126,6 +141,12 @@
 		if t.Notice.Rest > 0 {
 			r.notices.WithLabelValues(rep.Service, "rest").Inc()
 		}
+		if t.Notice.Limit.Rate > 0 {
+			r.notices.WithLabelValues(rep.Service, "limit").Inc()
+		}
+		if t.Notice.Limit.Malformed != "" {
+			r.notices.WithLabelValues(rep.Service, "malformed limit").Inc()
+		}
 	}
 }
 
