--- a/soak/backend.go
+++ b/soak/backend.go
@@ -32,6 +32,9 @@
 	name    string
 	fault   standin.RunnerFault
 	present bool
+	// word is what the present start says of itself, but for its limit.
+	word  standin.Word
+	limit string
 	// deaths is how often a deadly request has ended it.
 	deaths atomic.Uint64
 	// retired servers do not start anew.
@@ -86,7 +89,7 @@
 		b.site.oracle.arrived(Arrival{ID: id, Server: r.ID, Start: start, Word: w, At: time.Now()})
 	}
 	r.Play(b.fault)
-	b.runner, b.present = r, true
+	b.runner, b.present, b.word, b.limit = r, true, standin.Word{}, ""
 	return b.list(false)
 }
 
@@ -135,7 +138,7 @@
 func (b *backend) leave() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.runner.Say(standin.Word{Leaving: true})
+	b.tell(standin.Word{Leaving: true}, b.limit)
 	if err := b.list(true); err == nil {
 		b.site.oracle.left(Incarnation{Server: b.runner.ID, Start: b.starts}, time.Now())
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,7 @@
 	}
 	c.backwards()
 	c.heeded()
+	c.limited()
 	for _, o := range s.Orders {
 		if o.Bad && o.State == standin.RolloutCompleted {
 			c.found("VERDICT", "version %s fails and was completed", o.Version)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -70,6 +70,14 @@
 	}
 }
 
+// limits has the server name two requests a second for ten seconds, in which it gets some.
+func limits(s *soak.Seen, n int) {
+	for i := range n {
+		another(s, fmt.Sprintf("limited-%d", i), 10*float64(i)/float64(n), standin.Word{Limit: "2"})
+		s.Asks[len(s.Asks)-1].Reply.Limit = "2"
+	}
+}
+
 // TestEachRuleNoticesItsFault spoils what was seen, one thing at a time.
 func TestEachRuleNoticesItsFault(t *testing.T) {
 	refused := standin.Reply{Status: http.StatusServiceUnavailable, Whole: true}
@@ -142,6 +150,12 @@
 		{"", func(s *soak.Seen) { rests(s, 2, 1) }},
 		{"", func(s *soak.Seen) { rests(s, 3, 0.3) }},
 		{"", func(s *soak.Seen) { rests(s, 3, 4) }},
+		{"LIMIT", func(s *soak.Seen) { limits(s, 50) }},
+		{"", func(s *soak.Seen) { limits(s, 40) }},
+		{"", func(s *soak.Seen) {
+			limits(s, 50)
+			s.Spans = []soak.Span{{Daemon: 0, Trouble: soak.Pause, From: after(9), To: after(21)}}
+		}},
 		{"RETURN", func(s *soak.Seen) { s.Settled, s.Asks[0].Reply = after(5), cut }},
 	} {
 		a, r := good()
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -68,10 +68,17 @@
 func (b *backend) say(w standin.Word) (start int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.runner.Say(w)
+	b.tell(w, b.limit)
 	return b.starts
 }
 
+// tell has the server say something and name a limit; b is locked.
+func (b *backend) tell(w standin.Word, limit string) {
+	b.word, b.limit = w, limit
+	w.Limit = limit
+	b.runner.Say(w)
+}
+
 // stands reports whether a start of the server is there: one that has ended has its own time
 // to be back.
 func (b *backend) stands(start int) bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -81,7 +81,7 @@
 	}
 	callers := newCallers(s, o)
 	callers.start(ctx)
-	poison, stranger, moods := newDeadly(s, o.Seed), newStranger(s, o.Seed), newMoods(s, o.Seed)
+	poison, stranger, moods, limits := newDeadly(s, o.Seed), newStranger(s, o.Seed), newMoods(s, o.Seed), newLimiter(s, o.Seed)
 	if o.Deadly {
 		poison.start(ctx)
 	}
@@ -90,12 +90,14 @@
 	}
 	if o.Moods {
 		moods.start(ctx)
+		limits.start(ctx)
 	}
 	s.play(ctx, plan)
 	moods.stop()
 	back := s.awaitReady(ctx, returnWithin)
 	s.oracle.settled(time.Now())
 	clock.Wait(ctx, settleTime)
+	limits.stop()
 	callers.stop()
 	poison.stop()
 	stranger.stop()
