--- a/soak/soak.go
+++ b/soak/soak.go
@@ -94,10 +94,10 @@
 	}
 	s.play(ctx, plan)
 	moods.stop()
+	limits.stop()
 	back := s.awaitReady(ctx, returnWithin)
 	s.oracle.settled(time.Now())
 	clock.Wait(ctx, settleTime)
-	limits.stop()
 	callers.stop()
 	poison.stop()
 	stranger.stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,7 +87,7 @@
 // TestShortRunWithStrangers has a caller come again and again with a request that ends its
 // servers, which begin again under their id or another one, and spoiled entries, besides.
 func TestShortRunWithStrangers(t *testing.T) {
-	report := run(t, soak.Options{Seed: 3, Daemons: 3, Length: 3 * time.Second, Deadly: true, Stranger: true, Moods: true})
+	report := run(t, soak.Options{Seed: 3, Daemons: 3, Length: 6 * time.Second, Deadly: true, Stranger: true, Moods: true})
 	if len(report.Findings) > 0 {
 		t.Error(report)
 	}
