--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"time"
+
+	"ladderridge.example/core/revision"
 )
 
 // State is what has become of a roll-out.
@@ -36,8 +38,22 @@
 	Version string
 	// Within is how long the operator gives.
 	Within time.Duration
-	// Number is that of the row with the order; a later order has a higher one.
-	Number uint64
+	// Number is that of the row with the order; a later order has a later one.
+	Number revision.Revision
+}
+
+// Same reports whether another order asks for the same.
+func (o Order) Same(other Order) bool {
+	return o.Service == other.Service && o.Version == other.Version && o.Within == other.Within
+}
+
+// Has reports whether a state is one of this order. An order that the operator has written again
+// after the store returned from a copy has another number than the one that the state names.
+func (o Order) Has(p Progress) bool {
+	if p.Order.Era == o.Number.Era || p.Order.Era == 0 {
+		return p.Order.Number == o.Number.Number
+	}
+	return p.Version == o.Version
 }
 
 // Progress is the state of an order that all daemons share.
@@ -47,7 +63,7 @@
 	// SinceMS is when the order was first seen, by the store's clock.
 	SinceMS uint64
 	// Order is the number of the order that it belongs to.
-	Order uint64
+	Order revision.Revision
 	// First is the share of the sessions that the new version has until it is
 	// opened to all.
 	First float64
--- a/core/duty/claim.go
+++ b/core/duty/claim.go
@@ -1,6 +1,10 @@
 package duty
 
-import "time"
+import (
+	"time"
+
+	"ladderridge.example/core/revision"
+)
 
 const (
 	// renewPart is the part of a lease, as a divisor, after which the holder renews it: so
@@ -31,7 +35,7 @@
 	// first known to stand.
 	known   bool
 	record  Record
-	version uint64
+	version revision.Revision
 	seenAt  time.Duration
 	// readAt is when the row was last asked for, doubtful tells that it must be before
 	// anything else.
@@ -158,7 +162,7 @@
 // free reports whether nobody holds the duty: there is no row, or it has stood unchanged for
 // a whole lease since it was first seen, which is later than it was written.
 func (c *Claim) free(now time.Duration) bool {
-	return c.known && (c.version == 0 || now-c.seenAt >= c.Lease)
+	return c.known && (c.version.Number == 0 || now-c.seenAt >= c.Lease)
 }
 
 // Holds reports whether this daemon holds the duty, and by which token. It is asked right
@@ -186,4 +190,4 @@
 func (c *Claim) Raise() { c.raise = true }
 
 // Record returns the row as it was last known.
-func (c *Claim) Record() (r Record, ok bool) { return c.record, c.known && c.version != 0 }
+func (c *Claim) Record() (r Record, ok bool) { return c.record, c.known && c.version.Number != 0 }
--- a/core/duty/claim_test.go
+++ b/core/duty/claim_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ladderridge.example/core/duty"
+	"ladderridge.example/core/revision"
 )
 
 const lease = 3 * time.Second
@@ -19,14 +20,14 @@
 func (s *store) serve(c *duty.Claim, o duty.Order, now time.Duration) {
 	switch o := o.(type) {
 	case duty.ReadRow:
-		c.Step(duty.Read{Record: s.row, Version: s.version}, now)
+		c.Step(duty.Read{Record: s.row, Version: revision.New(1, s.version)}, now)
 	case duty.WriteRow:
-		if o.Was != s.version {
+		if o.Was != revision.New(1, s.version) {
 			c.Step(duty.Conflict{}, now)
 			return
 		}
 		s.row, s.version = o.Record, s.version+1
-		c.Step(duty.Written{Version: s.version}, now)
+		c.Step(duty.Written{Version: revision.New(1, s.version)}, now)
 	}
 }
 
--- a/core/duty/explore_test.go
+++ b/core/duty/explore_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ladderridge.example/core/duty"
+	"ladderridge.example/core/revision"
 )
 
 // Every order of events of a small world is played: daemons that look, write and act, calls
@@ -69,7 +70,7 @@
 
 // apply does a write if its condition holds.
 func (w *world) apply(c duty.WriteRow) bool {
-	if c.Was != w.version {
+	if c.Was.Number != w.version {
 		return false
 	}
 	w.row, w.version = c.Record, w.version+1
@@ -102,7 +103,7 @@
 		ticked := w
 		switch o := ticked.claims[i].Step(duty.Tick{Contend: true}, w.now).(type) {
 		case duty.ReadRow:
-			ticked.claims[i].Step(duty.Read{Record: w.row, Version: w.version}, w.now)
+			ticked.claims[i].Step(duty.Read{Record: w.row, Version: revision.New(1, w.version)}, w.now)
 		case duty.WriteRow:
 			ticked.calls[i] = call{waits: true, write: o}
 		}
@@ -137,7 +138,7 @@
 	switch o {
 	case answered:
 		if w.apply(c.write) {
-			w.claims[i].Step(duty.Written{Version: w.version}, w.now)
+			w.claims[i].Step(duty.Written{Version: revision.New(1, w.version)}, w.now)
 		} else {
 			w.claims[i].Step(duty.Conflict{}, w.now)
 		}
--- a/core/duty/record.go
+++ b/core/duty/record.go
@@ -10,6 +10,8 @@
 // of each other.
 package duty
 
+import "ladderridge.example/core/revision"
+
 // Name names a duty.
 type Name string
 
@@ -47,15 +49,15 @@
 // Read is a duty's row as the store has it.
 type Read struct {
 	Record Record
-	// Version is that of the row, 0 if there is none.
-	Version uint64
+	// Version is that of the row; its number is 0 if there is none.
+	Version revision.Revision
 }
 
 // Unread tells that the row could not be read.
 type Unread struct{}
 
 // Written tells that the last write was done, and the row's version since.
-type Written struct{ Version uint64 }
+type Written struct{ Version revision.Revision }
 
 // Conflict tells that the row was not as the last write expected.
 type Conflict struct{}
@@ -85,11 +87,11 @@
 // ReadRow asks for the duty's row.
 type ReadRow struct{}
 
-// WriteRow asks for the row to be set if its version is still Was; 0 means that there is
-// none.
+// WriteRow asks for the row to be set if its version is still Was; the number 0 means that
+// there is none.
 type WriteRow struct {
 	Record Record
-	Was    uint64
+	Was    revision.Revision
 }
 
 func (ReadRow) order()  {}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ladderridge.example/core/canary"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/usage"
 )
 
@@ -33,8 +34,9 @@
 	_    struct{} `cbor:",toarray"`
 	Key  string
 	Data []byte
-	// Version rises with every change of the store.
-	Version uint64
+	// Version is that of the store when the row was written; its number is 0 if the store has
+	// lost the row and is to have it again.
+	Version revision.Revision
 }
 
 // Have is what an asker knows of a topic.
@@ -42,9 +44,9 @@
 	_     struct{} `cbor:",toarray"`
 	Topic Topic
 	// Version is that of the store when the rows were read.
-	Version uint64
-	// Sum is a hash of the rows' keys and versions. The store's version rises
-	// with every write to any topic; the sum only with one to this.
+	Version revision.Revision
+	// Sum is a hash of the rows' keys and contents. The store's version rises
+	// with every write to any topic; the sum changes only with one to this.
 	Sum uint64
 }
 
@@ -86,10 +88,10 @@
 type Known struct {
 	_       struct{} `cbor:",toarray"`
 	Topic   Topic
-	Version uint64
+	Version revision.Revision
 	// AgeMS is how long ago the store confirmed it, in milliseconds.
 	AgeMS uint64
-	// Sum is a hash of the rows' keys and versions, as they are now.
+	// Sum is a hash of the rows' keys and contents, as they are now.
 	Sum uint64
 	// ReturnedMS is how long ago the store answered again after it was away, or
 	// 0 if it was not: entries that lapsed meanwhile may come back.
@@ -112,11 +114,14 @@
 }
 
 // Sum is the row's part of a topic's hash, which is the sum of them: a change of one row
-// changes it by the difference.
+// changes it by the difference. Versions are left out: daemons that have read the same rows
+// before and after a return of the store from a copy know the same.
 func (r Row) Sum() uint64 {
 	var d xxhash.Digest
-	d.ResetWithSeed(r.Version)
+	d.Reset()
 	_, _ = d.WriteString(r.Key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(r.Data)
 	return d.Sum64()
 }
 
--- a/daemon/duties/duties.go
+++ b/daemon/duties/duties.go
@@ -15,6 +15,7 @@
 	"ladderridge.example/core/duty"
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/sizing"
 	"ladderridge.example/core/usage"
 	"ladderridge.example/daemon/knowledge"
@@ -51,7 +52,7 @@
 	// Read returns all rows of a topic.
 	Read(ctx context.Context, topic relay.Topic) (knowledge.Page, error)
 	// Swap sets a row if its version is still was, and returns its new version.
-	Swap(ctx context.Context, topic relay.Topic, key string, data []byte, was uint64) (uint64, error)
+	Swap(ctx context.Context, topic relay.Topic, key string, data []byte, was revision.Revision) (revision.Revision, error)
 }
 
 // Signature says who calls.
--- a/daemon/duties/harness_test.go
+++ b/daemon/duties/harness_test.go
@@ -14,6 +14,7 @@
 	"ladderridge.example/core/duty"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/core/sizing"
 	"ladderridge.example/core/usage"
@@ -66,7 +67,7 @@
 	w.table.mu.Lock()
 	defer w.table.mu.Unlock()
 	w.calls++
-	page := knowledge.Page{Version: w.version}
+	page := knowledge.Page{Version: revision.New(1, w.version)}
 	for _, r := range w.rows {
 		page.Rows = append(page.Rows, r)
 	}
@@ -74,23 +75,23 @@
 }
 
 // Swap implements duties.Rows.
-func (w *way) Swap(_ context.Context, _ relay.Topic, key string, data []byte, was uint64) (uint64, error) {
+func (w *way) Swap(_ context.Context, _ relay.Topic, key string, data []byte, was revision.Revision) (revision.Revision, error) {
 	cut, lossy := w.faults()
 	if cut {
-		return 0, errLost
+		return revision.Revision{}, errLost
 	}
 	w.table.mu.Lock()
 	defer w.table.mu.Unlock()
 	w.calls++
-	if w.rows[key].Version != was {
-		return 0, &knowledge.Error{Op: "swap", Kind: knowledge.Conflict}
+	if w.rows[key].Version.Number != was.Number {
+		return revision.Revision{}, &knowledge.Error{Op: "swap", Kind: knowledge.Conflict}
 	}
 	w.version++
-	w.rows[key] = relay.Row{Key: key, Data: data, Version: w.version}
+	w.rows[key] = relay.Row{Key: key, Data: data, Version: revision.New(1, w.version)}
 	if lossy {
-		return 0, errLost
+		return revision.Revision{}, errLost
 	}
-	return w.version, nil
+	return revision.New(1, w.version), nil
 }
 
 // usageSubject is what reports of usage are about.
--- a/daemon/duties/leaseholder_test.go
+++ b/daemon/duties/leaseholder_test.go
@@ -8,6 +8,7 @@
 
 	"ladderridge.example/core/duty"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/sizing"
 	"ladderridge.example/core/usage"
 )
@@ -194,7 +195,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 2, duty.Usage)
 		s.store.version = 1
-		s.store.rows["usage"] = relay.Row{Key: "usage", Data: []byte("{"), Version: 1}
+		s.store.rows["usage"] = relay.Row{Key: "usage", Data: []byte("{"), Version: revision.New(1, 1)}
 		s.start(t.Context())
 		time.Sleep(10 * time.Second)
 		s.store.mu.Lock()
--- a/daemon/duties/rows.go
+++ b/daemon/duties/rows.go
@@ -7,6 +7,7 @@
 	"ladderridge.example/core/duty"
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/daemon/knowledge"
 )
 
@@ -28,7 +29,7 @@
 		}
 		return duty.Read{Record: in, Version: r.Version}
 	}
-	return duty.Read{}
+	return duty.Read{Version: revision.New(page.Version.Era, 0)}
 }
 
 // write writes a duty's row.
@@ -45,7 +46,7 @@
 	case fault.Is(err, knowledge.Conflict):
 		return duty.Conflict{}
 	default:
-		d.Log.Warn().Str("duty", string(name)).Uint64("was", o.Was).Err(err).Msg("duty: its row may not have been written")
+		d.Log.Warn().Str("duty", string(name)).Stringer("was", o.Was).Err(err).Msg("duty: its row may not have been written")
 		return duty.Unanswered{}
 	}
 }
--- a/daemon/knowledge/bench_test.go
+++ b/daemon/knowledge/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/daemon/knowledge"
 )
 
@@ -12,7 +13,7 @@
 func fleetRows() []relay.Row {
 	rows := make([]relay.Row, 10_000)
 	for i := range rows {
-		rows[i] = relay.Row{Key: "i-" + strconv.Itoa(i), Data: []byte("v1@h" + strconv.Itoa(i%5)), Version: uint64(i + 1)}
+		rows[i] = relay.Row{Key: "i-" + strconv.Itoa(i), Data: []byte("v1@h" + strconv.Itoa(i%5)), Version: revision.New(1, uint64(i+1))}
 	}
 	return rows
 }
@@ -28,7 +29,7 @@
 			for i := 0; b.Loop(); i++ {
 				version++
 				row := rows[i%len(rows)]
-				row.Version = version
+				row.Version, row.Data = revision.New(1, version), []byte("v1@h"+strconv.Itoa(i%7))
 				take(table, row)
 			}
 		})
--- a/daemon/knowledge/drive.go
+++ b/daemon/knowledge/drive.go
@@ -7,6 +7,7 @@
 
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 )
 
 // The rhythm of roll-outs.
@@ -301,8 +302,12 @@
 		return
 	}
 	k.rollouts.busy[service] = now
-	was := k.topics[relay.Progress].rows[row.Key].Version
-	k.Log.Info().Str("service", service).Str("version", p.Version).Str("state", p.State.String()).Uint64("was", was).Str("seen", seen).Dur("age", now.Sub(k.rollouts.byService[service].Since)).Msg("rollout: the state is written")
+	t := k.topics[relay.Progress]
+	was := revision.New(t.version.Era, 0)
+	if known, there := t.rows[row.Key]; there {
+		was = known.Version
+	}
+	k.Log.Info().Str("service", service).Str("version", p.Version).Str("state", p.State.String()).Stringer("was", was).Str("seen", seen).Dur("age", now.Sub(k.rollouts.byService[service].Since)).Msg("rollout: the state is written")
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
--- /dev/null
+++ b/daemon/knowledge/era.go
@@ -0,0 +1,181 @@
+package knowledge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"ladderridge.example/core/canary"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
+)
+
+// A store that returns from a copy has lost what was written in the seconds before. What the
+// operator and the servers wrote is written again, at once or a moment later; what daemons wrote
+// is theirs to write again. Until then a daemon goes by what it knew, which is newer.
+
+// rewrittenWithin is how long a row that the store has lost is held, if nobody writes it again.
+const rewrittenWithin = 5 * time.Second
+
+// supersede remembers what a row is that is about to change or to go.
+func (t *topicState) supersede(key string, now time.Time) {
+	was, ok := t.rows[key]
+	if !ok {
+		return
+	}
+	kept := slices.DeleteFunc(t.before[key], func(c content) bool { return now.Sub(c.at) > copyAge })
+	if len(kept) >= mostBefore {
+		kept = slices.Delete(kept, 0, 1)
+	}
+	t.before[key] = append(kept, content{number: was.Version.Number, sum: was.Sum(), at: now})
+}
+
+// forget forgets what rows were that no copy can have.
+func (t *topicState) forget(now time.Time) {
+	maps.DeleteFunc(t.before, func(_ string, was []content) bool {
+		return !slices.ContainsFunc(was, func(c content) bool { return now.Sub(c.at) <= copyAge })
+	})
+}
+
+// superseded reports whether a row was known as it is, and has changed or gone since.
+func (t *topicState) superseded(row relay.Row) bool {
+	sum := row.Sum()
+	return slices.ContainsFunc(t.before[row.Key], func(c content) bool { return c.number == row.Version.Number && c.sum == sum })
+}
+
+// reconcile returns all rows as they are known once the store, which may have returned from a
+// copy, has some: a row that is in the copy as it was before is held as it is known, with the
+// version that the store has, and so is one that the copy lacks.
+func (t *topicState) reconcile(rows []relay.Row, version revision.Revision, now time.Time) []relay.Row {
+	returns := t.known && version.Era > t.version.Era
+	if returns {
+		t.returnedAt = now
+	}
+	if t.returnedAt.IsZero() || now.Sub(t.returnedAt) > copyAge && len(t.held) == 0 {
+		return rows
+	}
+	out := make([]relay.Row, 0, len(rows))
+	there := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		there[row.Key] = true
+		was, known := t.rows[row.Key]
+		switch {
+		case known && was.Sum() == row.Sum() || !t.superseded(row):
+			delete(t.held, row.Key)
+		case known:
+			row.Data = was.Data
+			t.hold(row.Key, now)
+		default:
+			// It is gone.
+			continue
+		}
+		out = append(out, row)
+	}
+	for key, was := range t.rows {
+		if _, held := t.held[key]; !there[key] && (returns || held) {
+			was.Version = revision.New(version.Era, 0)
+			t.hold(key, now)
+			out = append(out, was)
+		}
+	}
+	return out
+}
+
+func (t *topicState) hold(key string, now time.Time) {
+	if _, held := t.held[key]; !held {
+		t.held[key] = now
+	}
+}
+
+// overdue are the keys of rows that the store lacks and nobody has written again in time.
+func (t *topicState) overdue(now time.Time) []string {
+	var out []string
+	for key, since := range t.held {
+		if t.rows[key].Version.Number == 0 && now.Sub(since) > rewrittenWithin {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// noteEra notes that the store has returned from a copy, if a topic's new version shows it.
+func (k *Keeper) noteEra(topic relay.Topic, version revision.Revision, now time.Time) {
+	t := k.topics[topic]
+	if !t.known || version.Era <= t.version.Era {
+		return
+	}
+	t.returnedAt = now
+	k.Log.Warn().Str("topic", string(topic)).Stringer("version", version).Stringer("was", t.version).Msg("knowledge: the store has returned from a copy: what it has lost is held until it is written again")
+	k.Returns.Add(1)
+	if topic == relay.Members && now.Sub(k.startedAt) < copyAge {
+		// The copy may be older than this daemon's entry.
+		select {
+		case k.published <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// afterReturn does what is due while the store lacks what it had.
+func (k *Keeper) afterReturn(ctx context.Context, now time.Time) {
+	for topic, t := range k.topics {
+		t.forget(now)
+		if topic == relay.Progress {
+			continue
+		}
+		if keys := t.overdue(now); len(keys) > 0 {
+			k.Log.Warn().Str("topic", string(topic)).Strs("keys", keys).Msg("knowledge: rows that the store has lost were not written again: they are gone")
+			k.learned(topic, t.set(nil, keys, now), true, now)
+		}
+	}
+	progress := k.topics[relay.Progress]
+	behind := progress.known && progress.version.Era < k.topics[relay.Operator].version.Era
+	k.progressLost.Store(behind || len(progress.held) > 0)
+	k.restoreProgress(ctx, now)
+}
+
+// restoreProgress has the states of roll-outs written again that the store has lost.
+func (k *Keeper) restoreProgress(ctx context.Context, now time.Time) {
+	t := k.topics[relay.Progress]
+	if !k.reading.Load() {
+		return
+	}
+	for key, since := range t.held {
+		service, p, err := k.Decoder.Progress(t.rows[key])
+		if err != nil {
+			k.malformed(relay.Progress, t.rows[key], err)
+			delete(t.held, key)
+			continue
+		}
+		r, ordered := k.rollouts.byService[service]
+		if !ordered || !r.Order.Has(p) {
+			// A later order has replaced it.
+			delete(t.held, key)
+			continue
+		}
+		if p.State != canary.Running || r.State == canary.Running {
+			k.writeInTurn(ctx, service, p, "lost by the store", since, now)
+		}
+	}
+}
+
+// staysLeaving reports whether a server leaves by an entry of it. What it has said holds in a
+// later era, too, in which an entry may be older than that.
+func (k *Keeper) staysLeaving(s fleet.Server, row revision.Revision) bool {
+	i := s.Incarnation()
+	era, left := k.left[i]
+	switch {
+	case s.Leaving:
+		k.left[i] = row.Era
+	case left && row.Era <= era:
+		delete(k.left, i)
+	case left:
+		return true
+	}
+	if len(k.left) > mostUnlisted {
+		maps.DeleteFunc(k.left, func(i fleet.Incarnation, _ uint64) bool { return k.loads[i] == nil })
+	}
+	return s.Leaving
+}
--- a/daemon/knowledge/export_test.go
+++ b/daemon/knowledge/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 )
 
 // Table is the state of the servers' topic, for benchmarks.
@@ -13,7 +14,7 @@
 func NewTable(d Decoder, rows []relay.Row) *Table {
 	k := New()
 	k.Decoder = d
-	k.topics[relay.Servers].replace(rows, 1, time.Now())
+	k.topics[relay.Servers].replace(rows, revision.New(1, 1), time.Now(), time.Now())
 	k.readServers(time.Now())
 	return &Table{keeper: k}
 }
@@ -21,7 +22,7 @@
 // Change takes one changed row from the store.
 func (t *Table) Change(row relay.Row) {
 	now := time.Now()
-	t.keeper.topics[relay.Servers].change(Page{Rows: []relay.Row{row}, Version: row.Version}, now)
+	t.keeper.topics[relay.Servers].change(Page{Rows: []relay.Row{row}, Version: row.Version}, now, now)
 	t.keeper.serversChanged(now)
 }
 
@@ -31,6 +32,6 @@
 	topic := t.keeper.topics[relay.Servers]
 	old := topic.rows[row.Key]
 	sum := topic.sum - relay.Sum([]relay.Row{old}) + relay.Sum([]relay.Row{row})
-	topic.apply(relay.Known{Topic: relay.Servers, Version: row.Version, Sum: sum, Base: topic.sum, Rows: []relay.Row{row}}, now)
+	topic.apply(relay.Known{Topic: relay.Servers, Version: row.Version, Sum: sum, Base: topic.sum, Rows: []relay.Row{row}}, now, now)
 	t.keeper.serversChanged(now)
 }
--- a/daemon/knowledge/follow.go
+++ b/daemon/knowledge/follow.go
@@ -8,6 +8,7 @@
 
 	"ladderridge.example/core/clock"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 )
 
 // The rhythm of calls to the store.
@@ -103,7 +104,7 @@
 
 // follow keeps a topic up to date while it is wanted.
 func (k *Keeper) follow(ctx context.Context, f *follower) {
-	var after uint64
+	var after revision.Revision
 	known := false
 	random := k.draws(string(f.topic))
 	pause, hold := pauseFloor, f.hold
@@ -136,9 +137,7 @@
 		}
 		k.deliver(ctx, paged{topic: f.topic, page: page, whole: whole, at: at, stood: stood, err: err})
 		if err != nil {
-			// What has changed meanwhile is only safely known from all rows
-			// if the store says that its history is gone.
-			known = known && !isKind(err, HistoryLost)
+			known = known && !mustReadAll(err)
 			pause = k.rest(ctx, pause, random)
 			// The next answer is wanted at once: it tells that the store is back.
 			hold = time.Millisecond
@@ -155,6 +154,9 @@
 	}
 }
 
+// mustReadAll reports whether what has changed is only safely known from all rows.
+func mustReadAll(err error) bool { return isKind(err, HistoryLost) || isKind(err, EraChanged) }
+
 // rest waits after a failed call and returns the next pause.
 func (k *Keeper) rest(ctx context.Context, pause time.Duration, random *rand.Rand) time.Duration {
 	ceiling := pauseCeiling
@@ -166,7 +168,7 @@
 }
 
 // call reads all rows of a topic if none are known, and otherwise follows it.
-func (k *Keeper) call(ctx context.Context, f *follower, known bool, after uint64, hold time.Duration) (Page, bool, error) {
+func (k *Keeper) call(ctx context.Context, f *follower, known bool, after revision.Revision, hold time.Duration) (Page, bool, error) {
 	k.Calls.Add(1)
 	if !known {
 		ctx, cancel := f.begin(ctx, callTimeout)
--- a/daemon/knowledge/halls.go
+++ b/daemon/knowledge/halls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/routemap"
 )
 
@@ -56,8 +57,8 @@
 
 // noteCold notes what a newer entry of a server says of its being cold. The entry may be
 // a moment old: the time counts from now, which is later than it is meant.
-func (k *Keeper) noteCold(s *fleet.Server, row uint64, now time.Time) {
-	if k.coldRows[s.Incarnation()] >= row {
+func (k *Keeper) noteCold(s *fleet.Server, row revision.Revision, now time.Time) {
+	if !row.After(k.coldRows[s.Incarnation()]) {
 		return
 	}
 	k.coldRows[s.Incarnation()] = row
--- a/daemon/knowledge/harness_test.go
+++ b/daemon/knowledge/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,6 +21,7 @@
 	"ladderridge.example/core/clock"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/knowledge"
 )
@@ -28,6 +30,8 @@
 type rows struct {
 	mu      sync.Mutex
 	version uint64
+	// era counts the returns from a copy.
+	era     uint64
 	tables  map[relay.Topic]map[string]relay.Row
 	removed []removal
 	changed chan struct{}
@@ -44,7 +48,7 @@
 }
 
 func newRows() *rows {
-	return &rows{tables: map[relay.Topic]map[string]relay.Row{}, changed: make(chan struct{}), began: time.Now()}
+	return &rows{era: 1, tables: map[relay.Topic]map[string]relay.Row{}, changed: make(chan struct{}), began: time.Now()}
 }
 
 // set writes a row, or removes it if data is empty.
@@ -63,7 +67,7 @@
 		delete(s.tables[topic], key)
 		s.removed = append(s.removed, removal{topic, key, s.version})
 	} else {
-		s.tables[topic][key] = relay.Row{Key: key, Data: []byte(data), Version: s.version}
+		s.tables[topic][key] = relay.Row{Key: key, Data: []byte(data), Version: revision.New(s.era, s.version)}
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -77,9 +81,11 @@
 
 // since returns what has changed after a version.
 func (s *rows) since(topic relay.Topic, after uint64) knowledge.Page {
-	p := knowledge.Page{Version: s.version, ClockMS: 1000 + uint64(time.Since(s.began).Milliseconds())}
+	p := knowledge.Page{Version: revision.New(s.era, s.version), ClockMS: 1000 + uint64(time.Since(s.began).Milliseconds())}
 	for _, row := range s.tables[topic] {
-		if row.Version > after {
+		if row.Version.Number > after {
+			// The store knows rows by number alone.
+			row.Version.Era = s.era
 			p.Rows = append(p.Rows, row)
 		}
 	}
@@ -92,6 +98,37 @@
 	return p
 }
 
+// state is a copy of the rows at a moment.
+type state struct {
+	version uint64
+	tables  map[relay.Topic]map[string]relay.Row
+	removed []removal
+}
+
+// copied returns the rows as they are.
+func (s *rows) copied() state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := state{version: s.version, tables: map[relay.Topic]map[string]relay.Row{}, removed: slices.Clone(s.removed)}
+	for topic, of := range s.tables {
+		out.tables[topic] = maps.Clone(of)
+	}
+	return out
+}
+
+// returns has the store come back from a copy.
+func (s *rows) returns(from state) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.removed, s.tables = from.version, slices.Clone(from.removed), map[relay.Topic]map[string]relay.Row{}
+	for topic, of := range from.tables {
+		s.tables[topic] = maps.Clone(of)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // link is one daemon's way to the store, which may be cut.
 type link struct {
 	*rows
@@ -158,7 +195,7 @@
 	return p, nil
 }
 
-func (l *link) Follow(ctx context.Context, topic relay.Topic, after uint64, wait time.Duration) (knowledge.Page, error) {
+func (l *link) Follow(ctx context.Context, topic relay.Topic, after revision.Revision, wait time.Duration) (knowledge.Page, error) {
 	timeout := clock.After(wait)
 	for {
 		down, hold, _ := l.state()
@@ -166,12 +203,15 @@
 			return knowledge.Page{}, down
 		}
 		l.rows.mu.Lock()
-		p, changed := l.since(topic, after), l.changed
-		lost := after < l.forgotten
+		p, changed := l.since(topic, after.Number), l.changed
+		lost, other := after.Number < l.forgotten, after.Era != l.era
 		l.rows.mu.Unlock()
 		if l.isSilent() {
 			return knowledge.Page{}, swallow(ctx)
 		}
+		if other {
+			return knowledge.Page{}, &knowledge.Error{Op: "follow", Kind: knowledge.EraChanged}
+		}
 		if lost {
 			return knowledge.Page{}, &knowledge.Error{Op: "follow", Kind: knowledge.HistoryLost}
 		}
@@ -190,20 +230,23 @@
 	}
 }
 
-func (l *link) Write(_ context.Context, topic relay.Topic, key string, data []byte, was uint64) error {
+func (l *link) Write(_ context.Context, topic relay.Topic, key string, data []byte, was revision.Revision) error {
 	down, _, lose := l.state()
 	if down != nil {
 		return down
 	}
 	l.rows.mu.Lock()
 	defer l.rows.mu.Unlock()
-	if l.tables[topic][key].Version != was {
+	if l.tables[topic][key].Version.Number != was.Number {
 		return &knowledge.Error{Op: "write", Kind: knowledge.Conflict}
 	}
 	l.put(topic, key, string(data))
 	if lose {
 		return errDown
 	}
+	if was.Era != l.era {
+		return &knowledge.Error{Op: "write", Kind: knowledge.EraChanged}
+	}
 	return nil
 }
 
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -21,6 +21,7 @@
 	"ladderridge.example/core/notice"
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/daemon/standstill"
 )
 
@@ -98,9 +99,18 @@
 	Standstills atomic.Int64
 	// Spoiled counts rows that came and do not decode.
 	Spoiled atomic.Int64
+	// Returns counts topics whose rows the store has had from a copy.
+	Returns atomic.Int64
 	// Ended counts servers that ended while requests of this daemon were under way there.
 	Ended atomic.Int64
 
+	// published asks for this daemon's entry to be written again; progressLost tells that the
+	// store may lack states of roll-outs.
+	published    chan struct{}
+	progressLost atomic.Bool
+	// left are the servers that leave by their entries, by the era of the store that said so.
+	left map[fleet.Incarnation]uint64
+
 	view    atomic.Pointer[View]
 	members atomic.Pointer[map[string]Member]
 	events  chan event
@@ -155,7 +165,7 @@
 	// coldUntil is until when servers are cold by their own word, coldRows the
 	// versions of the entries that said so.
 	coldUntil map[fleet.Incarnation]time.Time
-	coldRows  map[fleet.Incarnation]uint64
+	coldRows  map[fleet.Incarnation]revision.Revision
 	lapsed    map[string]time.Time
 	firstSeen map[string]time.Time
 	asked     map[uint64]time.Time
@@ -227,9 +237,9 @@
 // New returns a keeper that knows nothing.
 func New() *Keeper {
 	k := &Keeper{
-		events: make(chan event, eventBacklog),
+		events: make(chan event, eventBacklog), published: make(chan struct{}, 1), left: map[fleet.Incarnation]uint64{},
 		topics: map[relay.Topic]*topicState{}, loads: map[fleet.Incarnation]*fleet.Load{}, unlisted: map[fleet.Incarnation]unlisted{}, halls: map[string]*fleet.Hall{},
-		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]uint64{}, lapsed: map[string]time.Time{},
+		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]revision.Revision{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
 		bad: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), board: crowd.NewBoard(), limits: newLimits(),
 		entries: map[string]serverEntry{}, starts: map[string]int64{}, ledger: quarantine.NewLedger(), confine: map[quarantine.Fingerprint]confined{},
@@ -246,7 +256,7 @@
 		{topic: relay.Operator, gather: gather, wanted: k.reading.Load},
 		{topic: relay.Servers, hold: followLong, gather: gatherLong, wanted: k.reading.Load},
 		{topic: relay.Members, hold: followLong, gather: gatherLong, delay: membersDelay, wanted: k.reading.Load},
-		{topic: relay.Progress, hold: followLong, gather: gather, wanted: func() bool { return k.reading.Load() && k.rollouts.open.Load() }},
+		{topic: relay.Progress, hold: followLong, gather: gather, wanted: func() bool { return k.reading.Load() && (k.rollouts.open.Load() || k.progressLost.Load()) }},
 	}
 	k.run = func(ctx context.Context) error { return k.loop(ctx) }
 	return k
@@ -359,24 +369,29 @@
 	}
 	if !t.away.IsZero() {
 		k.Regained.Add(1)
-		k.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.away)).Uint64("version", e.page.Version).Msg("knowledge: the store answers again")
+		k.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.away)).Stringer("version", e.page.Version).Msg("knowledge: the store answers again")
 		t.away, t.returned = time.Time{}, now
 	}
 	k.rollouts.clock(e.page.ClockMS, now)
 	var gone []string
 	var newer bool
+	k.noteEra(e.topic, e.page.Version, now)
 	if e.whole {
-		gone, newer = t.replace(e.page.Rows, e.page.Version, e.at)
+		gone, newer = t.replace(e.page.Rows, e.page.Version, e.at, now)
 	} else {
-		gone, newer = t.change(e.page, e.at)
+		gone, newer = t.change(e.page, e.at, now)
 	}
 	k.learned(e.topic, gone, newer, now)
 }
 
 // failed notes a call to the store that came to nothing.
 func (k *Keeper) failed(e paged, t *topicState, now time.Time) {
+	if isKind(e.err, EraChanged) {
+		k.Log.Info().Str("topic", string(e.topic)).Stringer("version", t.version).Err(e.err).Msg("knowledge: the store is in another era: all rows are read again")
+		return
+	}
 	if isKind(e.err, HistoryLost) {
-		k.Log.Info().Str("topic", string(e.topic)).Uint64("version", t.version).Msg("knowledge: the store has forgotten its history: all rows are read again")
+		k.Log.Info().Str("topic", string(e.topic)).Stringer("version", t.version).Msg("knowledge: the store has forgotten its history: all rows are read again")
 		return
 	}
 	if e.topic == relay.Operator {
@@ -385,7 +400,7 @@
 	if t.away.IsZero() {
 		t.away = now
 		k.Lost.Add(1)
-		k.Log.Warn().Str("topic", string(e.topic)).Err(e.err).Uint64("version", t.version).Dur("age", now.Sub(t.confirmed)).Msg("knowledge: the store does not answer")
+		k.Log.Warn().Str("topic", string(e.topic)).Err(e.err).Stringer("version", t.version).Dur("age", now.Sub(t.confirmed)).Msg("knowledge: the store does not answer")
 	}
 }
 
@@ -473,5 +488,6 @@
 	k.shareWork(now)
 	k.shareUsage(now)
 	k.driveRollouts(ctx, now)
+	k.afterReturn(ctx, now)
 	k.refresh()
 }
--- a/daemon/knowledge/members.go
+++ b/daemon/knowledge/members.go
@@ -29,7 +29,8 @@
 	Capacity int
 }
 
-// publish writes this daemon's entry until the store has it.
+// publish writes this daemon's entry until the store has it, and again when the store may have
+// lost it.
 func (k *Keeper) publish(ctx context.Context) {
 	data, err := cbor.Marshal(k.Self)
 	if err != nil {
@@ -37,10 +38,15 @@
 		return
 	}
 	for pause := pauseFloor; ctx.Err() == nil; pause = min(2*pause, pauseCeiling) {
-		if k.put(ctx, data) {
-			return
+		if !k.put(ctx, data) {
+			clock.Wait(ctx, pause)
+			continue
+		}
+		pause = pauseFloor
+		select {
+		case <-k.published:
+		case <-ctx.Done():
 		}
-		clock.Wait(ctx, pause)
 	}
 }
 
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 )
 
 // askedFor is how long an answer to a question counts: later it may be one
@@ -279,16 +280,22 @@
 	switch {
 	case known.Sum == t.sum:
 		t.known = true
-		t.version = max(t.version, known.Version)
+		k.noteEra(known.Topic, known.Version, now)
+		t.version = revision.Latest(t.version, known.Version)
 		t.confirm(confirmed)
-	case t.known && known.Version <= t.version:
+	case t.known && known.Version == t.version:
+		// One of the two holds rows that the store has lost.
+		t.confirm(confirmed)
+	case t.known && known.Version.Before(t.version):
 	case known.Whole:
-		gone, newer = t.replace(known.Rows, known.Version, confirmed)
+		k.noteEra(known.Topic, known.Version, now)
+		gone, newer = t.replace(known.Rows, known.Version, confirmed, now)
 	default:
-		gone, newer = t.apply(known, confirmed)
+		k.noteEra(known.Topic, known.Version, now)
+		gone, newer = t.apply(known, confirmed, now)
 	}
 	if newer {
-		k.Log.Info().Str("topic", string(known.Topic)).Str("from", from).Uint64("version", known.Version).Uint64("age_ms", known.AgeMS).Msg("knowledge: told by another daemon")
+		k.Log.Info().Str("topic", string(known.Topic)).Str("from", from).Stringer("version", known.Version).Uint64("age_ms", known.AgeMS).Msg("knowledge: told by another daemon")
 		k.learned(known.Topic, gone, newer, now)
 	}
 }
--- a/daemon/knowledge/quarantine.go
+++ b/daemon/knowledge/quarantine.go
@@ -192,7 +192,8 @@
 			continue
 		}
 		key := quarantinePrefix + f.String()
-		if row, ok := k.topics[relay.Members].rows[key]; ok && k.stands(row, now) || now.Before(c.due) || !c.own && !k.reading.Load() {
+		_, lost := k.topics[relay.Members].held[key]
+		if row, ok := k.topics[relay.Members].rows[key]; ok && !lost && k.stands(row, now) || now.Before(c.due) || !c.own && !k.reading.Load() {
 			continue
 		}
 		// Another try if it does not come from the store.
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -8,6 +8,7 @@
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/routemap"
 )
 
@@ -15,12 +16,12 @@
 
 // malformed logs a row that does not decode, once for each of its versions.
 func (k *Keeper) malformed(topic relay.Topic, row relay.Row, err error) {
-	if k.bad[row.Key] == row.Version {
+	if k.bad[row.Key] == row.Sum() {
 		return
 	}
-	k.bad[row.Key] = row.Version
+	k.bad[row.Key] = row.Sum()
 	k.Spoiled.Add(1)
-	k.Log.Error().Str("topic", string(topic)).Str("key", row.Key).Uint64("version", row.Version).Err(err).Msg("knowledge: a row does not decode: of a server it names none, of anything else the last good one stays in force")
+	k.Log.Error().Str("topic", string(topic)).Str("key", row.Key).Stringer("version", row.Version).Err(err).Msg("knowledge: a row does not decode: of a server it names none, of anything else the last good one stays in force")
 }
 
 // readOperator takes the configuration, the orders and the data halls to be emptied.
@@ -38,7 +39,7 @@
 			k.configured(d.Map, row.Version, now)
 		case Order:
 			if k.rollouts.order(d.Order, now) {
-				k.Log.Info().Str("service", d.Order.Service).Str("version", d.Order.Version).Dur("within", d.Order.Within).Uint64("row", row.Version).Msg("rollout: ordered")
+				k.Log.Info().Str("service", d.Order.Service).Str("version", d.Order.Version).Dur("within", d.Order.Within).Stringer("row", row.Version).Msg("rollout: ordered")
 				k.readProgress(now)
 			}
 		case Emptied:
@@ -49,7 +50,7 @@
 }
 
 // configured puts a configuration in force if it is newer.
-func (k *Keeper) configured(m *routemap.Map, row uint64, now time.Time) {
+func (k *Keeper) configured(m *routemap.Map, row revision.Revision, now time.Time) {
 	v := *k.view.Load()
 	if v.Map != nil && m.Number <= v.Map.Number {
 		if m.Number < v.Map.Number {
@@ -59,7 +60,7 @@
 	}
 	v.Map = m
 	k.view.Store(&v)
-	k.Log.Info().Uint64("number", m.Number).Uint64("row", row).Msg("knowledge: a configuration is in force")
+	k.Log.Info().Uint64("number", m.Number).Stringer("row", row).Msg("knowledge: a configuration is in force")
 	for _, problem := range m.Problems(k.regionsOf()) {
 		k.Log.Warn().Uint64("number", m.Number).Str("problem", problem).Msg("knowledge: a part of the configuration cannot be meant so")
 	}
@@ -106,24 +107,24 @@
 	k.beganAgain(was, servers)
 }
 
-// serverEntry is what the row of a server says in one of its versions: the server that it
-// names, or why it names none.
+// serverEntry is what the row of a server says: the server that it names, or why it names none.
 type serverEntry struct {
-	version uint64
-	server  *fleet.Server
-	err     error
+	// sum is that of the row.
+	sum    uint64
+	server *fleet.Server
+	err    error
 }
 
-// decode reads a server's row, once for each of its versions: most of them have not changed
+// decode reads a server's row, once for each of its contents: most of them have not changed
 // when one has, and there may be thousands.
 func (k *Keeper) decode(row relay.Row, now time.Time) serverEntry {
 	e, ok := k.entries[row.Key]
-	if !ok || e.version != row.Version {
+	if !ok || e.sum != row.Sum() {
 		e = k.decodeAnew(row, now)
 	} else if e.err == nil {
 		// A later start may have been seen meanwhile.
 		if err := k.checkStart(*e.server); err != nil {
-			e = serverEntry{version: row.Version, err: err}
+			e = serverEntry{sum: row.Sum(), err: err}
 		}
 	}
 	k.entries[row.Key] = e
@@ -136,10 +137,11 @@
 		err = k.checkStart(s)
 	}
 	if err != nil {
-		return serverEntry{version: row.Version, err: err}
+		return serverEntry{sum: row.Sum(), err: err}
 	}
 	k.noteCold(&s, row.Version, now)
-	return serverEntry{version: row.Version, server: k.withLoad(s)}
+	s.Leaving = k.staysLeaving(s, row.Version)
+	return serverEntry{sum: row.Sum(), server: k.withLoad(s)}
 }
 
 // forgetEntries forgets rows that are not there any more.
@@ -193,7 +195,7 @@
 	k.keepNotices(kept, now)
 	k.loads = kept
 	maps.DeleteFunc(k.coldUntil, func(i fleet.Incarnation, _ time.Time) bool { return kept[i] == nil })
-	maps.DeleteFunc(k.coldRows, func(i fleet.Incarnation, _ uint64) bool { return kept[i] == nil })
+	maps.DeleteFunc(k.coldRows, func(i fleet.Incarnation, _ revision.Revision) bool { return kept[i] == nil })
 }
 
 // noteVersions remembers when a version was first listed. Those of the first
@@ -222,7 +224,7 @@
 			continue
 		}
 		if k.rollouts.progress(service, p, row.Version, now) {
-			k.Log.Info().Str("service", service).Str("version", p.Version).Str("state", p.State.String()).Uint64("row", row.Version).Msg("rollout: state known")
+			k.Log.Info().Str("service", service).Str("version", p.Version).Str("state", p.State.String()).Stringer("row", row.Version).Msg("rollout: state known")
 		}
 	}
 }
--- a/daemon/knowledge/rollout_test.go
+++ b/daemon/knowledge/rollout_test.go
@@ -455,7 +455,7 @@
 		if uses(k, lowest, "v2") {
 			t.Fatal("the version is not found bad")
 		}
-		s.rows.set(relay.Progress, "s", fmt.Sprintf(`{"State":%d,"Version":"v2","SinceMS":1000,"Order":%d}`, canary.Completed, order))
+		s.rows.set(relay.Progress, "s", fmt.Sprintf(`{"State":%d,"Version":"v2","SinceMS":1000,"Order":{"Era":%d,"Number":%d}}`, canary.Completed, order.Era, order.Number))
 		s.links["d0"].fail(nil)
 		pass(3 * time.Second)
 		if !uses(k, lowest, "v2") || !uses(k, highest, "v2") {
--- a/daemon/knowledge/rollouts.go
+++ b/daemon/knowledge/rollouts.go
@@ -8,6 +8,7 @@
 
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 )
 
 // Fact is what one answer says of the version that gave it.
@@ -52,7 +53,7 @@
 
 	byService map[string]canary.Rollout
 	// rows are the versions of the rows with the states.
-	rows map[string]uint64
+	rows map[string]revision.Revision
 	own  map[countKey]canary.Count
 	// told is what other daemons of the hall have seen, and other halls as
 	// wholes.
@@ -94,7 +95,7 @@
 
 func newRollouts() *rollouts {
 	return &rollouts{
-		byService: map[string]canary.Rollout{}, rows: map[string]uint64{}, own: map[countKey]canary.Count{},
+		byService: map[string]canary.Rollout{}, rows: map[string]revision.Revision{}, own: map[countKey]canary.Count{},
 		told: map[source]relay.Evidence{}, departed: map[life][]relay.Count{}, halls: map[string]hallSeen{}, toldAt: map[source]time.Time{}, withdrawn: map[string]bool{},
 		aside: map[string][]string{}, doubts: map[string]doubt{}, busy: map[string]time.Time{}, seenAt: map[string]time.Time{},
 	}
@@ -114,7 +115,14 @@
 
 // order takes an order; it reports whether it is new.
 func (r *rollouts) order(o canary.Order, now time.Time) bool {
-	if was, ok := r.byService[o.Service]; ok && was.Order.Number >= o.Number {
+	was, known := r.byService[o.Service]
+	switch {
+	case known && !o.Number.After(was.Order.Number):
+		return false
+	case known && o.Number.Era != was.Order.Number.Era && o.Same(was.Order):
+		// The operator has written it again since the store returned from a copy.
+		was.Order = o
+		r.byService[o.Service] = was
 		return false
 	}
 	r.byService[o.Service] = canary.Rollout{Order: o, Since: now}
@@ -136,12 +144,12 @@
 }
 
 // progress takes the shared state of an order; it reports whether that is news.
-func (r *rollouts) progress(service string, p canary.Progress, row uint64, now time.Time) bool {
-	if row <= r.rows[service] {
+func (r *rollouts) progress(service string, p canary.Progress, row revision.Revision, now time.Time) bool {
+	if !row.After(r.rows[service]) {
 		return false
 	}
 	was, ok := r.byService[service]
-	if !ok || p.Order != was.Order.Number {
+	if !ok || !was.Order.Has(p) {
 		return false
 	}
 	r.rows[service] = row
--- a/daemon/knowledge/store.go
+++ b/daemon/knowledge/store.go
@@ -8,6 +8,7 @@
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/routemap"
 )
 
@@ -23,6 +24,9 @@
 	Refused Kind = "store refused"
 	// HistoryLost is a store that no longer knows what has changed since.
 	HistoryLost Kind = "history lost"
+	// EraChanged is a store that has returned from a copy since: what was asked of it was
+	// about versions that it has given out again. A write may have been done.
+	EraChanged Kind = "era changed"
 	// Conflict is a condition that did not hold.
 	Conflict Kind = "condition failed"
 	// Malformed is a row that does not decode.
@@ -42,7 +46,7 @@
 	Rows    []relay.Row
 	Removed []string
 	// Version is the newest that the page reflects.
-	Version uint64
+	Version revision.Revision
 	// ClockMS is the store's own steady clock, in milliseconds.
 	ClockMS uint64
 }
@@ -54,9 +58,9 @@
 	Read(ctx context.Context, topic relay.Topic) (Page, error)
 	// Follow returns the rows that have changed since a version, as soon as
 	// there are any and at the latest after wait.
-	Follow(ctx context.Context, topic relay.Topic, after uint64, wait time.Duration) (Page, error)
-	// Write sets a row if its version is still was; 0 means that there is none.
-	Write(ctx context.Context, topic relay.Topic, key string, data []byte, was uint64) error
+	Follow(ctx context.Context, topic relay.Topic, after revision.Revision, wait time.Duration) (Page, error)
+	// Write sets a row if its version is still was; the number 0 means that there is none.
+	Write(ctx context.Context, topic relay.Topic, key string, data []byte, was revision.Revision) error
 	// Put sets a row whatever it was.
 	Put(ctx context.Context, topic relay.Topic, key string, data []byte) error
 }
--- a/daemon/knowledge/topic.go
+++ b/daemon/knowledge/topic.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 )
 
 // topicState is what is known of one topic.
 type topicState struct {
 	rows    map[string]relay.Row
-	version uint64
+	version revision.Revision
 	// confirmed is the latest time at which the rows were the newest.
 	confirmed time.Time
 	known     bool
@@ -24,8 +25,29 @@
 	// fresh are the keys of rows that have changed since they were last taken; nil if nobody
 	// takes them.
 	fresh map[string]bool
+	// before are contents that rows had and have no more, by key: a store that returns from a
+	// copy has them again. returnedAt is when it last did, zero for never.
+	before     map[string][]content
+	returnedAt time.Time
+	// held are the keys of rows that the store has lost, by since when: what is known of them
+	// is newer than what the store has.
+	held map[string]time.Time
 }
 
+// content is what a row was, and the number of its version then.
+type content struct {
+	number uint64
+	sum    uint64
+	at     time.Time
+}
+
+const (
+	// copyAge is how old a copy is at most from which the store returns.
+	copyAge = time.Minute
+	// mostBefore bounds the contents that are remembered of a row.
+	mostBefore = 16
+)
+
 // change is what a change of the rows replaced.
 type change struct {
 	// before is the sum of the rows until then.
@@ -41,7 +63,9 @@
 // one that lags further is told all rows.
 const pastChanges = 64
 
-func newTopicState() *topicState { return &topicState{rows: map[string]relay.Row{}} }
+func newTopicState() *topicState {
+	return &topicState{rows: map[string]relay.Row{}, before: map[string][]content{}, held: map[string]time.Time{}}
+}
 
 // takeFresh returns the keys of rows that have changed since it was last called.
 func (t *topicState) takeFresh() map[string]bool {
@@ -52,10 +76,11 @@
 
 // replace takes all rows as of a version. It reports whether it is newer than
 // what was known, and which keys are gone.
-func (t *topicState) replace(rows []relay.Row, version uint64, confirmed time.Time) (gone []string, newer bool) {
-	if t.known && version < t.version {
+func (t *topicState) replace(rows []relay.Row, version revision.Revision, confirmed, now time.Time) (gone []string, newer bool) {
+	if t.known && version.Before(t.version) {
 		return nil, false
 	}
+	rows = t.reconcile(rows, version, now)
 	next := make(map[string]relay.Row, len(rows))
 	for _, row := range rows {
 		next[row.Key] = row
@@ -65,13 +90,16 @@
 			gone = append(gone, key)
 		}
 	}
-	newer = !t.known || version > t.version
-	changed := gone
+	newer = !t.known || version.After(t.version)
+	changed := slices.Clone(gone)
 	for key, row := range next {
-		if t.rows[key].Version != row.Version {
+		if was, ok := t.rows[key]; !ok || was.Sum() != row.Sum() {
 			changed = append(changed, key)
 		}
 	}
+	for _, key := range changed {
+		t.supersede(key, now)
+	}
 	before := t.sum
 	t.rows, t.version, t.known, t.sum = next, version, true, relay.Sum(rows)
 	t.remember(before, changed)
@@ -81,19 +109,25 @@
 
 // set takes rows that have changed, and those that are gone. The sum follows by their
 // differences: adding all rows up again at each change is work that grows with the fleet.
-func (t *topicState) set(rows []relay.Row, removed []string) (gone []string) {
+func (t *topicState) set(rows []relay.Row, removed []string, now time.Time) (gone []string) {
 	before, changed := t.sum, make([]string, 0, len(rows)+len(removed))
 	for _, row := range rows {
 		if was, ok := t.rows[row.Key]; ok {
 			t.sum -= was.Sum()
+			if was.Sum() != row.Sum() {
+				t.supersede(row.Key, now)
+			}
 		}
+		delete(t.held, row.Key)
 		t.sum += row.Sum()
 		t.rows[row.Key] = row
 		changed = append(changed, row.Key)
 	}
 	for _, key := range removed {
+		delete(t.held, key)
 		if was, ok := t.rows[key]; ok {
 			t.sum -= was.Sum()
+			t.supersede(key, now)
 			delete(t.rows, key)
 			gone = append(gone, key)
 		}
@@ -160,26 +194,26 @@
 }
 
 // apply takes what has changed, if that leads to the rows that the teller has.
-func (t *topicState) apply(k relay.Known, confirmed time.Time) (gone []string, ok bool) {
+func (t *topicState) apply(k relay.Known, confirmed, now time.Time) (gone []string, ok bool) {
 	if t.sum != k.Base || t.sumWith(k.Rows, k.Removed) != k.Sum {
 		return nil, false
 	}
-	gone = t.set(k.Rows, k.Removed)
-	t.version, t.known = max(k.Version, t.version), true
+	gone = t.set(k.Rows, k.Removed, now)
+	t.version, t.known = revision.Latest(k.Version, t.version), true
 	t.confirm(confirmed)
 	return gone, true
 }
 
 // change takes the rows that have changed up to a version.
-func (t *topicState) change(p Page, confirmed time.Time) (gone []string, newer bool) {
-	if p.Version < t.version {
+func (t *topicState) change(p Page, confirmed, now time.Time) (gone []string, newer bool) {
+	if p.Version.Before(t.version) {
 		return nil, false
 	}
 	rows := slices.DeleteFunc(slices.Clone(p.Rows), func(row relay.Row) bool {
 		was, ok := t.rows[row.Key]
-		return ok && row.Version <= was.Version
+		return ok && !row.Version.After(was.Version)
 	})
-	gone = t.set(rows, p.Removed)
+	gone = t.set(rows, p.Removed, now)
 	t.version = p.Version
 	t.confirm(confirmed)
 	return gone, len(rows) > 0 || len(gone) > 0
--- a/daemon/peer/codec_test.go
+++ b/daemon/peer/codec_test.go
@@ -14,6 +14,7 @@
 	"ladderridge.example/core/member"
 	"ladderridge.example/core/node"
 	"ladderridge.example/core/relay"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/spread"
 	"ladderridge.example/core/tally"
 	"ladderridge.example/daemon/peer"
@@ -35,8 +36,8 @@
 	node.Copies{Bills: []bill.Bill{{Key: "k", Organisation: "o", Tokens: 3, Cost: 4}}, Adopt: true},
 	node.CopiesHeld{Keys: []string{"k"}},
 	node.Release{Keys: []string{"k", "l"}},
-	relay.Ask{Nonce: 7, Have: []relay.Have{{Topic: relay.Servers, Version: 3, Sum: 9}}},
-	relay.Tell{Nonce: 7, Known: []relay.Known{{Topic: relay.Servers, Version: 4, AgeMS: 5, Sum: 1, Base: 2, Rows: []relay.Row{{Key: "k", Data: []byte("row"), Version: 4}}, Removed: []string{"gone"}}}},
+	relay.Ask{Nonce: 7, Have: []relay.Have{{Topic: relay.Servers, Version: revision.New(1, 3), Sum: 9}}, LimitSum: 3, Limits: []relay.Limit{{ID: "a", Born: 4, Rate: 1.6, AskedMS: 5, HeardMS: 6}}},
+	relay.Tell{Nonce: 7, Known: []relay.Known{{Topic: relay.Servers, Version: revision.New(2, 4), AgeMS: 5, Sum: 1, Base: 2, Rows: []relay.Row{{Key: "k", Data: []byte("row"), Version: revision.New(2, 4)}}, Removed: []string{"gone"}}}},
 	// Long enough to be compressed.
 	relay.Tell{Known: []relay.Known{{Topic: relay.Operator, Whole: true, Rows: []relay.Row{{Key: "k", Data: bytes.Repeat([]byte("row "), 1000)}}}}},
 	relay.Evidence{Hall: "h", Start: 1, Sequence: 2, Counts: []relay.Count{{Service: "s", Version: "v", Route: "r", Answers: 3, Failed: 2, First: canary.Paces{1, 2}, Between: canary.Paces{10: 1}}}, OldInFlight: map[string]int{"s": 4}, Withdrawn: []string{"s@v"}},
