A duty that a returned store has lost is not held twice

Found by the explorer of duties once its store could return from a copy: a holder whose row was lost went on for its lease while another daemon, which found no row, took the duty at once and with the same token, which the platform can't tell apart. And a write of the era before that is done late, where its condition holds by its number, replaced a holder's row without a trace of its token.

Nobody takes a duty of a returned store before a lease is over, not even by a row of its own from the era before. Tokens of a later era are higher than all of earlier ones, and go by the row's version within it.

--- a/core/duty/claim.go
+++ b/core/duty/claim.go
@@ -55,6 +55,9 @@
 	raise bool
 	// tenure is the token with which this process took the duty.
 	tenure uint64
+	// highest is the highest token that was known: a store that returned from a copy may have
+	// lost it, and what is called by a lower one is refused.
+	highest uint64
 }
 
 // Step takes an event and returns what is to be done, or nil.
@@ -93,11 +96,26 @@
 	case c.doubtful || !c.asked || now-c.readAt >= c.Lease:
 		return c.look(now)
 	case c.free(now):
-		return c.write(Record{Holder: c.Self, Start: c.Start, Token: c.record.Token + 1, State: c.record.State}, now)
+		return c.write(Record{Holder: c.Self, Start: c.Start, Token: c.nextToken(), State: c.record.State}, now)
 	}
 	return nil
 }
 
+// eraTokens is how many tokens an era of the store has: those of a later one are higher than any
+// that it may have lost.
+const eraTokens = 1 << 40
+
+// nextToken is a token that is higher than all that may have been used. In a store that has
+// returned from a copy a write of the era before may be done late, and replace a row with a
+// higher token that nobody has read: tokens go by the row's version there, which only rises.
+func (c *Claim) nextToken() uint64 {
+	least := uint64(0)
+	if c.version.Era > 0 {
+		least = c.version.Era*eraTokens + c.version.Number
+	}
+	return max(c.record.Token, c.highest, least) + 1
+}
+
 // look asks for the row.
 func (c *Claim) look(now time.Duration) Order {
 	c.busy, c.asked, c.readAt = true, true, now
@@ -107,8 +125,8 @@
 // renew writes the row again if it is time to, or if what is to stand there has changed.
 func (c *Claim) renew(now time.Duration) Order {
 	next := Record{Holder: c.Self, Start: c.Start, Token: c.record.Token, State: c.state}
-	if c.raise {
-		next.Token++
+	if c.raise || c.record.Token < c.highest {
+		next.Token = c.nextToken()
 	}
 	if next == c.record && now-c.renewed < c.Lease/renewPart {
 		return nil
@@ -129,6 +147,7 @@
 	}
 	c.busy, c.known, c.doubtful = false, true, false
 	c.record, c.version = e.Record, e.Version
+	c.highest = max(c.highest, e.Record.Token)
 	if !c.mine() {
 		c.holds, c.raise = 0, false
 		return
@@ -148,21 +167,25 @@
 		c.raise = false
 	}
 	c.record, c.version, c.seenAt, c.renewed = c.pending, e.Version, now, c.sentAt
+	c.highest = max(c.highest, c.record.Token)
 	c.holds = c.sentAt + c.Lease - c.Lease/guardPart
 	if taken {
 		c.state, c.raise, c.tenure = c.record.State, false, c.record.Token
 	}
 }
 
-// mine reports whether the row, as it is known, is this process's.
+// mine reports whether the row, as it is known, is this process's, and the duty was taken in the
+// present era of the store. A row of an earlier one comes from a copy, or was written late where
+// somebody else had taken the duty.
 func (c *Claim) mine() bool {
-	return c.known && c.record.Holder == c.Self && c.record.Start == c.Start
+	return c.known && c.record.Holder == c.Self && c.record.Start == c.Start && c.record.Token > c.version.Era*eraTokens
 }
 
-// free reports whether nobody holds the duty: there is no row, or it has stood unchanged for
-// a whole lease since it was first seen, which is later than it was written.
+// free reports whether nobody holds the duty: there never was a row, or it has stood unchanged
+// for a whole lease since it was first seen, which is later than it was written. A store that
+// has returned from a copy may have lost the row of a holder, who finds out within a lease.
 func (c *Claim) free(now time.Duration) bool {
-	return c.known && (c.version.Number == 0 || now-c.seenAt >= c.Lease)
+	return c.known && (c.version == revision.Revision{} || now-c.seenAt >= c.Lease)
 }
 
 // Holds reports whether this daemon holds the duty, and by which token. It is asked right
