Soak: the store goes away and returns from copies up to four seconds old

Once or twice in a row, from every few seconds on; what the operator and the servers had written since is written again within 0.4 s, but for rows that they have written anew.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,6 +35,9 @@
 	StoreSlow   Trouble = "store is slow"
 	StoreForget Trouble = "store forgets its history"
 
+	// StoreReturns is not drawn with the others.
+	StoreReturns Trouble = "store returns from a copy"
+
 	// Servers and the ways to them.
 	SlowServer    Trouble = "server is delayed"
 	ResetServer   Trouble = "server's connections are reset"
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -57,6 +57,8 @@
 	Stranger bool
 	// Moods has servers say of themselves in answers what stands nowhere else.
 	Moods bool
+	// Drills has the store return from copies.
+	Drills bool
 	// Liar makes one server break a promise, which the checks must notice.
 	Liar bool
 }
@@ -92,9 +94,14 @@
 		moods.start(ctx)
 		limits.start(ctx)
 	}
+	drilled := newDrills(s, o.Seed)
+	if o.Drills {
+		drilled.start(ctx)
+	}
 	s.play(ctx, plan)
 	moods.stop()
 	limits.stop()
+	drilled.stop()
 	back := s.awaitReady(ctx, returnWithin)
 	s.oracle.settled(time.Now())
 	clock.Wait(ctx, settleTime)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,7 +23,7 @@
 	lengthFlag  = flag.Duration("soak.length", 15*time.Second, "how long faults come in each run")
 	atOnceFlag  = flag.Int("soak.at-once", 2, "how many runs go on at once")
 	daemonsFlag = flag.Int("soak.daemons", 0, "how many daemons; 0 is drawn from the seed")
-	strangeFlag = flag.Bool("soak.strange", true, "a caller comes again and again with a request that ends its servers, somebody spoils entries of servers, and servers say of themselves what stands nowhere else")
+	strangeFlag = flag.Bool("soak.strange", true, "a caller comes again and again with a request that ends its servers, somebody spoils entries of servers, servers say of themselves what stands nowhere else, and the store returns from copies")
 	keepFlag    = flag.String("soak.keep", "", "directory that keeps settings and logs of runs with findings")
 )
 
@@ -87,7 +87,7 @@
 // TestShortRunWithStrangers has a caller come again and again with a request that ends its
 // servers, which begin again under their id or another one, and spoiled entries, besides.
 func TestShortRunWithStrangers(t *testing.T) {
-	report := run(t, soak.Options{Seed: 3, Daemons: 3, Length: 6 * time.Second, Deadly: true, Stranger: true, Moods: true})
+	report := run(t, soak.Options{Seed: 3, Daemons: 3, Length: 6 * time.Second, Deadly: true, Stranger: true, Moods: true, Drills: true})
 	if len(report.Findings) > 0 {
 		t.Error(report)
 	}
@@ -168,7 +168,7 @@
 		places <- struct{}{}
 		running.Go(func() {
 			defer func() { <-places }()
-			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, Deadly: strange, Stranger: strange, Moods: strange})
+			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, Deadly: strange, Stranger: strange, Moods: strange, Drills: strange})
 			if len(report.Findings) > 0 {
 				t.Errorf("make soak SEED=%d repeats this", seed)
 			}
