--- a/soak/drills.go
+++ b/soak/drills.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,40 @@
 	}
 }
 
+const (
+	// lastWrites is how many versions the last drill takes back, lastKnown how long daemons
+	// have to know them, lastCalm how long nothing else happens after the return.
+	lastWrites = 20
+	lastKnown  = time.Second
+	lastCalm   = calmBefore + 200*time.Millisecond
+)
+
+// last plays a drill when all else is over, and has the operator and a server change something
+// once the daemons are to know that the store is back.
+func (d *drills) last(ctx context.Context) {
+	store := d.site.store
+	copied := store.Copy()
+	for n := range lastWrites {
+		if err := store.Set("other", strconv.Itoa(n), n); err != nil {
+			d.site.oracle.found("SOAK", err.Error())
+		}
+	}
+	// The configuration brings the version to all daemons.
+	d.site.addRoute()
+	clock.Wait(ctx, lastKnown)
+	over := d.site.oracle.trouble(everybody, StoreReturns, time.Now())
+	lost := store.Return(copied)
+	for _, l := range lost {
+		if l.Table() != "other" {
+			store.Again(l)
+		}
+	}
+	over(time.Now())
+	clock.Wait(ctx, lastCalm)
+	d.site.addRoute()
+	d.site.first()[0].leave()
+}
+
 // wait waits for a while, and reports whether the drills go on.
 func (d *drills) wait(ctx context.Context, pause time.Duration) bool {
 	for end := time.Now().Add(pause); time.Now().Before(end) && !d.stopped.Load() && ctx.Err() == nil; {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,6 +104,9 @@
 	drilled.stop()
 	back := s.awaitReady(ctx, returnWithin)
 	s.oracle.settled(time.Now())
+	if o.Drills {
+		drilled.last(ctx)
+	}
 	clock.Wait(ctx, settleTime)
 	callers.stop()
 	poison.stop()
