A daemon without demand has its part of a limit that is not used up

Cause: shares went by demand as it was last counted, with 5% for all: a daemon that had nothing under way in that moment might serve 1 of 100 at once until the next count, half a second and more. Where a limit is enough for all demand each daemon has its own and an even part of the rest now; else it is as before. The sum is the limit either way (TestSharesNeverExceedTheLimit, unchanged). The demand in requests counts in requests a second; it was in tenths, which cancelled out before.

TestDaemonWithoutDemandHasItsPartOfWhatIsLeft failed before (1.7 of 100, 30 now).

--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// A daemon that had nothing under way when demands were last counted refused all but one request
+// of an organisation that used a tenth of its limit.
+func TestDaemonWithoutDemandHasItsPartOfWhatIsLeft(t *testing.T) {
+	in := limit.ShareInput{Limit: 100, Halls: 2, Fresh: true, Hall: limit.HallDemand{Demand: 6, Daemons: 2}, Others: limit.HallDemand{Demand: 4, Daemons: 1}, FreshOthers: 1}
+	for own, want := range map[float64]float64{0: 30, 6: 36} {
+		in.Own = own
+		if got := limit.Share(in); got < want-1e-9 {
+			t.Errorf("with a demand of %v of 10 it may use %.1f of 100, want %v", own, got, want)
+		}
+	}
+}
+
 // TestSharesNeverExceedTheLimit draws demands and what each daemon knows: the
 // shares of all daemons together keep within the limit when their knowledge is
 // the same, and halls that do not see each other keep within it too.
--- a/core/limit/share.go
+++ b/core/limit/share.go
@@ -33,7 +33,8 @@
 //
 // The data halls whose demand is not known keep their static share, one part
 // in the number of halls, so that halls that cannot see each other together
-// never exceed the limit. What is left is shared among the others by demand.
+// never exceed the limit. What is left is shared among the others: where it is enough for
+// all demand, each has its own and an even part of the rest, and otherwise by demand.
 // A daemon that does not even know its own hall's total uses an even part of
 // the hall's static share.
 func Share(in ShareInput) float64 {
@@ -51,5 +52,8 @@
 	}
 	// The own demand counts at least as it is now: the total may lag.
 	demand = max(demand, in.Own)
+	if demand <= left {
+		return in.Own + (left-demand)/sharing
+	}
 	return left*idlePart/sharing + left*(1-idlePart)*in.Own/demand
 }
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -29,11 +29,14 @@
 // KeyOfRef is the key of a version.
 func KeyOfRef(ref table.Ref) Key { return KeyOf(ref.String()) }
 
+// RequestsUnit is how many units of Demand.Requests are one request a second.
+const RequestsUnit = 10
+
 // Demand is what one organisation asks for.
 type Demand struct {
 	_   struct{} `cbor:",toarray"`
 	Key Key
-	// Requests, in tenths, and Tokens are asked for a second, refused ones
+	// Requests, in parts of RequestsUnit, and Tokens are asked for a second, refused ones
 	// included. Whole numbers are short on the wire.
 	Requests uint32
 	Tokens   uint32
--- a/daemon/control/shares.go
+++ b/daemon/control/shares.go
@@ -22,7 +22,7 @@
 // figure picks one figure of a demand.
 type figure func(tally.Demand) float64
 
-func requestsOf(d tally.Demand) float64 { return float64(d.Requests) }
+func requestsOf(d tally.Demand) float64 { return float64(d.Requests) / tally.RequestsUnit }
 func tokensOf(d tally.Demand) float64   { return float64(d.Tokens) }
 func inFlightOf(d tally.Demand) float64 { return float64(d.InFlight) }
 
--- a/daemon/front/limiter.go
+++ b/daemon/front/limiter.go
@@ -108,15 +108,12 @@
 			continue
 		}
 		out = append(out, tally.Demand{
-			Key: tally.KeyOf(name), Requests: uint32(u.requestRate*tenths + 0.5), Tokens: uint32(u.tokenRate + 0.5), InFlight: uint32(u.inFlight),
+			Key: tally.KeyOf(name), Requests: uint32(u.requestRate*tally.RequestsUnit + 0.5), Tokens: uint32(u.tokenRate + 0.5), InFlight: uint32(u.inFlight),
 		})
 	}
 	slices.SortFunc(out, func(a, b tally.Demand) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
 
-// tenths is the unit of requests a second in a tally.
-const tenths = 10
-
 // idleRate is the demand, in requests a second, below which it counts as none.
 const idleRate = 0.01
