--- a/daemon/cmd/ladderridge/cmd_standin_site.go
+++ b/daemon/cmd/ladderridge/cmd_standin_site.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -39,6 +41,9 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			t := standin.AskSite(cmd.Context(), strings.Split(targets, ","), n)
 			cmd.Printf("sent: %d, answered whole: %d, refused: %d\n", t.Sent, t.Whole, t.Refused)
+			for _, what := range slices.Sorted(maps.Keys(t.Others)) {
+				cmd.Printf("%d times: %s\n", t.Others[what], what)
+			}
 			if t.Whole != t.Sent {
 				return errors.New("not every answer is whole: see the gateways' logs for the requests' ids")
 			}
--- a/daemon/standin/site.go
+++ b/daemon/standin/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"ladderridge.example/platform/standin"
@@ -83,18 +84,31 @@
 	return nil
 }
 
+// described is what an answer was that is not whole.
+func described(r standin.Reply) string {
+	switch {
+	case r.Status == 0:
+		return fmt.Sprintf("no answer: %v", r.Err)
+	case r.Err != nil:
+		return fmt.Sprintf("status %d, cut: %v", r.Status, r.Err)
+	}
+	return fmt.Sprintf("status %d %s", r.Status, strings.TrimSpace(r.Body))
+}
+
 // Tally counts what callers of a site saw.
 type Tally struct {
 	Sent    int
 	Whole   int
 	Refused int
+	// Others are the answers that were not whole, by what they were.
+	Others map[string]int
 }
 
 // AskSite sends n requests to the gateways at some addresses in turn, every second
 // one a chat, and counts the whole answers.
 func AskSite(ctx context.Context, addrs []string, n int) Tally {
 	client := &http.Client{}
-	var out Tally
+	out := Tally{Others: map[string]int{}}
 	for i := range n {
 		c := standin.Call{ID: fmt.Sprintf("ask-%d-%d", time.Now().UnixNano(), i), Method: http.MethodPost, Host: SiteHost, Target: SiteCall, Key: SiteKey, Body: "ask", Wait: siteLimit}
 		if i%2 == 0 {
@@ -102,12 +116,14 @@
 		}
 		r := c.Send(ctx, client, addrs[i%len(addrs)])
 		out.Sent++
-		switch {
-		case r.NotRun():
-			out.Refused++
-		case r.Status == http.StatusOK && r.Whole && r.Err == nil:
+		if r.Status == http.StatusOK && r.Whole && r.Err == nil {
 			out.Whole++
+			continue
+		}
+		if r.NotRun() {
+			out.Refused++
 		}
+		out.Others[described(r)]++
 	}
 	return out
 }
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -18,15 +18,29 @@
 	status=$?
 	for pid in "${daemons[@]}" "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
 	wait 2>/dev/null || true
-	if [ "$status" -ne 0 ]; then
-		echo "the demo failed; the end of each log:" >&2
-		tail -n 5 "$work"/*.log >&2 || true
-	fi
+	if [ "$status" -ne 0 ]; then tell_why >&2; fi
 	rm -rf "$work"
 	exit "$status"
 }
 trap finish EXIT
 
+tell_why() { # the errors of all processes, which the closing lines of their logs hide
+	ls "$work"/*.log >/dev/null 2>&1 || return 0
+	echo "the demo failed; what its processes said was wrong:"
+	(cd "$work" && grep -HE '"level":"(warn|error|fatal)"|[Ee]rror|address already in use' ./*.log | tail -n 30) || echo "no process said so"
+	(cd "$work" && grep -HE '^refused [a-z_]+:' ./*.txt) || true
+}
+
+free() { # ADDRESS...: fails with the name of the first one that is taken
+	local addr
+	for addr in "$@"; do
+		if (exec 3<>"/dev/tcp/${addr%:*}/${addr#*:}") 2>/dev/null; then
+			echo "$addr is taken: end what listens there and start the demo again" >&2
+			return 1
+		fi
+	done
+}
+
 start() { # NAME COMMAND...: starts a stand-in
 	local name=$1
 	shift
@@ -36,10 +50,11 @@
 
 until_ok() { # COMMAND...: waits until it succeeds, 20 s at most
 	for _ in $(seq 200); do
-		"$@" >/dev/null 2>&1 && return 0
+		"$@" >"$work/last.out" 2>&1 && return 0
 		sleep 0.1
 	done
-	echo "gave up waiting for: $*" >&2
+	echo "gave up waiting for: $*; it said last:" >&2
+	cat "$work/last.out" >&2
 	return 1
 }
 
@@ -47,6 +62,8 @@
 
 say() { printf '\n== %s\n' "$*"; }
 
+free $platform 127.0.0.1:1910{1,2,3} 127.0.0.1:192{0,1}{1,2,3} 127.0.0.1:1930{0,1,2,3} 127.0.0.1:193{1,2,3}{1,2}
+
 say "keys, settings and the table"
 voluntas_key=demo-key-of-voluntas
 licence_key=demo-key-of-the-licence-desk
@@ -99,6 +116,8 @@
 done
 until_ok "$bin/ladderridge" halls
 "$bin/ladderridge" table apply --from 0 --note "first table" "$work/table-1.csv"
+"$bin/ladderridge" table export >"$work/exported.csv"
+"$bin/ladderridge" table check "$work/exported.csv"
 callers=http://127.0.0.1:19201,http://127.0.0.1:19202,http://127.0.0.1:19203
 for n in 1 2 3; do
 	until_ok "$bin/ladderridge" load --target http://127.0.0.1:1920$n --key $licence_key --model roster -n 1 --workers 1 --tokens 1
