A start renews a tenth of a second of an organisation's limit, not a whole one

Daemons that were ended each second admitted 1.95 times what an organisation's limit allows (3,900 of 2,000 in the test, which failed before): a new bucket began with a second of its share. It begins with a tenth of that now, so that all starts of all daemons in each second admit a tenth more; one that begins empty turns away callers who come from another daemon together.

--- a/core/limit/bucket.go
+++ b/core/limit/bucket.go
@@ -14,17 +14,22 @@
 // burstSeconds is how many seconds of its rate a bucket holds at most.
 const burstSeconds = 1.0
 
+// startSeconds is how many seconds of its rate a new bucket holds: callers that were at another
+// daemon come together.
+const startSeconds = 0.1
+
 // minBurst lets even a small share admit one whole request.
 const minBurst = 1.0
 
 // minWait is the shortest wait that is told.
 const minWait = time.Millisecond
 
-// Refill returns the bucket as it stands at now, for a rate in units a second.
+// Refill returns the bucket as it stands at now, for a rate in units a second. A new one holds
+// little: with a whole burst each start of a daemon would grant that anew.
 func (b Bucket) Refill(now time.Time, rate float64) Bucket {
 	burst := max(rate*burstSeconds, minBurst)
 	if b.At.IsZero() {
-		return Bucket{Level: burst, At: now}
+		return Bucket{Level: max(rate*startSeconds, minBurst), At: now}
 	}
 	if now.Before(b.At) {
 		return b
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -32,6 +32,29 @@
 	}
 }
 
+// Ten daemons with a tenth of a limit each, ended and started anew each second, admitted twice
+// what the limit allows.
+func TestStartRenewsNoBurstOfALimit(t *testing.T) {
+	const rate, daemons, seconds = 20.0, 10, 10
+	admitted := 0
+	for range daemons {
+		var b limit.Bucket
+		for ms := range seconds * 1000 {
+			if ms%1000 == 0 {
+				b = limit.Bucket{}
+			}
+			var ok bool
+			if b, _, ok = b.Take(time.Unix(1_800_000_000, int64(ms)*int64(time.Millisecond)), rate, 1); ok {
+				admitted++
+			}
+		}
+	}
+	// A tenth of a second of each share comes with a start.
+	if most := 1.1 * daemons * seconds * rate; float64(admitted) > most {
+		t.Errorf("%d admitted in %d s with %v starts, the limit allows %v", admitted, seconds, daemons*seconds, daemons*seconds*rate)
+	}
+}
+
 // A daemon that had nothing under way when demands were last counted refused all but one request
 // of an organisation that used a tenth of its limit.
 func TestDaemonWithoutDemandHasItsPartOfWhatIsLeft(t *testing.T) {
