A repeat that arrives long after it was paid is paid again, or not sent

One that has taken more than 0.3 s from its payment to its server takes another token when its connection is there, and goes without a server if there is none; what was not sent counts as not run.

--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -153,7 +153,7 @@
 			a.reply.Close()
 		}
 		a.err = &channel.Error{Op: "wait for server", Kind: channel.Broken, Err: errSilent}
-		j.paid = true
+		j.pay()
 	}
 	j.judge(a)
 	if a.verdict != answered {
@@ -248,6 +248,9 @@
 	}
 }
 
+// errLate stops a repeat that would arrive long after it was paid.
+var errLate = errors.New("the repeat is late, and the budget has none left")
+
 // errNotOpen stops a request whose server has said meanwhile that it takes none.
 var errNotOpen = errors.New("the server takes no new work")
 
@@ -258,6 +261,9 @@
 	if !a.server.Open(now) || !a.server.Load.Admit(a.sent, now) {
 		return errNotOpen
 	}
+	if !j.paysFor(now) {
+		return errLate
+	}
 	j.arrive(a)
 	return nil
 }
@@ -349,5 +355,28 @@
 		j.paid = false
 		return true
 	}
-	return j.engine.spendRepeat(j.service, j.view)
+	if !j.engine.spendRepeat(j.service, j.view) {
+		return false
+	}
+	j.paidAt = time.Now()
+	return true
+}
+
+// pay notes that the next attempt has been taken from the budget.
+func (j *job) pay() { j.paid, j.paidAt = true, time.Now() }
+
+// paysFor reports whether a repeat that arrives now is paid. Repeats that were paid over a while
+// and arrive all at once would be more than the budget has in that time: a late one is paid again.
+func (j *job) paysFor(now time.Time) bool {
+	if j.made.Reached() == 0 || now.Sub(j.paidAt) <= paidFor {
+		return true
+	}
+	if !j.engine.spendRepeat(j.service, j.view) {
+		return false
+	}
+	j.paidAt = now
+	return true
 }
+
+// paidFor is how long after it was paid a repeat may arrive.
+const paidFor = 300 * time.Millisecond
--- a/daemon/exchange/engine.go
+++ b/daemon/exchange/engine.go
@@ -196,8 +196,10 @@
 	silent []string
 	// made is what is known after the attempts so far.
 	made attempts.Ledger
-	// paid tells that the next attempt has been taken from the budget.
-	paid bool
+	// paid tells that the next attempt has been taken from the budget, paidAt when a repeat last
+	// was.
+	paid   bool
+	paidAt time.Time
 	// counted tells that the request counts as begun for its organisation.
 	counted bool
 	// begun tells that the caller has a part of an answer.
--- a/daemon/exchange/limit_test.go
+++ b/daemon/exchange/limit_test.go
@@ -253,3 +253,41 @@
 		}
 	})
 }
+
+// Repeats that were paid over a second, and whose connections came up together, reached a service
+// at once, more than the budget has in that time. A late one is paid again or not sent.
+func TestRepeatThatArrivesLateIsPaidAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		slow time.Duration
+		// spent tells that others use up the budget meanwhile.
+		spent bool
+		want  int
+	}{
+		"at once, nothing left":       {0, true, 1},
+		"a little late, nothing left": {250 * time.Millisecond, true, 1},
+		"late":                        {time.Second, false, 1},
+		"late, nothing left":          {time.Second, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newBench(t)
+				fails, other := b.server("a", whole(500, "no")), b.server("b", whole(200, "ok"))
+				other.Load.Begin(50)
+				b.known.set(routemap.New(parts(1, "k")), fails, other)
+				dial := b.engine.Channels.Dial
+				b.engine.Channels.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					if addr == "b" {
+						time.Sleep(c.slow)
+						for c.spent && b.engine.Budget.Spend("s", 1, time.Now()) {
+						}
+					}
+					return dial(ctx, addr)
+				}
+				b.ask(t.Context(), exchange.Request{ID: "r", Path: "/again/x", Key: "k", Wait: 1900 * time.Millisecond})
+				if got := b.at("b"); got != c.want {
+					t.Errorf("%d repeats arrived, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/daemon/exchange/stream.go
+++ b/daemon/exchange/stream.go
@@ -74,7 +74,7 @@
 	if !j.reserve(a, next, now) {
 		return j.step, load, false
 	}
-	j.paid = true
+	j.pay()
 	return next, load, true
 }
 
@@ -136,7 +136,7 @@
 		}
 		if err != nil {
 			if timer.stop() {
-				j.paid = true
+				j.pay()
 				return errSilent
 			}
 			return err
