A daemon that starts after a return hears what the store has lost

Questions and answers tell how many rows the teller holds; who holds fewer takes what differs, but for what the store has taken since, and asks back who asks it. The test failed before (configuration 1 for 5, three seconds after the start).

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -48,6 +48,8 @@
 	// Sum is a hash of the rows' keys and contents. The store's version rises
 	// with every write to any topic; the sum changes only with one to this.
 	Sum uint64
+	// Held is how many rows the asker holds that the store has lost.
+	Held uint64
 }
 
 // Ask asks a daemon what it knows.
@@ -96,6 +98,8 @@
 	// ReturnedMS is how long ago the store answered again after it was away, or
 	// 0 if it was not: entries that lapsed meanwhile may come back.
 	ReturnedMS uint64
+	// Held is how many rows the answerer holds that the store has lost.
+	Held uint64
 	// Whole tells that Rows are all rows of the topic. Otherwise Rows and
 	// Removed are what has changed since the rows whose sum is Base.
 	Whole   bool
--- a/daemon/knowledge/era.go
+++ b/daemon/knowledge/era.go
@@ -83,6 +83,53 @@
 	return out
 }
 
+// hears notes what another daemon tells of all rows, which may hold some that the store has lost.
+func (t *topicState) hears(known relay.Known, now time.Time) {
+	if known.Held > 0 {
+		t.returnedAt = now
+	}
+}
+
+// adopt takes what another daemon of the same era holds that the store has lost, if this one has
+// read it from the copy. What the store has taken since the other one read it stands.
+func (t *topicState) adopt(known relay.Known, now time.Time) (gone []string, newer bool) {
+	if known.Version.Era != t.version.Era || known.Held <= uint64(len(t.held)) || !known.Whole && known.Base != t.sum {
+		return nil, false
+	}
+	t.returnedAt = now
+	var lost []relay.Row
+	for _, row := range known.Rows {
+		was, has := t.rows[row.Key]
+		if has && was.Sum() != row.Sum() && !was.Version.After(known.Version) || !has && row.Version.Number == 0 {
+			lost = append(lost, row)
+		}
+	}
+	removed := slices.DeleteFunc(t.lacks(known), func(key string) bool { return t.rows[key].Version.After(known.Version) })
+	gone = t.set(lost, removed, now)
+	for _, row := range lost {
+		t.hold(row.Key, now)
+	}
+	return gone, len(lost)+len(removed) > 0
+}
+
+// lacks are the keys of rows that another daemon does not have.
+func (t *topicState) lacks(known relay.Known) []string {
+	if !known.Whole {
+		return slices.DeleteFunc(slices.Clone(known.Removed), func(key string) bool { _, has := t.rows[key]; return !has })
+	}
+	there := make(map[string]bool, len(known.Rows))
+	for _, row := range known.Rows {
+		there[row.Key] = true
+	}
+	var out []string
+	for key := range t.rows {
+		if !there[key] {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 func (t *topicState) hold(key string, now time.Time) {
 	if _, held := t.held[key]; !held {
 		t.held[key] = now
--- a/daemon/knowledge/era_test.go
+++ b/daemon/knowledge/era_test.go
@@ -140,6 +140,39 @@
 	})
 }
 
+// A daemon that starts before all is written again reads the copy. Its hall tells it what the
+// others hold.
+func TestDaemonThatStartsAfterAReturnHearsWhatTheStoreHasLost(t *testing.T) {
+	for _, after := range []time.Duration{0, 200 * time.Millisecond, time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				s := newSystem(t)
+				s.config(1, "k")
+				s.rows.set(relay.Servers, "gone", "v1@h1#100")
+				s.rows.set(relay.Servers, "leaves", "v1@h1#100")
+				s.decode = func(string) knowledge.Decoder { return drainDecoder{} }
+				halls(s, 1)
+				pass(4 * time.Second)
+				copied := s.rows.copied()
+				s.config(5, "k")
+				s.rows.set(relay.Servers, "leaves", "v1@h1#100!")
+				s.rows.set(relay.Servers, "gone", "")
+				pass(2 * time.Second)
+				s.drill(copied, 100*time.Millisecond)
+				pass(after)
+				late := s.daemonIn("h1-late", "h1")
+				pass(contact)
+				if v := late.View(); v.Map.Number != 5 || !leaving(late, "leaves") || !leaving(late, "gone") {
+					t.Errorf("it has configuration %d in force; out of use are the leaving server %v, the one that is gone %v", v.Map.Number, leaving(late, "leaves"), leaving(late, "gone"))
+				}
+			})
+		})
+	}
+}
+
+// contact is how long a daemon must have run for the platform's bounds to hold for it.
+const contact = 3 * time.Second
+
 // drainDecoder reads servers with ! at the end as leaving.
 type drainDecoder struct{ decoder }
 
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -172,6 +172,8 @@
 	nonce     uint64
 	random    *rand.Rand
 	askedAt   time.Time
+	// askedBack is when a daemon was last asked that holds more than this one.
+	askedBack time.Time
 	rollouts  *rollouts
 	sessions  *sessions
 	limits    *limits
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -113,7 +113,7 @@
 	k.askLimits(&ask, now)
 	for _, topic := range topics {
 		t := k.topics[topic]
-		ask.Have = append(ask.Have, relay.Have{Topic: topic, Version: t.version, Sum: t.sum})
+		ask.Have = append(ask.Have, relay.Have{Topic: topic, Version: t.version, Sum: t.sum, Held: uint64(len(t.held))})
 	}
 	return ask
 }
@@ -142,19 +142,25 @@
 	tell := relay.Tell{Nonce: m.Nonce, Withdrawn: k.rollouts.withdrawnNames(), Cut: k.cut(now), Work: k.askedWork(member, m.Work, now)}
 	tell.Limits = k.askedLimits(to, m, now)
 	tell.LimitSum = k.limits.sum()
+	holdsMore := false
 	for _, have := range m.Have {
 		t := k.topics[have.Topic]
 		if t == nil || !t.known {
 			continue
 		}
 		tell.Known = append(tell.Known, t.tell(have.Topic, have.Sum, now))
+		holdsMore = holdsMore || have.Held > uint64(len(t.held))
 	}
 	k.Peers.Send(to, member.Addr, tell)
+	if holdsMore && now.Sub(k.askedBack) >= askEvery {
+		k.askedBack = now
+		k.Peers.Send(to, member.Addr, k.question(relayed, now))
+	}
 }
 
 // tell is what is known of a topic, for a daemon whose rows have a sum.
 func (t *topicState) tell(topic relay.Topic, sum uint64, now time.Time) relay.Known {
-	out := relay.Known{Topic: topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: t.sum, Base: sum}
+	out := relay.Known{Topic: topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: t.sum, Base: sum, Held: uint64(len(t.held))}
 	if !t.returned.IsZero() {
 		out.ReturnedMS = uint64(max(1, now.Sub(t.returned).Milliseconds()))
 	}
@@ -286,12 +292,16 @@
 	case t.known && known.Version == t.version:
 		// One of the two holds rows that the store has lost.
 		t.confirm(confirmed)
+		gone, newer = t.adopt(known, now)
 	case t.known && known.Version.Before(t.version):
+		gone, newer = t.adopt(known, now)
 	case known.Whole:
 		k.noteEra(known.Topic, known.Version, now)
+		t.hears(known, now)
 		gone, newer = t.replace(known.Rows, known.Version, confirmed, now)
 	default:
 		k.noteEra(known.Topic, known.Version, now)
+		t.hears(known, now)
 		gone, newer = t.apply(known, confirmed, now)
 	}
 	if newer {
