--- a/daemon/knowledge/changes.go
+++ b/daemon/knowledge/changes.go
@@ -37,8 +37,8 @@
 	next := *v
 	next.Spoiled = c.spoiled
 	next.Servers = v.Servers.With(c.removed, c.added).WithEmptied(k.emptiedHalls())
-	k.view.Store(&next)
 	k.listLimitsOf(c, now)
+	k.view.Store(&next)
 	k.chill(now)
 	for _, s := range c.again {
 		k.tellBeganAgain(s.was, s.is)
--- a/daemon/knowledge/era.go
+++ b/daemon/knowledge/era.go
@@ -83,16 +83,16 @@
 	return out
 }
 
-// hears notes what another daemon tells of all rows, which may hold some that the store has lost.
-func (t *topicState) hears(known relay.Known, now time.Time) {
+// noteHeld notes that another daemon holds rows that the store has lost.
+func (t *topicState) noteHeld(known relay.Known, now time.Time) {
 	if known.Held > 0 {
 		t.returnedAt = now
 	}
 }
 
-// adopt takes what another daemon of the same era holds that the store has lost, if this one has
+// takeHeld takes what another daemon of the same era holds that the store has lost, if this one has
 // read it from the copy. What the store has taken since the other one read it stands.
-func (t *topicState) adopt(known relay.Known, now time.Time) (gone []string, newer bool) {
+func (t *topicState) takeHeld(known relay.Known, now time.Time) (gone []string, newer bool) {
 	if known.Version.Era != t.version.Era || known.Held <= uint64(len(t.held)) || !known.Whole && known.Base != t.sum {
 		return nil, false
 	}
@@ -159,7 +159,7 @@
 	if topic == relay.Members && now.Sub(k.startedAt) < copyAge {
 		// The copy may be older than this daemon's entry.
 		select {
-		case k.published <- struct{}{}:
+		case k.republish <- struct{}{}:
 		default:
 		}
 	}
--- a/daemon/knowledge/keeper.go
+++ b/daemon/knowledge/keeper.go
@@ -104,9 +104,9 @@
 	// Ended counts servers that ended while requests of this daemon were under way there.
 	Ended atomic.Int64
 
-	// published asks for this daemon's entry to be written again; progressLost tells that the
+	// republish asks for this daemon's entry to be written again; progressLost tells that the
 	// store may lack states of roll-outs.
-	published    chan struct{}
+	republish    chan struct{}
 	progressLost atomic.Bool
 	// left are the servers that leave by their entries, by the era of the store that said so.
 	left map[fleet.Incarnation]uint64
@@ -239,7 +239,7 @@
 // New returns a keeper that knows nothing.
 func New() *Keeper {
 	k := &Keeper{
-		events: make(chan event, eventBacklog), published: make(chan struct{}, 1), left: map[fleet.Incarnation]uint64{},
+		events: make(chan event, eventBacklog), republish: make(chan struct{}, 1), left: map[fleet.Incarnation]uint64{},
 		topics: map[relay.Topic]*topicState{}, loads: map[fleet.Incarnation]*fleet.Load{}, unlisted: map[fleet.Incarnation]unlisted{}, halls: map[string]*fleet.Hall{},
 		emptied: map[string]time.Time{}, returned: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]revision.Revision{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, asked: map[uint64]time.Time{}, listeners: map[string]time.Time{}, toldSums: map[relay.Topic]uint64{}, readers: newReaders(),
--- a/daemon/knowledge/members.go
+++ b/daemon/knowledge/members.go
@@ -44,7 +44,7 @@
 		}
 		pause = pauseFloor
 		select {
-		case <-k.published:
+		case <-k.republish:
 		case <-ctx.Done():
 		}
 	}
--- a/daemon/knowledge/peers.go
+++ b/daemon/knowledge/peers.go
@@ -289,19 +289,19 @@
 		k.noteEra(known.Topic, known.Version, now)
 		t.version = revision.Latest(t.version, known.Version)
 		t.confirm(confirmed)
-	case t.known && known.Version == t.version:
-		// One of the two holds rows that the store has lost.
-		t.confirm(confirmed)
-		gone, newer = t.adopt(known, now)
-	case t.known && known.Version.Before(t.version):
-		gone, newer = t.adopt(known, now)
+	case t.known && !known.Version.After(t.version):
+		if known.Version == t.version && !t.returnedAt.IsZero() {
+			// One of the two holds rows that the store has lost.
+			t.confirm(confirmed)
+		}
+		gone, newer = t.takeHeld(known, now)
 	case known.Whole:
 		k.noteEra(known.Topic, known.Version, now)
-		t.hears(known, now)
+		t.noteHeld(known, now)
 		gone, newer = t.replace(known.Rows, known.Version, confirmed, now)
 	default:
 		k.noteEra(known.Topic, known.Version, now)
-		t.hears(known, now)
+		t.noteHeld(known, now)
 		gone, newer = t.apply(known, confirmed, now)
 	}
 	if newer {
--- a/daemon/knowledge/read.go
+++ b/daemon/knowledge/read.go
@@ -101,8 +101,8 @@
 	k.noteVersions(servers, first, now)
 	was := v.Servers
 	v.Servers = fleet.NewList(servers).WithEmptied(k.emptiedHalls())
-	k.view.Store(&v)
 	k.listLimits(servers, now)
+	k.view.Store(&v)
 	k.chill(now)
 	k.beganAgain(was, servers)
 }
