--- a/daemon/exchange/limit_test.go
+++ b/daemon/exchange/limit_test.go
@@ -125,8 +125,8 @@
 	return bad
 }
 
-// Seven daemons sent a server with a limit of 1.6 a second 29 requests in four seconds. All of
-// them keep it together, whoever is told first, also when it changes, and use it.
+// Each daemon that keeps a limit for itself alone sends what all may send together. They share it,
+// whoever is told first and also when it changes, and use it.
 func TestDaemonsKeepTheLimitOfAServerTogether(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		one := &limited{}
