The order of daemons for a server stands once

Cold servers' senders and the shares of limits drew the same hash and counted the same daemons, each in its own package. quota.Ahead serves both; shares and draws are as before (the tests of both are unchanged and pass).

--- a/core/fleet/cold.go
+++ b/core/fleet/cold.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"ladderridge.example/core/quota"
 )
 
 // Cold is how much a daemon may send to a server that has started a moment ago, or
@@ -50,20 +50,12 @@
 	if senders >= len(daemons) {
 		return each
 	}
-	mine, ahead := coldDraw(server, self), 0
-	for _, d := range daemons {
-		if d != self && coldDraw(server, d) > mine {
-			ahead++
-		}
-	}
-	if ahead >= senders {
+	if quota.Ahead(server, self, daemons) >= senders {
 		return 0
 	}
 	return each
 }
 
-func coldDraw(server, daemon string) uint64 { return xxhash.Sum64String(server + "\x00" + daemon) }
-
 // coldness is what a daemon may send to one server and has sent. The owner locks it.
 type coldness struct {
 	Cold
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,7 +64,7 @@
 	}
 	burst := Burst(rate)
 	n := min(len(senders), int(burst))
-	if n == 0 || d.rank(server, senders) >= n {
+	if !slices.Contains(senders, d.Self) || Ahead(server, d.Self, senders) >= n {
 		return out
 	}
 	out.Rate = out.All / float64(n)
@@ -87,23 +88,16 @@
 	return out
 }
 
-// rank is how many of the daemons go before this one for a server; one that is not listed goes
-// last.
-func (d Daemons) rank(server string, daemons []string) int {
-	mine, before, listed := draw(server, d.Self), 0, false
+// Ahead is how many of some daemons go before one for a server (rendezvous hashing): all find the
+// same order, and another one for each server.
+func Ahead(server, self string, daemons []string) (n int) {
+	mine := draw(server, self)
 	for _, other := range daemons {
-		switch {
-		case other == d.Self:
-			listed = true
-		case draw(server, other) > mine:
-			before++
+		if other != self && draw(server, other) > mine {
+			n++
 		}
 	}
-	if !listed {
-		return len(daemons)
-	}
-	return before
+	return n
 }
 
-// draw orders daemons for a server (rendezvous hashing).
 func draw(server, daemon string) uint64 { return xxhash.Sum64String(server + "\x00" + daemon) }
