When the first server of a service opens is worked out by notice.RestEnds again

OpensAt had repeated its loop for servers at their limits; each server's time goes into the same decision now.

--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ladderridge.example/core/notice"
 	"ladderridge.example/core/quota"
 )
 
@@ -76,19 +77,19 @@
 // OpensAt returns when the first server of a service takes a request of this daemon again, if
 // all that stay want rest or have their limit; limited tells whether one has.
 func (l *List) OpensAt(service string, now time.Time) (at time.Time, limited, ok bool) {
-	for _, s := range l.open[service] {
-		if !s.Usable() {
-			continue
-		}
-		opens, atLimit := s.Load.opensAt(now)
-		if !opens.After(now) {
-			return time.Time{}, false, false
-		}
-		limited = limited || atLimit
-		if !ok || opens.Before(at) {
-			at, ok = opens, true
+	listed := func(yield func(notice.Kept) bool) {
+		for _, s := range l.open[service] {
+			if !s.Usable() {
+				continue
+			}
+			opens, atLimit := s.Load.opensAt(now)
+			limited = limited || atLimit
+			if !yield(notice.Kept{RestUntil: opens}) {
+				return
+			}
 		}
 	}
+	at, ok = notice.RestEnds(listed, now)
 	return at, limited, ok
 }
 
@@ -97,15 +98,11 @@
 	at = l.Notices.Kept().RestUntil
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limit.full(now) {
-		at, limited = latest(at, now.Add(l.limit.bucket.Wait(now))), true
+	if !l.limit.full(now) {
+		return at, false
 	}
-	return at, limited
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+	if room := now.Add(l.limit.bucket.Wait(now)); room.After(at) {
+		at = room
 	}
-	return b
+	return at, true
 }
