A repeat is taken from the budget in one place, and a return is noted in one

Paying a repeat and noting when stood twice in the exchange; a topic noted a return of the store that its keeper had noted just before. No behaviour changes; the tests are unchanged.

--- a/daemon/exchange/attempt.go
+++ b/daemon/exchange/attempt.go
@@ -355,6 +355,11 @@
 		j.paid = false
 		return true
 	}
+	return j.spend()
+}
+
+// spend takes a repeat from the budget, for the next attempt or the one that arrives now.
+func (j *job) spend() bool {
 	if !j.engine.spendRepeat(j.service, j.view) {
 		return false
 	}
@@ -368,14 +373,7 @@
 // paysFor reports whether a repeat that arrives now is paid. Repeats that were paid over a while
 // and arrive all at once would be more than the budget has in that time: a late one is paid again.
 func (j *job) paysFor(now time.Time) bool {
-	if j.made.Reached() == 0 || now.Sub(j.paidAt) <= paidFor {
-		return true
-	}
-	if !j.engine.spendRepeat(j.service, j.view) {
-		return false
-	}
-	j.paidAt = now
-	return true
+	return j.made.Reached() == 0 || now.Sub(j.paidAt) <= paidFor || j.spend()
 }
 
 // paidFor is how long after it was paid a repeat may arrive.
--- a/daemon/knowledge/era.go
+++ b/daemon/knowledge/era.go
@@ -50,9 +50,6 @@
 // version that the store has, and so is one that the copy lacks.
 func (t *topicState) reconcile(rows []relay.Row, version revision.Revision, now time.Time) []relay.Row {
 	returns := t.known && version.Era > t.version.Era
-	if returns {
-		t.returnedAt = now
-	}
 	if t.returnedAt.IsZero() || now.Sub(t.returnedAt) > copyAge && len(t.held) == 0 {
 		return rows
 	}
