--- a/daemon/permits/figures.go
+++ b/daemon/permits/figures.go
@@ -52,13 +52,13 @@
 	at time.Time
 }
 
-// reported returns the least demand that was reported within the expiry before a total arrived.
-// Daemons use totals of different ages. With a demand that is in none or only in some of them,
+// reported returns the least demand that was reported before a total arrived, as far back as any
+// daemon uses it: reports expire at the reader, and then totals at the daemons. Daemons use totals of different ages. With a demand that is in none or only in some of them,
 // the limits of all would add up to more than the pool.
 func (s *service) reported(at time.Time) permits.Demand {
 	var least *ownDemand
 	for i, d := range s.own {
-		if at.Sub(d.at) < expiry && (least == nil || d.Load() < least.Load()) {
+		if at.Sub(d.at) < 2*expiry && (least == nil || d.Load() < least.Load()) {
 			least = &s.own[i]
 		}
 	}
@@ -82,9 +82,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := s.gate.Demand(now)
-	for len(s.own) > 0 && now.Sub(s.own[0].at) >= expiry {
+	if len(s.own) == 0 || now.Sub(s.own[len(s.own)-1].at) >= expiry {
+		s.reportsSince = now
+	}
+	for len(s.own) > 0 && now.Sub(s.own[0].at) >= 2*expiry {
 		s.own = s.own[1:]
 	}
+	if now.Sub(s.reportsSince) < expiry {
+		// Not all daemons have a total with this one: it counts as one without figures.
+		d.Daemons = 0
+	}
 	s.own = append(s.own, ownDemand{Demand: d, at: now})
 	return d
 }
--- a/daemon/permits/pool.go
+++ b/daemon/permits/pool.go
@@ -56,11 +56,23 @@
 
 // setShare computes the limit of a service from the total. The caller holds both locks.
 func (p *Pool) setShare(name string, s *service, now time.Time) {
-	var share permits.Share
-	if total, ok := p.total.figures[name]; ok {
-		share = permits.Share{Limit: permits.Divide(s.pool, total, s.reported(p.total.at), s.daemons), Until: p.total.at.Add(expiry)}
+	static := s.pool.Static(s.daemons)
+	total, ok := p.total.figures[name]
+	if !ok {
+		s.gate.SetShares(static, now)
+		s.update(now)
+		return
+	}
+	limit := permits.Divide(s.pool, total, s.reported(p.total.at), s.daemons)
+	// While some daemons may have a total without this one and others one with it, they reserve
+	// its static share or its last one.
+	reserved := min(limit, static)
+	if limit != permits.Unlimited && p.total.at.Sub(s.reportsSince) < 2*expiry {
+		limit = reserved
 	}
-	s.gate.SetShare(share, s.pool.Static(s.daemons), now)
+	s.gate.SetShares(static, now,
+		permits.Share{Limit: limit, Until: p.total.at.Add(expiry)},
+		permits.Share{Limit: reserved, Until: p.total.at.Add(2 * expiry)})
 	s.update(now)
 }
 
@@ -130,8 +142,10 @@
 	daemons          int
 	answers          map[permits.ID]chan permits.Decision
 	timer            *time.Timer
-	// own holds the demands that were reported within the last expiry.
+	// own holds the demands that were reported within the last two expiries.
 	own []ownDemand
+	// reportsSince is the time of the first report after which none was missing.
+	reportsSince time.Time
 }
 
 func newService(now time.Time) *service {
--- a/daemon/permits/replay_test.go
+++ b/daemon/permits/replay_test.go
@@ -18,33 +18,25 @@
 	service   = "plain"
 	daemons   = 72
 	objective = 150 * time.Millisecond
-	work      = 30 * time.Millisecond
-	interval  = 500 * time.Millisecond
 )
 
-// cluster is a set of daemons that share servers and exchange figures.
+// cluster is a set of daemons that share servers of 6 slots and a queue of 24, and exchange figures.
 type cluster struct {
 	mu      sync.Mutex
+	rng     *rand.Rand
 	pools   []*permits.Pool
-	servers []*server
-	frozen  func(daemon int) bool
+	slots   []chan struct{}
+	held    []int // requests by server
 	gated   bool
-	tally   tally
-	orgs    map[string]*tally
-	wg      sync.WaitGroup
+	cutOff  int // daemons from this one on exchange no figures
+	results map[string]*tally
 }
 
 // tally counts requests. Late ones are answered after the objective.
-type tally struct{ sent, refused, arrived, rejected, answered, late int }
-
-// server has 6 slots and a queue of 24.
-type server struct {
-	slots  chan struct{}
-	queued int
-}
+type tally struct{ refused, arrived, rejected, answered, late int }
 
 func newCluster(servers int, gated bool) *cluster {
-	c := &cluster{gated: gated, frozen: func(int) bool { return false }, orgs: map[string]*tally{}}
+	c := &cluster{rng: rand.New(rand.NewPCG(1, 2)), gated: gated, cutOff: daemons}
 	for range daemons {
 		c.pools = append(c.pools, permits.New())
 	}
@@ -53,143 +45,123 @@
 }
 
 func (c *cluster) setServers(n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.servers) < n {
-		c.servers = append(c.servers, &server{slots: make(chan struct{}, 6)})
+	c.slots, c.held = nil, make([]int, n)
+	for range n {
+		c.slots = append(c.slots, make(chan struct{}, 6))
 	}
-	c.servers = c.servers[:n]
 	for _, p := range c.pools {
 		p.SetPool(service, core.Pool{Slots: 6 * n, Queue: 24 * n}, daemons)
 	}
 }
 
-// exchange reports the figures of all daemons to the first one, whose total of the last interval
-// they receive.
-func (c *cluster) exchange() {
-	total := c.pools[0].Total(time.Now())
-	for i, p := range c.pools {
-		if c.frozen(i) {
-			continue
-		}
-		if total != nil {
-			p.SetTotal(total, time.Now())
-		}
-		c.pools[0].SetDaemon(strconv.Itoa(i), p.Report(time.Now()), time.Now())
-	}
-}
-
-// run sends requests of 24 organisations for a while, at a rate per second. It returns the counts.
-func (c *cluster) run(rate float64, length time.Duration, weight func(organisation int) int) tally {
-	var organisations []string
+// run sends requests of 24 organisations, the first of which has a multiple of the demand of the
+// others. The daemons receive totals that are half a second old.
+func (c *cluster) run(rate float64, length time.Duration, times int) (total tally) {
+	c.results = map[string]*tally{}
 	for i := range 24 {
-		for range weight(i) {
-			organisations = append(organisations, strconv.Itoa(i))
-		}
+		c.results[strconv.Itoa(i)] = &tally{}
 	}
-	c.mu.Lock()
-	c.tally = tally{}
-	clear(c.orgs)
-	c.mu.Unlock()
-	rng := rand.New(rand.NewPCG(1, 2))
-	begun := time.Now()
-	exchangeAt := begun
+	var wg sync.WaitGroup
+	begun, exchangeAt := time.Now(), time.Now()
 	for time.Since(begun) < length {
-		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(c.rng.ExpFloat64() / rate * float64(time.Second)))
 		if now := time.Now(); now.After(exchangeAt) {
-			exchangeAt = now.Add(interval)
-			c.exchange()
+			exchangeAt = now.Add(500 * time.Millisecond)
+			old := c.pools[0].Total(now)
+			for i, p := range c.pools[:c.cutOff] {
+				p.SetTotal(old, now)
+				c.pools[0].SetDaemon(strconv.Itoa(i), p.Report(now), now)
+			}
 		}
-		p := c.pools[rng.IntN(daemons)]
-		organisation := organisations[rng.IntN(len(organisations))]
-		i := rng.Uint32()
-		c.wg.Go(func() { c.send(p, organisation, int(i)) })
+		p, server := c.pools[c.rng.IntN(daemons)], c.rng.IntN(len(c.held))
+		organisation := strconv.Itoa(max(c.rng.IntN(23+times)-times+1, 0))
+		wg.Go(func() { c.send(p, server, organisation) })
 	}
-	c.wg.Wait()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.tally
+	wg.Wait()
+	for _, r := range c.results {
+		total = tally{total.refused + r.refused, total.arrived + r.arrived, total.rejected + r.rejected, total.answered + r.answered, total.late + r.late}
+	}
+	return total
 }
 
-func (c *cluster) send(p *permits.Pool, organisation string, i int) {
-	begun := time.Now()
-	release := func() {}
+func (c *cluster) send(p *permits.Pool, server int, organisation string) {
+	begun, r := time.Now(), c.results[organisation]
 	if c.gated {
-		var err error
-		release, err = p.Enter(context.Background(), service, core.Ticket{Organisation: organisation, Objective: objective, Left: objective})
+		release, err := p.Enter(context.Background(), service, core.Ticket{Organisation: organisation, Objective: objective, Left: objective})
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		if err != nil {
-			c.count(organisation, func(t *tally) { t.refused++ })
+			r.refused++
 			return
 		}
+		defer release()
+	} else {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 	}
-	defer release()
-	c.mu.Lock()
-	s := c.servers[i%len(c.servers)]
-	rejected := s.queued >= 6+24
-	if !rejected {
-		s.queued++
-	}
-	c.mu.Unlock()
-	c.count(organisation, func(t *tally) { t.arrived++ })
-	if rejected {
-		c.count(organisation, func(t *tally) { t.rejected++ })
+	r.arrived++
+	if c.held[server] >= 6+24 {
+		r.rejected++
 		return
 	}
-	s.slots <- struct{}{}
-	clock.Wait(context.Background(), work)
-	<-s.slots
-	c.mu.Lock()
-	s.queued--
+	c.held[server]++
 	c.mu.Unlock()
-	c.count(organisation, func(t *tally) {
-		t.answered++
-		if time.Since(begun) > objective+time.Millisecond {
-			t.late++
-		}
-	})
-}
-
-func (c *cluster) count(organisation string, f func(*tally)) {
+	c.slots[server] <- struct{}{}
+	clock.Wait(context.Background(), 30*time.Millisecond)
+	<-c.slots[server]
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.orgs[organisation] == nil {
-		c.orgs[organisation] = &tally{}
+	c.held[server]--
+	r.answered++
+	if time.Since(begun) > objective+time.Millisecond {
+		r.late++
 	}
-	f(&c.tally)
-	f(c.orgs[organisation])
 }
 
-func even(int) int { return 1 }
-
-func TestTrial(t *testing.T) {
-	for _, gated := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
+// Guards against rejections at the servers while they are replaced, and against refusals and waits
+// that are not needed.
+func TestReplacedServers(t *testing.T) {
+	play := func(gated bool) (out []tally) {
+		synctest.Test(t, func(*testing.T) {
 			c := newCluster(3, gated)
-			c.run(250, 2*time.Second, even)
+			c.run(250, 5*time.Second, 1)
 			for _, n := range []int{3, 2, 1} {
 				c.setServers(n)
-				for range 3 {
-					r := c.run(250, 10*time.Second, even)
-					t.Logf("gated %v servers %d: %+v  %+v", gated, n, r, c.pools[5].Snapshot(time.Now())[service])
-				}
+				out = append(out, c.run(250, 20*time.Second, 1))
 			}
+			c.cutOff = daemons / 2
+			out = append(out, c.run(250, 20*time.Second, 1))
 		})
+		return out
+	}
+	gated, direct := play(true), play(false)
+	for i, name := range []string{"3 servers", "2 servers", "1 server", "1 server, half of the daemons cut off"} {
+		g, d := gated[i], direct[i]
+		t.Logf("%s: gated %+v, direct %+v", name, g, d)
+		if g.rejected*20 >= g.arrived || g.late*20 >= g.answered || g.answered*20 < d.answered*18 {
+			t.Errorf("%s: with permits %+v, without %+v", name, g, d)
+		}
+		if i < 2 && g.refused+g.late > 0 {
+			t.Errorf("%s: refused or late in a pool that is not busy: %+v", name, g)
+		}
+	}
+	if d := direct[2]; d.rejected*20 < d.arrived {
+		t.Errorf("without permits one server rejects only %d of %d", d.rejected, d.arrived)
 	}
 }
 
-func TestTrialOrgs(t *testing.T) {
-	for _, k := range []int{1, 7} {
+// Guards against an organisation that uses up the permits of others.
+func TestOrganisationWithSevenTimesItsDemand(t *testing.T) {
+	play := func(times int) (others int) {
 		synctest.Test(t, func(t *testing.T) {
 			c := newCluster(1, true)
-			c.run(250, 10*time.Second, even)
-			r := c.run(250*float64(23+k)/24, 30*time.Second, func(i int) int {
-				if i == 0 {
-					return k
-				}
-				return 1
-			})
-			o := c.orgs["0"]
-			t.Logf("%d %+v  own %+v others %.3f", k, r, *o, float64(r.answered-o.answered)/23)
+			c.run(250, 10*time.Second, 1)
+			r := c.run(250*float64(23+times)/24, 60*time.Second, times)
+			others = r.answered - c.results["0"].answered
+			t.Logf("%d times: all %+v, own %+v, others answered %d", times, r, *c.results["0"], others)
 		})
+		return others
+	}
+	if usual, loud := play(1), play(7); loud*20 < usual*17 {
+		t.Errorf("the others have %d answers instead of %d", loud, usual)
 	}
 }
