proxy: runs at servers with few slots are weighed by a price of server time

Cause: the confidence threshold of a cascade fell with the wait relative to the route's own objective. In a burst of long prompts of rank 2 the short ones of rank 0 lost their larger models first, and the long ones kept the servers. Daemons before a pool of three plain servers competed without knowing of each other, and a run was begun on a model on which it could not end in time.

Change: at services whose model servers have at most [capacity] few_slots (16) slots, escalation costs the price of core/price, a larger run that is not expected to end before the deadline is not begun, and core/admission refuses under severe congestion. Requests to plain services with fewer slots than daemons take permits.

--- a/core/cascade/cascade.go
+++ b/core/cascade/cascade.go
@@ -56,10 +56,20 @@
 	// Delay is by how much the run of a larger model delays the requests at its server, in total,
 	// as a multiple of the objective.
 	Delay float64
+	// Priced is set if the service has a price of server time. Price is then what the run of a
+	// larger model costs other requests, as a fraction of the value of a good answer in time; it
+	// replaces WaitShare and Delay. These two are relative to the objective of the route, so that
+	// routes with short objectives, often the most urgent ones with the smallest requests, would
+	// lose their larger models first.
+	Priced bool
+	Price  float64
 }
 
 // String describes the confidence threshold and the values it results from, for logs.
 func (l Load) String() string {
+	if l.Priced {
+		return fmt.Sprintf("line %.0f (in time %.2f, price %.2f)", ConfidenceThreshold(l), l.InTime, l.Price)
+	}
 	return fmt.Sprintf("line %.0f (in time %.2f, waited %.2f, delays %.2f)", ConfidenceThreshold(l), l.InTime, l.WaitShare, l.Delay)
 }
 
@@ -87,7 +97,16 @@
 // time, its run takes capacity that other requests wait for, and it delays the requests at its
 // server.
 func ConfidenceThreshold(l Load) float64 {
-	return 100 * (l.InTime + lateWorth*(1-l.InTime) - minGain - l.WaitShare - delayCost*l.WaitShare*l.Delay)
+	return 100 * (l.InTime + lateWorth*(1-l.InTime) - minGain - l.costToOthers())
+}
+
+// costToOthers returns what the run of a larger model costs other requests, as a fraction of the
+// value of a good answer in time.
+func (l Load) costToOthers() float64 {
+	if l.Priced {
+		return l.Price
+	}
+	return l.WaitShare + delayCost*l.WaitShare*l.Delay
 }
 
 // Escalate reports whether an answer of that confidence is dropped for one of a larger model. An
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -157,6 +157,18 @@
 // Service returns the servers of a service.
 func (l *List) Service(name string) []*Server { return l.byService[name] }
 
+// OpenSlots returns how many requests the servers of a service that accept new ones process at the
+// same time; servers that do not report their slots count as none.
+func (l *List) OpenSlots(service string, now time.Time) int {
+	slots := 0
+	for _, s := range l.open[service] {
+		if s.Open(now) {
+			slots += s.Slots
+		}
+	}
+	return slots
+}
+
 // Criteria are the requirements and preferences of a request for its server.
 type Criteria struct {
 	Service string
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -145,6 +145,7 @@
 	a.weight = 1 + j.blockCost*blocks(a.prompt.UniqueTokens())
 	s.State.PrefixCache.Add(a.prompt, a.sent)
 	s.State.Begin(a.weight)
+	j.observeUse(a)
 	a.reply, a.err = j.engine.Channels.Send(ctx, j.compose(a))
 	if timer.stop() {
 		if a.err == nil {
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -109,6 +109,7 @@
 	a.relative = j.engine.latencies.get(a.latencyKey).Relative(j.request.size(), took)
 	a.server.State.Answered(a.relative)
 	j.engine.latencies.update(a.latencyKey, func(e latency.Estimate) latency.Estimate { return e.With(j.request.size(), took, time.Now()) })
+	j.observeRunStart(a, took)
 	a.firstRatio = j.compareToReference(a, j.referenceKey(a), took)
 }
 
--- /dev/null
+++ b/daemon/proxy/capacity.go
@@ -0,0 +1,129 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ladderridge.example/core/admission"
+	"ladderridge.example/core/cascade"
+	"ladderridge.example/core/estimate"
+	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/prefixcache"
+	"ladderridge.example/core/price"
+)
+
+// Decisions for services whose model servers have few slots. There a run of a larger model takes
+// a large part of a server, and requests wait for slots, not for a batch.
+
+// hasFewSlots reports whether the servers of the request's service have few slots.
+func (j *job) hasFewSlots() bool {
+	if j.engine.Congestion == nil || len(j.route.Cascade) == 0 {
+		return false
+	}
+	slots := j.view.Map.Service(j.service).Slots
+	return slots > 0 && slots <= j.engine.FewSlots
+}
+
+// modelRun returns the run of a model for the request, as it is weighed by price. The rank is that
+// of the route: an organisation's own rank says how urgent its requests are, not what the time of
+// a server is worth.
+func (j *job) modelRun(promptTokens int) price.Run {
+	return price.Run{Tokens: float64(promptTokens), Output: float64(j.request.ExpectedOutput), Rank: j.route.Rank}
+}
+
+// admitRequest refuses a request at once if its service is so congested that the request is
+// better sent later.
+func (j *job) admitRequest(now time.Time) Outcome {
+	if !j.hasFewSlots() {
+		return nil
+	}
+	left := j.request.Arrived.Add(j.route.LatencyObjective).Sub(now)
+	times, size := j.engine.runTimes.get(j.referenceKeyOf(j.model())), j.runSize(prefixcache.NewPrompt(j.model(), j.request.Prompt).UniqueTokens(), 0)
+	r := admission.Request{
+		Organisation: j.report.Organisation, Rank: j.route.Rank, Cost: j.modelRun(j.request.promptTokens()).Cost(),
+		InTime: times.First(size, estimate.Conditions{}).Within(left), Possible: j.probabilityOfEnd(times, size, estimate.Conditions{}),
+		Returned: j.returned(),
+	}
+	if d, ok := j.engine.Congestion.Admit(j.service, r, j.draw(), now).(admission.Refuse); ok {
+		reason := Congested
+		if d.Reason == admission.TooLate {
+			reason = TooLate
+		}
+		return Refused{Reason: reason, RetryAfter: d.RetryAfter}
+	}
+	return nil
+}
+
+// returnedFraction is the fraction of its route's time limit below which the time left of a
+// request shows that its caller has tried before.
+const returnedFraction = 0.95
+
+// returned reports whether the caller has probably tried before: it has less time left than the
+// route allows. Attempts of one caller reach different daemons, which do not know of each other.
+func (j *job) returned() bool {
+	return j.request.Timeout > 0 && float64(j.request.Timeout) < returnedFraction*float64(j.route.Timeout)
+}
+
+// draw returns a number in [0, 1) that depends only on the request's id.
+func (j *job) draw() float64 {
+	const bits = 53
+	return float64(xxhash.Sum64String(j.request.ID)>>(64-bits)) / (1 << bits)
+}
+
+// priceOfLargerRun returns the load for the decision on escalation at a service with few slots. A
+// run that is not expected to end before the deadline is no answer in time.
+func (j *job) priceOfLargerRun(a *attempt, l cascade.Load, now time.Time) cascade.Load {
+	larger := j.engine.runTimes.get(j.referenceKeyOf(j.route.Cascade[j.step.Next().Index]))
+	size := j.runSize(a.prompt.UniqueTokens(), a.shared)
+	l.InTime *= j.probabilityOfEnd(larger, size, estimate.Conditions{Load: a.server.State.TotalLoad()})
+	l.Priced = true
+	l.Price = j.engine.Congestion.Price(j.service, j.modelRun(a.prompt.UniqueTokens()), now)
+	return l
+}
+
+// runSize returns the size of a run; uncached is the length of the part of the prompt that other
+// requests share and that this daemon has not sent to the server, in blocks.
+func (j *job) runSize(unique int, uncached float64) estimate.Size {
+	return estimate.Size{Unique: float64(unique), Uncached: uncached * fleet.BlockTokens, Output: float64(j.request.ExpectedOutput)}
+}
+
+// probabilityOfEnd returns the probability that a run that starts now ends before the deadline.
+func (j *job) probabilityOfEnd(m estimate.Model, s estimate.Size, c estimate.Conditions) float64 {
+	if j.deadline.IsZero() {
+		return 1
+	}
+	return m.End(s, c).Within(j.remaining())
+}
+
+// observeRunStart records the time to the first part of a run at a service with few slots.
+func (j *job) observeRunStart(a *attempt, took time.Duration) {
+	if j.hasFewSlots() {
+		size, c := j.runSize(a.prompt.UniqueTokens(), a.shared), estimate.Conditions{Load: a.server.State.TotalLoad()}
+		j.engine.runTimes.update(j.referenceKey(a), func(m estimate.Model) estimate.Model { return m.WithFirst(size, c, took) })
+	}
+}
+
+// observeRunEnd records the time between the first and the last event of a complete stream at a
+// service with few slots. The output in tokens is not known; the estimate is by the expected one.
+func (j *job) observeRunEnd(a *attempt, took time.Duration) {
+	if j.hasFewSlots() && j.request.LastEvent < 0 {
+		size, c := j.runSize(a.prompt.UniqueTokens(), a.shared), estimate.Conditions{Load: a.server.State.TotalLoad()}
+		j.engine.runTimes.update(j.referenceKey(a), func(m estimate.Model) estimate.Model { return m.WithEnd(size, c, took, size.Output) })
+	}
+}
+
+// observeWait records how long the first part of the smallest model's answer took, as a share of
+// the objective: the congestion of a service with few slots.
+func (j *job) observeWait(took time.Duration, now time.Time) {
+	if j.step.Index == 0 && j.route.LatencyObjective > 0 && j.hasFewSlots() {
+		j.engine.Congestion.ObserveWait(j.service, took.Seconds()/j.route.LatencyObjective.Seconds(), now)
+	}
+}
+
+// observeUse records the work of an attempt for its organisation.
+func (j *job) observeUse(a *attempt) {
+	if j.report.Organisation != "" && j.hasFewSlots() {
+		j.engine.Congestion.ObserveUse(j.service, j.report.Organisation, j.blockCost*j.modelRun(a.prompt.UniqueTokens()).Work(), a.sent)
+	}
+}
--- /dev/null
+++ b/daemon/proxy/capacity_test.go
@@ -0,0 +1,156 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"ladderridge.example/core/prefixcache"
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/daemon/congestion"
+	"ladderridge.example/daemon/permits"
+	"ladderridge.example/daemon/proxy"
+)
+
+// fewSlots returns an engine whose service has servers with few slots, and routes with a cascade:
+// short prompts of rank 0 and long ones of rank 2. First parts take as long as wait says.
+func fewSlots(t *testing.T, slots int, wait *time.Duration) *fixture {
+	t.Helper()
+	b := newFixture(t)
+	p := parts(1, "k")
+	p.Services = []routemap.Service{{Name: "s", Slots: slots}}
+	for rank, name := range map[int]string{0: "urgent", 2: "bulk"} {
+		r := p.Routes[3]
+		r.Name, r.Prefix, r.Rank = name, "/"+name+"/", rank
+		p.Routes = append(p.Routes, r)
+	}
+	b.known.set(routemap.New(p), b.server("a", func(c net.Conn, a arrival) bool {
+		time.Sleep(*wait)
+		return events(0, 3, true, "Confidence: 35")(c, a)
+	}), b.server("b", func(c net.Conn, a arrival) bool {
+		time.Sleep(*wait)
+		return events(0, 3, true, "Confidence: 35")(c, a)
+	}))
+	b.engine.Congestion, b.engine.FewSlots = congestion.New(), 16
+	b.engine.Congestion.Log = log.Logger{Level: log.PanicLevel}
+	b.engine.SetKeyAge(time.Hour, 0)
+	return b
+}
+
+// ask sends a request of a route, and returns its report.
+func (b *fixture) ask(route string, n int) proxy.Report {
+	r := proxy.Request{ID: fmt.Sprint(route, n), Path: "/" + route + "/x", Key: "k", Model: proxy.AnyModel, Timeout: 2 * time.Second}
+	r.Prompt, r.ExpectedOutput = []prefixcache.Part{{ID: fmt.Sprint("p", n), Tokens: 600}}, 100
+	if route == "bulk" {
+		r.Prompt[0].Tokens, r.ExpectedOutput = 6000, 400
+	}
+	b.send(b.t.Context(), r)
+	return b.reports[len(b.reports)-1]
+}
+
+// Long prompts of rank 2 fill the servers: their requests give up larger models, the short ones
+// of rank 0 keep them. By the wait relative to their own objective, all lost them.
+func TestUrgentRequestsKeepLargerModelsUnderLoad(t *testing.T) {
+	for _, slots := range []int{12, 64} {
+		inBubble(t, func(t *testing.T) {
+			wait := 5 * time.Millisecond
+			b := fewSlots(t, slots, &wait)
+			play := func() map[string]int {
+				escalated := map[string]int{}
+				for n := range 60 {
+					for _, route := range []string{"urgent", "bulk"} {
+						if b.ask(route, n).Escalated && n >= 20 {
+							escalated[route]++
+						}
+					}
+				}
+				return escalated
+			}
+			if calm := play(); calm["urgent"] != 40 || calm["bulk"] != 40 {
+				t.Errorf("%d slots: calm servers: escalated %v of 40", slots, calm)
+			}
+			wait = 50 * time.Millisecond
+			busy := play()
+			if few := slots == 12; few != (busy["urgent"] == 40) || busy["bulk"] > 10 {
+				t.Errorf("%d slots: busy servers: escalated %v of 40", slots, busy)
+			}
+		})
+	}
+}
+
+// Under severe congestion requests that cost others the most are refused at once, as not run and
+// with a retry-after time. Nothing is refused on servers with many slots, as before.
+func TestSevereCongestionRefusesCostlyRequests(t *testing.T) {
+	for _, slots := range []int{12, 64} {
+		inBubble(t, func(t *testing.T) {
+			wait := 300 * time.Millisecond
+			b := fewSlots(t, slots, &wait)
+			refused := map[string]int{}
+			// Attempts that timed out end at their servers.
+			defer time.Sleep(wait)
+			for n := range 100 {
+				for _, route := range []string{"urgent", "bulk"} {
+					arrived := len(b.received())
+					out, ok := b.ask(route, n).Outcome.(proxy.Refused)
+					if !ok {
+						continue
+					}
+					refused[route]++
+					if out.Reason != proxy.Congested || out.RetryAfter <= 0 || len(b.received()) != arrived {
+						t.Fatalf("%v after %d arrivals", out, len(b.received())-arrived)
+					}
+				}
+			}
+			if few := slots == 12; few != (refused["bulk"] > 20) || refused["bulk"] > 60 || refused["urgent"] > refused["bulk"] {
+				t.Errorf("%d slots: refused %v of 100", slots, refused)
+			}
+		})
+	}
+}
+
+// A small pool of servers must not receive more requests than its slots and queue hold: each of
+// many daemons sends only what its share allows. The others wait, or are refused as not run.
+func TestSmallPoolReceivesOnlyTheDaemonsShare(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		b.engine.Permits, b.engine.OnComplete = permits.New(), nil
+		var inFlight, most atomic.Int64
+		s := b.server("a", func(c net.Conn, a arrival) bool {
+			most.Store(max(most.Load(), inFlight.Add(1)))
+			time.Sleep(20 * time.Millisecond)
+			inFlight.Add(-1)
+			return whole(200, "ok")(c, a)
+		})
+		s.Slots = 6
+		p := parts(1, "k")
+		p.Services = []routemap.Service{{Name: "s"}}
+		b.known.set(routemap.New(p), s)
+		b.known.view.Daemons = 72
+		outcomes := make(chan proxy.Outcome, 30)
+		for n := range cap(outcomes) {
+			go func() {
+				outcomes <- b.send(t.Context(), proxy.Request{ID: fmt.Sprint(n), Path: "/once/x", Key: "k", Timeout: time.Second}).outcome
+			}()
+		}
+		answered := 0
+		for range cap(outcomes) {
+			switch out := (<-outcomes).(type) {
+			case proxy.Answered:
+				answered++
+			case proxy.Refused:
+				if out.Reason != proxy.NoSlot || out.RetryAfter <= 0 {
+					t.Errorf("%+v", out)
+				}
+			default:
+				t.Errorf("%T", out)
+			}
+		}
+		if answered == 0 || answered > 10 || most.Load() > 3 || len(b.received()) != answered {
+			t.Errorf("%d answered, %d at the server at the same time", answered, most.Load())
+		}
+	})
+}
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -9,6 +9,7 @@
 
 	attempts "ladderridge.example/core/attempt"
 	"ladderridge.example/core/cascade"
+	"ladderridge.example/core/estimate"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/latency"
 	"ladderridge.example/core/notice"
@@ -17,6 +18,8 @@
 	"ladderridge.example/core/retry"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/channel"
+	"ladderridge.example/daemon/congestion"
+	"ladderridge.example/daemon/permits"
 	"ladderridge.example/daemon/storesync"
 	"ladderridge.example/daemon/suspend"
 )
@@ -57,9 +60,18 @@
 	// over all requests; 0 means defaultMaxBuffered. Above it responses are forwarded unbuffered.
 	MaxBuffered int64
 
+	// Congestion weighs the runs of services whose model servers have at most FewSlots slots, and
+	// admits their requests; nil disables it.
+	Congestion *congestion.Tracker
+	FewSlots   int
+
+	// Permits limits the requests to small pools of plain servers; nil disables it.
+	Permits *permits.Pool
+
 	// InFlight counts the requests in flight.
 	InFlight atomic.Int64
 
+	pools pools
 	// buffered is the size of the buffered responses in bytes.
 	buffered atomic.Int64
 
@@ -74,6 +86,8 @@
 	latencies *keyed[latency.Estimate]
 	// references has the response times of versions that are not in roll-out.
 	references *keyed[latency.Reference]
+	// runTimes estimates the times of runs at services with few slots, by service and model.
+	runTimes *keyed[estimate.Model]
 	// runs tracks the requests that are at servers.
 	runs *quarantine.Tracker
 }
@@ -95,7 +109,7 @@
 
 // New returns an engine without state.
 func New() *Engine {
-	return &Engine{latencies: newKeyed[latency.Estimate](), references: newKeyed[latency.Reference](), runs: quarantine.NewTracker()}
+	return &Engine{latencies: newKeyed[latency.Estimate](), references: newKeyed[latency.Reference](), runTimes: newKeyed[estimate.Model](), runs: quarantine.NewTracker()}
 }
 
 // Report is the outcome of a request and its reasons, for logs and metrics.
@@ -219,11 +233,19 @@
 		return out
 	}
 	j.engine.Budget.Request(j.service, j.engine.sharers(j.view), j.engine.budgetTime())
+	if out := j.admitRequest(now); out != nil {
+		return out
+	}
 	if !j.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, j.deadline)
 		defer cancel()
 	}
+	release, out := j.awaitPermit(ctx, now)
+	if out != nil {
+		return out
+	}
+	defer release()
 	return j.run(ctx)
 }
 
--- a/daemon/proxy/observe.go
+++ b/daemon/proxy/observe.go
@@ -35,6 +35,7 @@
 // responses would not count.
 func (j *job) observeAbandoned(a *attempt) {
 	least := j.engine.references.get(j.referenceKey(a)).Relative(a.features(), time.Since(a.sent))
+	j.observeWait(time.Since(a.sent), time.Now())
 	f := j.newObservation(a)
 	f.FirstRatio, f.Stage = least, storesync.Abandoned
 	j.engine.StoreSync.Observe(f)
@@ -47,9 +48,13 @@
 
 // referenceKey returns the key of the reference times for an attempt: the model, whatever the
 // route, or else the route.
-func (j *job) referenceKey(a *attempt) string {
-	if a.model != "" {
-		return j.service + "/" + a.model
+func (j *job) referenceKey(a *attempt) string { return j.referenceKeyOf(a.model) }
+
+// referenceKeyOf returns the key of the reference times for a model, or for the route if there is
+// none.
+func (j *job) referenceKeyOf(model string) string {
+	if model != "" {
+		return j.service + "/" + model
 	}
 	return j.route.Name
 }
--- a/daemon/proxy/outcome.go
+++ b/daemon/proxy/outcome.go
@@ -27,6 +27,12 @@
 	NoServer Reason = "no server"
 	// Overloaded: the service's servers declined the request.
 	Overloaded Reason = "servers full"
+	// Congested: most answers of the service are late, and this request costs others much.
+	Congested Reason = "congested"
+	// NoSlot: the daemons' share of the service's slots is used up.
+	NoSlot Reason = "no slot"
+	// TooLate: the request cannot end before its deadline.
+	TooLate Reason = "too late"
 	// Backoff: all servers of the service are in back-off.
 	Backoff Reason = "servers want rest"
 	// RateLimited: all servers of the service have reached their limit.
--- /dev/null
+++ b/daemon/proxy/pools.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ladderridge.example/core/fault"
+	corepermits "ladderridge.example/core/permits"
+	"ladderridge.example/daemon/permits"
+	"ladderridge.example/daemon/storesync"
+)
+
+// Permits for pools of plain servers that have fewer slots than there are daemons. A request that
+// may run once goes to one server only, so that its rejection there is a refusal for the caller.
+
+// poolRefresh is the time between two updates of the capacity of pools: servers also announce in
+// their answers that they leave.
+const poolRefresh = 200 * time.Millisecond
+
+// pools tracks when the capacity of pools was last updated.
+type pools struct{ refreshed atomic.Int64 }
+
+// due reports whether an update is due, to one caller only.
+func (p *pools) due(now time.Time) bool {
+	last := p.refreshed.Load()
+	return now.UnixNano()-last >= int64(poolRefresh) && p.refreshed.CompareAndSwap(last, now.UnixNano())
+}
+
+// refreshPools updates the capacity of the pools that have fewer slots than there are daemons.
+func (e *Engine) refreshPools(v *storesync.View, now time.Time) {
+	if !e.pools.due(now) {
+		return
+	}
+	for _, s := range v.Map.Services() {
+		if len(s.Models) > 0 || s.Slots > 0 {
+			continue
+		}
+		slots := v.Servers.OpenSlots(s.Name, now)
+		if slots >= v.Daemons {
+			slots = 0
+		}
+		e.Permits.SetPool(s.Name, corepermits.Pool{Slots: slots, Queue: -1}, v.Daemons)
+	}
+}
+
+// awaitPermit waits until the request may be sent to its service, and returns how to end its use
+// of the permit. Otherwise it returns why the request is refused.
+func (j *job) awaitPermit(ctx context.Context, now time.Time) (release func(), out Outcome) {
+	if j.engine.Permits == nil || len(j.route.Cascade) > 0 {
+		return func() {}, nil
+	}
+	j.engine.refreshPools(j.view, now)
+	t := corepermits.Ticket{Organisation: j.report.Organisation, Rank: j.route.Rank, Objective: j.route.LatencyObjective, Left: j.request.Arrived.Add(j.route.LatencyObjective).Sub(now)}
+	release, err := j.engine.Permits.Enter(ctx, j.service, t)
+	switch {
+	case err == nil:
+		return release, nil
+	case fault.Is(err, permits.NoSlot):
+		return nil, Refused{Reason: NoSlot, RetryAfter: permits.RetryAfterOf(err)}
+	default:
+		return nil, Refused{Reason: DeadlineExceeded}
+	}
+}
--- a/daemon/proxy/request.go
+++ b/daemon/proxy/request.go
@@ -43,6 +43,10 @@
 	Session string
 	// Prompt has the parts of the prompt in order; the last one is specific to the request.
 	Prompt []prefixcache.Part
+	// MaxOutput is the most tokens of the answer, and ExpectedOutput the expected number; 0 is
+	// unknown.
+	MaxOutput      int
+	ExpectedOutput int
 	// LastEvent is the id of the last event of a stream that the caller has, or -1.
 	LastEvent int64
 }
@@ -73,8 +77,11 @@
 	return xxhash.Sum64String(r.Prompt[len(r.Prompt)-2].ID)
 }
 
+// promptTokens returns the length of the prompt in tokens.
+func (r *Request) promptTokens() int { return prefixcache.Tokens(r.Prompt) }
+
 // size returns the length of the prompt in blocks.
-func (r *Request) size() float64 { return blocks(prefixcache.Tokens(r.Prompt)) }
+func (r *Request) size() float64 { return blocks(r.promptTokens()) }
 
 // shared returns the parts of the prompt that other requests may share: all but the last.
 func (r *Request) shared() []prefixcache.Part { return r.Prompt[:max(0, len(r.Prompt)-1)] }
@@ -113,6 +120,9 @@
 	// Load is the number of requests that the server has, running and queued, if HasLoad is set.
 	Load    int
 	HasLoad bool
+	// Pace is how long work takes at the server now, relative to the usual time, if HasLoad is
+	// set; 0 is unknown.
+	Pace float64
 	// Notice is what the server reports about its availability and limits.
 	Notice notice.Notice
 }
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -15,6 +15,7 @@
 // outcome the request goes on at another server.
 func (j *job) stream(ctx context.Context, a *attempt) (Outcome, Reason) {
 	defer j.finish(a)
+	j.observeWait(time.Since(a.sent), time.Now())
 	if next, load, ok := j.mayEscalate(ctx, a); ok {
 		j.reportAttempt(a, fmt.Sprintf("dropped: confidence %d, %s", a.head.Confidence, load))
 		j.updateLatency(a, time.Since(a.sent))
@@ -36,6 +37,7 @@
 	switch {
 	case err == nil:
 		j.recordComplete(a)
+		j.observeRunEnd(a, t.last.Sub(t.first))
 		j.observeRemainder(a, t.intervalRatio(j, a))
 		j.reportAttempt(a, "whole")
 		return Answered{Status: a.reply.Status}, ""
@@ -99,6 +101,9 @@
 	objective := j.route.LatencyObjective
 	larger := j.engine.latencies.get(j.latencyKeyOf(j.route.Cascade[j.step.Next().Index]))
 	l := cascade.Load{InTime: larger.ProbabilityWithin(j.request.size(), j.request.Arrived.Add(objective).Sub(now), now)}
+	if objective > 0 && j.hasFewSlots() {
+		return j.priceOfLargerRun(a, l, now)
+	}
 	if objective > 0 {
 		mean := j.engine.latencies.get(j.latencyKeyOf(j.model())).Mean(now)
 		l.WaitShare = cascade.WaitShare(now.Sub(a.sent), mean, objective)
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -67,6 +67,10 @@
 	ColdOverage float64
 	ColdSlack   float64
 
+	// FewSlots is the number of slots of a model server up to which its service has few slots:
+	// runs are weighed by a price of server time, and the daemons share the pace of its servers.
+	FewSlots int
+
 	// DutiesURL is the URL of the platform's interface for duties, which one
 	// daemon at a time carries out for all; "" if there is none. Duties are the
 	// platform's names of them, separated by commas.
@@ -134,6 +138,7 @@
 	{"halls", "regions", "", false, func(s *Gateway, v string) error { return setRegions(&s.Regions, v) }},
 	{"cold", "overage", "1", false, func(s *Gateway, v string) error { return setRatio(&s.ColdOverage, v) }},
 	{"cold", "slack", "0", false, func(s *Gateway, v string) error { return setRatio(&s.ColdSlack, v) }},
+	{"capacity", "few_slots", "16", false, func(s *Gateway, v string) error { return setCount(&s.FewSlots, v) }},
 	{sectionDuties, "url", "", false, setDutiesURL},
 	{sectionDuties, "names", "", false, func(s *Gateway, v string) error { s.Duties = v; return nil }},
 	{sectionDuties, "lease", "3s", false, func(s *Gateway, v string) error { return setDuration(&s.DutyLease, v, true) }},
@@ -205,6 +210,8 @@
 	ColdOverage   float64
 	ColdSlack     float64
 
+	FewSlots int
+
 	DutiesURL, Duties string
 	DutyLease         time.Duration
 	DutyRate          float64
@@ -218,7 +225,7 @@
 		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, PeersReachedAt: s.PeersReachedAt, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
 		InForceWithin: s.InForceWithin, SessionPause: s.SessionPause, Capacity: s.Capacity(),
 		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack,
-		Regions: s.Regions, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
+		Regions: s.Regions, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, FewSlots: s.FewSlots,
 		DutiesURL: s.DutiesURL, Duties: s.Duties, DutyLease: s.DutyLease, DutyRate: s.DutyRate, UsageWindow: s.UsageWindow, UsageDeadline: s.UsageDeadline,
 	}
 }
@@ -262,3 +269,12 @@
 	*to = n
 	return nil
 }
+
+func setCount(to *int, v string) error {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > 1e6 {
+		return fmt.Errorf("%q is not a whole number from 0 to 1000000", v)
+	}
+	*to = n
+	return nil
+}
--- a/daemon/settings/gateway_test.go
+++ b/daemon/settings/gateway_test.go
@@ -43,6 +43,10 @@
 	if err != nil || !first.FirstStart || s.FirstStart {
 		t.Errorf("%v, %+v", err, first)
 	}
+	few, err := settings.ParseGateway("f", []byte(strings.Replace(gatewayFile, "[vm]", "[capacity]\nfew_slots = 8\n[vm]", 1)))
+	if err != nil || few.FewSlots != 8 || s.FewSlots != 16 {
+		t.Errorf("%v, %+v", err, few)
+	}
 	strong := *s
 	strong.Link, strong.Processor = 10000, 4
 	if strong.Capacity() <= s.Capacity() {
@@ -51,12 +55,12 @@
 }
 
 func TestParseGatewayReportsAllErrors(t *testing.T) {
-	bad := strings.NewReplacer("10.0.0.1:1", "nowhere", "5000ms", "soon", "[vm]", "[start]\nfirst = perhaps\n[vm]\nspeed = 1", "id = entry-1\n", "").Replace(gatewayFile)
+	bad := strings.NewReplacer("10.0.0.1:1", "nowhere", "5000ms", "soon", "[vm]", "[start]\nfirst = perhaps\n[capacity]\nfew_slots = -1\n[vm]\nspeed = 1", "id = entry-1\n", "").Replace(gatewayFile)
 	_, err := settings.ParseGateway("f", []byte(bad))
 	if err == nil {
 		t.Fatal("no error was reported")
 	}
-	for _, want := range []string{"callers", "usable_for", "first", "speed", "id"} {
+	for _, want := range []string{"callers", "usable_for", "first", "few_slots", "speed", "id"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is not reported: %v", want, err)
 		}
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -258,19 +258,7 @@
 		sy.Usage.Acknowledged(m.Nonce)
 	}
 	for _, update := range m.Updates {
-		if update.Topic == gossip.Figures {
-			sy.handleFigures(from, m.Nonce, update, now)
-			continue
-		}
-		t := sy.topics[update.Topic]
-		if t == nil {
-			continue
-		}
-		var confirmed time.Time
-		if m.Nonce != 0 {
-			confirmed = sentAt.Add(-time.Duration(update.AgeMS) * time.Millisecond)
-		}
-		sy.applyUpdate(from, update, confirmed, now)
+		sy.handleUpdate(from, m.Nonce, update, sentAt, now)
 	}
 	if m.Nonce == 0 {
 		return
@@ -284,6 +272,21 @@
 	}
 }
 
+// handleUpdate merges the update of one topic. Updates of unknown topics, from daemons of a newer
+// build, are ignored.
+func (sy *Syncer) handleUpdate(from string, nonce uint64, update gossip.Update, sentAt, now time.Time) {
+	var confirmed time.Time
+	if nonce != 0 {
+		confirmed = sentAt.Add(-time.Duration(update.AgeMS) * time.Millisecond)
+	}
+	switch {
+	case update.Topic == gossip.Figures:
+		sy.handleFigures(from, nonce, update, now)
+	case sy.topics[update.Topic] != nil:
+		sy.applyUpdate(from, update, confirmed, now)
+	}
+}
+
 // applyUpdate merges the state of a topic at another daemon.
 func (sy *Syncer) applyUpdate(from string, update gossip.Update, confirmed, now time.Time) {
 	t := sy.topics[update.Topic]
