--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -42,7 +42,7 @@
 		seen := s.State.snapshot(now)
 		switch {
 		case seen.availability == full:
-		case seen.availability == inBackoff || isFallback(s, w):
+		case seen.availability == inBackoff || isFallback(s, w) || w.tooSlow(seen):
 			fallback.consider(s, seen)
 		default:
 			preferred.consider(s, seen)
@@ -58,7 +58,7 @@
 		seen := s.State.snapshot(now)
 		switch {
 		case seen.availability == full || !eligible(s, w, now):
-		case seen.availability == inBackoff || isFallback(s, w):
+		case seen.availability == inBackoff || isFallback(s, w) || w.tooSlow(seen):
 			fallback = append(fallback, s)
 		default:
 			preferred = append(preferred, s)
@@ -114,6 +114,12 @@
 	return slices.Contains(w.TimedOutHalls, s.Hall) || slices.Contains(w.Ejected, s.name)
 }
 
+// tooSlow reports whether the request is not expected to end in time at a server. A pace below
+// the usual one is not distinguished, as in the choice.
+func (w Criteria) tooSlow(seen snapshot) bool {
+	return w.MaxPace > 0 && seen.pace > max(minPace, w.MaxPace)
+}
+
 // selector finds the server with the lowest cost for a request: the load ahead of the
 // request and the tokens that the server has to process for it, in the same unit. Ties
 // are broken by a rendezvous hash, so that all daemons choose alike. The preferred
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -199,6 +199,9 @@
 	// Ejected lists the names of incarnations that are used only if there is no other
 	// server, like those that have failed recently.
 	Ejected []string
+	// MaxPace is the highest pace of a server at which the request can end in time; servers
+	// that are known to be slower are used only if there is no other. 0 is no limit.
+	MaxPace float64
 	// TimedOutHalls lists halls in which a server timed out for this request. They are
 	// used only if there is no other.
 	TimedOutHalls []string
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -31,6 +31,9 @@
 	Servers    []ServerDump     `json:"servers"`
 	// Repeats lists the retry budget of each service.
 	Repeats []RepeatDump `json:"repeats"`
+	// Congestion lists the services whose model servers have few slots, Permits the small pools.
+	Congestion []CongestionDump `json:"congestion,omitempty"`
+	Permits    []PermitDump     `json:"permits,omitempty"`
 	// Duties lists what this daemon knows of each duty: work that one daemon does for all.
 	Duties []duties.Status `json:"duties"`
 }
@@ -64,6 +67,9 @@
 	Leaving  bool    `json:"leaving"`
 	InFlight int     `json:"in_flight"`
 	Slowness float64 `json:"slowness"`
+	// Pace is how long work takes at the server relative to others of its service, by the
+	// observations of all daemons; 1 is usual, 0 is unknown.
+	Pace float64 `json:"pace,omitempty"`
 	// ExcessLoad is the load that other daemons have on the server beyond its fair share, in
 	// units of a small request.
 	ExcessLoad float64 `json:"crowded"`
@@ -130,6 +136,7 @@
 	for _, u := range g.engine.Repeats() {
 		d.Repeats = append(d.Repeats, RepeatDump(u))
 	}
+	d.Congestion, d.Permits = g.congestionDump(now), g.permitDump(now)
 	d.Duties = g.Duties()
 	if v.Servers == nil {
 		return d
@@ -140,6 +147,9 @@
 			ID: s.ID, Born: s.Born, Service: s.Service, Hall: s.Hall, Version: s.Version, Leaving: s.Leaving,
 			InFlight: s.State.InFlight(), Slowness: s.State.Slowness(), ExcessLoad: s.State.ExcessLoad(now), InBackoff: s.State.InBackoff(now), Drained: drained,
 		}
+		if pace, known := s.State.Pace(now); known {
+			out.Pace = pace
+		}
 		notices := s.State.Notices.State()
 		out.AnnouncedLeaving = notices.Leaving()
 		out.Limit = limitDump(s, now)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -19,11 +19,9 @@
 	"ladderridge.example/core/duty"
 	"ladderridge.example/core/retry"
 	"ladderridge.example/daemon/channel"
-	"ladderridge.example/daemon/congestion"
 	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/logwriter"
 	"ladderridge.example/daemon/peer"
-	"ladderridge.example/daemon/permits"
 	"ladderridge.example/daemon/proxy"
 	"ladderridge.example/daemon/settings"
 	"ladderridge.example/daemon/slowreader"
@@ -160,18 +158,6 @@
 	return nil
 }
 
-// prepareCapacity creates the components that share out scarce servers, as far as the settings
-// enable them.
-func (g *Gateway) prepareCapacity(s *settings.Gateway) {
-	if s.FewSlots == 0 {
-		return
-	}
-	demand, slots := congestion.New(), permits.New()
-	demand.Log = g.log
-	g.engine.Congestion, g.engine.FewSlots, g.engine.Permits = demand, s.FewSlots, slots
-	g.syncer.Figures = map[string]storesync.Figures{"demand": demand, "slots": slots}
-}
-
 // prepareDuties creates the component that contends for duties, if the platform has any.
 func (g *Gateway) prepareDuties(s *settings.Gateway) {
 	if g.Platform.Duties == nil || len(g.Platform.DutyNames) == 0 {
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -59,7 +59,7 @@
 		return 0
 	})
 	g.dutyMetrics(counter)
-	r.MustRegister(newRepeatCollector(g), newLimitCollector(g))
+	r.MustRegister(newRepeatCollector(g), newLimitCollector(g), newCapacityCollector(g))
 	return r
 }
 
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -76,6 +76,7 @@
 	want := fleet.Criteria{
 		Service: j.service, Affinity: j.request.affinity(), Prompt: j.prompt, BlockCost: j.blockCost,
 		Hall: j.engine.Hall, KeepInHall: j.request.sharesLessThanBlock(), Exclude: avoid, TimedOutHalls: j.timedOutHalls,
+		MaxPace: j.maxPace(),
 	}
 	if j.route.RestrictsRegions(j.organisation) {
 		want.HallAllowed = func(hall string) bool { return j.view.InRegions(j.route, j.organisation, hall) }
@@ -212,6 +213,7 @@
 	a.result = answered
 	j.history = j.history.With(attempts.Unknown)
 	j.count()
+	j.observeReportedPace(a, now)
 	if a.head.HasLoad {
 		a.server.State.SetReportedRequests(a.head.Load)
 	}
--- a/daemon/proxy/capacity.go
+++ b/daemon/proxy/capacity.go
@@ -96,10 +96,16 @@
 	return m.End(s, c).Within(j.remaining())
 }
 
+// conditions returns the load and pace of the attempt's server.
+func (a *attempt) conditions() estimate.Conditions {
+	pace, _ := a.server.State.Pace(time.Now())
+	return estimate.Conditions{Load: a.server.State.TotalLoad(), Pace: pace}
+}
+
 // observeRunStart records the time to the first part of a run at a service with few slots.
 func (j *job) observeRunStart(a *attempt, took time.Duration) {
 	if j.hasFewSlots() {
-		size, c := j.runSize(a.prompt.UniqueTokens(), a.shared), estimate.Conditions{Load: a.server.State.TotalLoad()}
+		size, c := j.runSize(a.prompt.UniqueTokens(), a.shared), a.conditions()
 		j.engine.runTimes.update(j.referenceKey(a), func(m estimate.Model) estimate.Model { return m.WithFirst(size, c, took) })
 	}
 }
@@ -108,7 +114,7 @@
 // service with few slots. The output in tokens is not known; the estimate is by the expected one.
 func (j *job) observeRunEnd(a *attempt, took time.Duration) {
 	if j.hasFewSlots() && j.request.LastEvent < 0 {
-		size, c := j.runSize(a.prompt.UniqueTokens(), a.shared), estimate.Conditions{Load: a.server.State.TotalLoad()}
+		size, c := j.runSize(a.prompt.UniqueTokens(), a.shared), a.conditions()
 		j.engine.runTimes.update(j.referenceKey(a), func(m estimate.Model) estimate.Model { return m.WithEnd(size, c, took, size.Output) })
 	}
 }
@@ -121,6 +127,38 @@
 	}
 }
 
+// observePace records the time of a complete part of an answer, relative to the time that such a
+// part takes elsewhere; 0 is unknown.
+func (j *job) observePace(a *attempt, ratio float64, now time.Time) {
+	if ratio > 0 && j.engine.Pace != nil && j.hasFewSlots() {
+		j.engine.Pace.Observe(a.server, ratio, now)
+	}
+}
+
+// observeReportedPace records the pace that a server has reported.
+func (j *job) observeReportedPace(a *attempt, now time.Time) {
+	if a.head.Pace > 0 && j.engine.Pace != nil && j.hasFewSlots() {
+		j.engine.Pace.ObserveReported(a.server, a.head.Pace, now)
+	}
+}
+
+// endQuantile is the probability with which a run has to end before the deadline at the servers
+// that are preferred for it.
+const endQuantile = 0.8
+
+// maxPace returns the highest pace of a server at which the run is expected to end before the
+// deadline, or 0 if any will do.
+func (j *job) maxPace() float64 {
+	if j.deadline.IsZero() || !j.hasFewSlots() {
+		return 0
+	}
+	end := j.engine.runTimes.get(j.referenceKeyOf(j.model())).End(j.runSize(j.prompt.UniqueTokens(), 0), estimate.Conditions{}).Quantile(endQuantile)
+	if end <= 0 {
+		return 0
+	}
+	return max(0, float64(j.remaining())) / float64(end)
+}
+
 // observeUse records the work of an attempt for its organisation.
 func (j *job) observeUse(a *attempt) {
 	if j.report.Organisation != "" && j.hasFewSlots() {
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -19,6 +19,7 @@
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/congestion"
+	"ladderridge.example/daemon/pacing"
 	"ladderridge.example/daemon/permits"
 	"ladderridge.example/daemon/storesync"
 	"ladderridge.example/daemon/suspend"
@@ -65,6 +66,9 @@
 	Congestion *congestion.Tracker
 	FewSlots   int
 
+	// Pace shares the pace of the servers with at most FewSlots slots among the daemons; nil
+	// disables it.
+	Pace *pacing.Tracker
 	// Permits limits the requests to small pools of plain servers; nil disables it.
 	Permits *permits.Pool
 
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -38,7 +38,9 @@
 	case err == nil:
 		j.recordComplete(a)
 		j.observeRunEnd(a, t.last.Sub(t.first))
-		j.observeRemainder(a, t.intervalRatio(j, a))
+		between := t.intervalRatio(j, a)
+		j.observePace(a, between, t.last)
+		j.observeRemainder(a, between)
 		j.reportAttempt(a, "whole")
 		return Answered{Status: a.reply.Status}, ""
 	case errors.Is(err, errClientGone):
