fleet: only slow servers are left out where a run would not end in time

Cause: the choice of a server distinguishes only paces from 1.2 on, since daemons that share their paces would otherwise all send to the fastest one. Change: the highest pace of a request counts among these.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -114,10 +114,10 @@
 	return slices.Contains(w.TimedOutHalls, s.Hall) || slices.Contains(w.Ejected, s.name)
 }
 
-// tooSlow reports whether the request is not expected to end in time at a server. A pace below
-// the usual one is not distinguished, as in the choice.
+// tooSlow reports whether the request is not expected to end in time at a server. Only slow
+// servers are distinguished, as in the choice.
 func (w Criteria) tooSlow(seen snapshot) bool {
-	return w.MaxPace > 0 && seen.pace > max(minPace, w.MaxPace)
+	return w.MaxPace > 0 && seen.pace > max(1, w.MaxPace)
 }
 
 // selector finds the server with the lowest cost for a request: the load ahead of the
