settings: memory of the VM, and a bound on request bodies

Cause: the memory that request bodies take has no bound, and a daemon does not know the memory of its VM.

Change: [vm] memory, filled in by the platform, and [memory] request_bodies, both in MB. By default the bound is a quarter of the VM's memory, or 64 MB if that is not known. A change needs a restart.

Before and after: a file with either key was rejected as having an unknown key; now a VM of 144 MB has a bound of 36 MB (TestParseGateway).

--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -93,10 +93,31 @@
 	// fraction. Link is its bandwidth in Mbit/s.
 	Processor float64
 	Link      float64
+	// Memory is the memory of this VM in MB; 0 means that it is not known.
+	Memory float64
+
+	// RequestBodies is the most memory in MB that the bodies of all requests take together; 0
+	// means a quarter of Memory, or 64 MB if that is not known.
+	RequestBodies float64
 
 	LogLevel string
 }
 
+// defaultRequestBodies is the default of RequestBodies on a VM of unknown memory, in MB.
+const defaultRequestBodies = 64
+
+// RequestBodyBytes returns the most memory that the bodies of all requests take, in bytes.
+func (s *Gateway) RequestBodyBytes() int64 {
+	mb := s.RequestBodies
+	if mb == 0 {
+		mb = s.Memory / 4
+	}
+	if mb == 0 {
+		mb = defaultRequestBodies
+	}
+	return int64(mb * (1 << 20))
+}
+
 // Capacity returns a coarse, logarithmic measure of the VM's processor and
 // bandwidth, which grows by one as either doubles, so that small differences do
 // not count.
@@ -144,6 +165,8 @@
 	{"stop", "grace", "8s", false, func(s *Gateway, v string) error { return setDuration(&s.Grace, v, true) }},
 	{"vm", "processor", "1", false, func(s *Gateway, v string) error { return setRatio(&s.Processor, v) }},
 	{"vm", "link", "1000", false, func(s *Gateway, v string) error { return setRatio(&s.Link, v) }},
+	{"vm", "memory", "0", false, func(s *Gateway, v string) error { return setRatio(&s.Memory, v) }},
+	{"memory", "request_bodies", "0", false, func(s *Gateway, v string) error { return setRatio(&s.RequestBodies, v) }},
 	{"log", "level", "info", false, func(s *Gateway, v string) error { return setLevelTo(&s.LogLevel, v) }},
 }
 
@@ -204,6 +227,7 @@
 	Regions       Regions
 	ColdOverage   float64
 	ColdSlack     float64
+	RequestBodies int64
 
 	DutiesURL, Duties string
 	DutyLease         time.Duration
@@ -218,7 +242,7 @@
 		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, PeersReachedAt: s.PeersReachedAt, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
 		InForceWithin: s.InForceWithin, SessionPause: s.SessionPause, Capacity: s.Capacity(),
 		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack,
-		Regions: s.Regions, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
+		Regions: s.Regions, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, RequestBodies: s.RequestBodyBytes(),
 		DutiesURL: s.DutiesURL, Duties: s.Duties, DutyLease: s.DutyLease, DutyRate: s.DutyRate, UsageWindow: s.UsageWindow, UsageDeadline: s.UsageDeadline,
 	}
 }
--- a/daemon/settings/gateway_test.go
+++ b/daemon/settings/gateway_test.go
@@ -48,6 +48,11 @@
 	if strong.Capacity() <= s.Capacity() {
 		t.Error("a larger VM has no higher capacity")
 	}
+	for keys, want := range map[string]int64{"": 64 << 20, "memory = 144\n": 36 << 20, "memory = 144\n[memory]\nrequest_bodies = 10\n": 10 << 20} {
+		if s, err := settings.ParseGateway("f", []byte(gatewayFile+keys)); err != nil || s.RequestBodyBytes() != want {
+			t.Errorf("%q: %v, %+v", keys, err, s)
+		}
+	}
 }
 
 func TestParseGatewayReportsAllErrors(t *testing.T) {
