bodylimit: bound the memory that request bodies take

The existing limits cover other cases: slowreader the callers that do not read, MaxBuffered the responses.

Change: a body of declared length reserves that length before it is read, one of unknown length reserves what has arrived, until the request has ended. A request beyond the bound gets status 503 with a retry-after time of a second at once, one that could never fit gets 413. An eighth of the bound is for bodies of up to 4 kB. A body must arrive within the configuration's header time-out, or within 30 s if there is none; otherwise its request gets 408. A declared length above the configuration's largest body is refused without reading it, and a body of declared length is read into a buffer of that size instead of a growing one.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/duty"
 	"ladderridge.example/core/retry"
+	"ladderridge.example/daemon/bodylimit"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/logwriter"
@@ -87,6 +88,7 @@
 	reporter    *reporter
 	registry    *prometheus.Registry
 	slowReaders slowreader.Guard
+	bodies      bodylimit.Limiter
 	callers     *server
 	readiness   *server
 	admin       *server
@@ -150,8 +152,10 @@
 	g.prepareDuties(s)
 	g.apply(s)
 	g.registry = g.metrics()
-	g.slowReaders.Log = g.log
-	g.callers = newServer(s.Callers, g.slowReaders.Wrap(g.Platform.FrontEnd(FrontEndConfig{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing})))
+	g.slowReaders.Log, g.bodies.Log = g.log, g.log
+	g.bodies.Budget.Limit, g.bodies.Timeout = s.RequestBodyBytes(), g.bodyTimeout
+	frontEnd := g.Platform.FrontEnd(FrontEndConfig{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing})
+	g.callers = newServer(s.Callers, g.slowReaders.Wrap(g.bodies.Wrap(frontEnd)))
 	g.readiness = newServer(s.Readiness, g.readyHandler())
 	g.admin = newServer(s.Admin, g.adminHandler())
 	return nil
@@ -190,6 +194,15 @@
 	return 0
 }
 
+// bodyTimeout returns how long a caller may take to send its body: the header time-out of the
+// current configuration, which has none for bodies; 0 if there is none.
+func (g *Gateway) bodyTimeout() time.Duration {
+	if v := g.syncer.View(); v.Map != nil {
+		return v.Map.Limits.HeaderTimeout
+	}
+	return 0
+}
+
 // tree returns the supervisor tree. The components that serve callers and those
 // that follow the store and talk to other daemons are under separate
 // supervisors, so that either group can be restarted without the other.
