--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/duty"
 	"ladderridge.example/core/retry"
+	"ladderridge.example/daemon/bodylimit"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/logwriter"
@@ -87,6 +88,7 @@
 	reporter    *reporter
 	registry    *prometheus.Registry
 	slowReaders slowreader.Guard
+	bodies      bodylimit.Limiter
 	callers     *server
 	readiness   *server
 	admin       *server
@@ -151,8 +153,10 @@
 	g.prepareDuties(s)
 	g.apply(s)
 	g.registry = g.metrics()
-	g.slowReaders.Log = g.log
-	g.callers = newServer(s.Callers, g.slowReaders.Wrap(g.Platform.FrontEnd(FrontEndConfig{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing})))
+	g.slowReaders.Log, g.bodies.Log = g.log, g.log
+	g.bodies.Budget.Limit = s.RequestBodyBytes()
+	frontEnd := g.Platform.FrontEnd(FrontEndConfig{Engine: g.engine, BodyLimit: g.bodyLimit, Closing: g.phase.closing})
+	g.callers = newServer(s.Callers, g.slowReaders.Wrap(g.bodies.Wrap(frontEnd)))
 	g.readiness = newServer(s.Readiness, g.readyHandler())
 	g.admin = newServer(s.Admin, g.adminHandler())
 	return nil
