permits: limit only while servers decline requests

Cause: limits followed from the demand alone.

Change: figures carry the rates of arrivals and declines, with a half-life of 4 s. Divide returns Unlimited unless 5 in 100 arrivals were declined, and a daemon without figures unless it has seen that itself, with three declines within 8 s. Limits fill half of the servers' queues instead of a quarter.

The tests pass the servers' rejections to the gates.

--- a/core/permits/gate.go
+++ b/core/permits/gate.go
@@ -34,6 +34,14 @@
 	// rateInterval and stateInterval are the time constants of the means of a demand.
 	rateInterval  = 2 * time.Second
 	stateInterval = 500 * time.Millisecond
+	// declinedHalfLife is the half-life of the rates of arrivals and declines. It keeps limits for
+	// some seconds after the declines, which they stop, have ended.
+	declinedHalfLife = 4 * time.Second
+	// fewestDeclines is the number of declines within recentDeclines that a daemon has to see
+	// before it limits itself without figures: of a few requests a second, one or two are
+	// declined by chance.
+	fewestDeclines = 3
+	recentDeclines = 2 * declinedHalfLife
 	// defaultObjective applies to requests without an objective.
 	defaultObjective = time.Second
 	// minRetryAfter and maxRetryAfter are the limits of retry-after times.
@@ -108,6 +116,8 @@
 	grantedAt time.Time
 	queued    int // grants after a wait
 	demand    Demand
+	// declines are the times of the latest declines, the oldest first.
+	declines [fewestDeclines]time.Time
 }
 
 // NewGate returns a gate without a limit.
@@ -115,7 +125,9 @@
 	return &Gate{fallback: Unlimited, grants: map[ID]grant{}, works: map[string]work{}, at: now, grantedAt: now}
 }
 
-// SetShares sets the limits in the order of their ends, and the one after the last has expired.
+// SetShares sets the limits in the order of their ends, and the one after the last has expired. Only
+// the first share follows from figures. The later ones and the fallback apply while servers decline
+// the requests of this daemon; otherwise it is not limited.
 func (g *Gate) SetShares(fallback float64, now time.Time, shares ...Share) {
 	g.advance(now)
 	g.shares, g.fallback = shares, fallback
@@ -125,14 +137,21 @@
 // Limit returns the number of requests that may be in flight.
 func (g *Gate) Limit(now time.Time) float64 { return g.current(now).Limit }
 
-// current returns the share that applies; the fallback has no end.
+// current returns the share that applies. One without a limit has no end if figures are missing.
 func (g *Gate) current(now time.Time) Share {
+	if len(g.shares) > 0 && now.Before(g.shares[0].Until) {
+		return g.shares[0]
+	}
+	end := g.declines[0].Add(recentDeclines)
+	if !now.Before(end) || !g.demand.declining(declinedPart) {
+		return Share{Limit: Unlimited}
+	}
 	for _, s := range g.shares {
 		if now.Before(s.Until) {
-			return s
+			return Share{Limit: s.Limit, Until: earlier(s.Until, end)}
 		}
 	}
-	return Share{Limit: g.fallback}
+	return Share{Limit: g.fallback, Until: end}
 }
 
 // InFlight returns the number of requests in flight.
@@ -183,6 +202,15 @@
 	return w.id, Wait{Until: w.until}
 }
 
+// Declined records that a server has declined a request as full.
+func (g *Gate) Declined(now time.Time) {
+	g.advance(now)
+	g.demand.Declined += math.Ln2 / declinedHalfLife.Seconds()
+	copy(g.declines[:], g.declines[1:])
+	g.declines[fewestDeclines-1] = now
+	g.advance(now)
+}
+
 // Leave records the end of a request, in flight or queued. Others are ignored.
 func (g *Gate) Leave(id ID, now time.Time) {
 	g.advance(now)
@@ -279,6 +307,9 @@
 	g.at = now
 	keep := math.Exp(-dt / stateInterval.Seconds())
 	g.demand.Rate *= math.Exp(-dt / rateInterval.Seconds())
+	recent := math.Exp2(-dt / declinedHalfLife.Seconds())
+	g.demand.Arrived *= recent
+	g.demand.Declined *= recent
 	g.demand.InFlight = keep*g.demand.InFlight + (1-keep)*float64(len(g.grants))
 	g.demand.Waiting = keep*g.demand.Waiting + (1-keep)*float64(len(g.waiters))
 }
@@ -322,6 +353,7 @@
 	g.addWork(gr.organisation, gr.charge, now)
 	g.grants[w.id] = gr
 	g.grantedAt = now
+	g.demand.Arrived += math.Ln2 / declinedHalfLife.Seconds()
 }
 
 // wait returns the expected wait of a request with the given number of requests ahead of it.
--- a/core/permits/permits.go
+++ b/core/permits/permits.go
@@ -8,13 +8,21 @@
 	"time"
 )
 
-// Unlimited is the limit while the pool is not busy.
+// Unlimited is the limit unless servers decline requests.
 var Unlimited = math.Inf(1)
 
 const (
-	// queuedPart is the part of the servers' queues that limits fill: a request that waits at
-	// a server cannot be moved to another one or overtaken by a more urgent one.
-	queuedPart = 0.25
+	// queuedPart is the part of the servers' queues that limits fill. A request that waits at a
+	// server cannot be moved to another one or overtaken by a more urgent one. In the middle of
+	// a queue of four times the slots it waits two service times, which an objective of five
+	// service times bears.
+	queuedPart = 0.5
+	// declinedPart is the part of the arrivals that servers have to decline before limits apply.
+	// Requests in flight are no sign of it: those at a server that does not answer count as well.
+	declinedPart = 0.05
+	// endPart is the part below which limits that apply end. With declinedPart for both, servers
+	// declined 6 in 100 arrivals in steady overload, since limits stop the declines they follow.
+	endPart = 0.02
 	// evenPart is the part that is divided evenly, for daemons whose demand has just begun.
 	evenPart = 0.4
 	// queuePerSlot is the assumed length of a queue of unknown length, relative to the slots.
@@ -32,6 +40,9 @@
 	InFlight, Waiting float64
 	// Daemons is the number of daemons that the demand sums.
 	Daemons int
+	// Arrived and Declined are the recent rates, per second, of requests that were sent and of
+	// those that a server declined as full.
+	Arrived, Declined float64
 }
 
 // Load returns the number of requests that would be in flight without limits. It is linear, so
@@ -42,13 +53,18 @@
 func (d Demand) Plus(e Demand) Demand {
 	return Demand{
 		Rate: d.Rate + e.Rate, InFlight: d.InFlight + e.InFlight, Waiting: d.Waiting + e.Waiting,
-		Daemons: d.Daemons + e.Daemons,
+		Daemons: d.Daemons + e.Daemons, Arrived: d.Arrived + e.Arrived, Declined: d.Declined + e.Declined,
 	}
 }
 
+// declining reports whether servers decline at least the given part of the requests.
+func (d Demand) declining(part float64) bool {
+	return d.Declined > 0 && d.Declined >= part*d.Arrived
+}
+
 // Valid reports whether all values are within their ranges.
 func (d Demand) Valid() bool {
-	for _, v := range []float64{d.Rate, d.InFlight, d.Waiting, float64(d.Daemons)} {
+	for _, v := range []float64{d.Rate, d.InFlight, d.Waiting, float64(d.Daemons), d.Arrived, d.Declined} {
 		if !(v >= 0 && v <= maxDemand) {
 			return false
 		}
@@ -61,6 +77,8 @@
 	Slots int
 	// Queue is the length of the servers' queues. A negative one is unknown.
 	Queue int
+	// Limited is set while the limits of Divide apply, so that they end later than they begin.
+	Limited bool
 }
 
 // capacity returns the slots, the requests that the servers hold, and those that limits allow.
@@ -73,7 +91,7 @@
 	return slots, slots + queue, slots + queuedPart*queue
 }
 
-// Static returns the limit of a daemon without figures.
+// Static returns the limit of a daemon without figures whose requests are declined.
 func (p Pool) Static(daemons int) float64 {
 	if p.Slots <= 0 {
 		return Unlimited
@@ -83,16 +101,21 @@
 }
 
 // Divide returns how many requests one daemon may have in flight. The total has to contain own.
-// The result may be below one and is Unlimited while the total is below the slots.
+// The result may be below one. It is Unlimited while the total is below the slots or servers decline
+// few requests.
 //
-// Limits allow the slots and a quarter of the queue. Below that demand they are higher, because
+// Limits allow the slots and half of the queue. Below that demand they are higher, because
 // the demand of one daemon varies more than the total.
 //
 // Daemons missing in the total are assumed to use their static share. The limits of all then add
 // up to at most the slots and the queue.
 func Divide(p Pool, total, own Demand, daemons int) float64 {
 	load := total.Load()
-	if p.Slots <= 0 || load < float64(p.Slots) {
+	part := declinedPart
+	if p.Limited {
+		part = endPart
+	}
+	if p.Slots <= 0 || load < float64(p.Slots) || !total.declining(part) {
 		return Unlimited
 	}
 	if !total.Valid() || !own.Valid() {
--- a/daemon/permits/figures.go
+++ b/daemon/permits/figures.go
@@ -13,6 +13,7 @@
 	_                       struct{} `cbor:",toarray"`
 	Rate, InFlight, Waiting float32
 	Daemons                 uint32
+	Arrived, Declined       float32
 }
 
 // decoding bounds the sizes of reports.
@@ -149,7 +150,10 @@
 	}
 	out := make(map[string]figure, len(figures))
 	for name, d := range figures {
-		out[name] = figure{Rate: float32(d.Rate), InFlight: float32(d.InFlight), Waiting: float32(d.Waiting), Daemons: uint32(d.Daemons)}
+		out[name] = figure{
+			Rate: float32(d.Rate), InFlight: float32(d.InFlight), Waiting: float32(d.Waiting), Daemons: uint32(d.Daemons),
+			Arrived: float32(d.Arrived), Declined: float32(d.Declined),
+		}
 	}
 	data, err := cbor.Marshal(out)
 	if err != nil {
@@ -167,7 +171,10 @@
 	}
 	figures := make(map[string]permits.Demand, len(in))
 	for name, f := range in {
-		d := permits.Demand{Rate: float64(f.Rate), InFlight: float64(f.InFlight), Waiting: float64(f.Waiting), Daemons: int(f.Daemons)}
+		d := permits.Demand{
+			Rate: float64(f.Rate), InFlight: float64(f.InFlight), Waiting: float64(f.Waiting), Daemons: int(f.Daemons),
+			Arrived: float64(f.Arrived), Declined: float64(f.Declined),
+		}
 		if !d.Valid() {
 			p.malformed.Add(1)
 			return nil, false
--- a/daemon/permits/pool.go
+++ b/daemon/permits/pool.go
@@ -1,5 +1,6 @@
 // Package permits limits how many requests this daemon has in flight at services with few slots.
-// The limits follow the demand of all daemons, which they exchange as the figures "slots".
+// The limits follow the demand of all daemons, which they exchange as the figures "slots". They
+// apply only while servers decline requests.
 package permits
 
 import (
@@ -50,6 +51,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	pool.Limited = s.pool.Limited
 	s.pool, s.daemons = pool, daemons
 	p.setShare(name, s, now)
 }
@@ -59,11 +61,13 @@
 	static := s.pool.Static(s.daemons)
 	total, ok := p.total.figures[name]
 	if !ok {
+		s.pool.Limited = false
 		s.gate.SetShares(static, now)
 		s.update(now)
 		return
 	}
 	limit := permits.Divide(s.pool, total, s.reported(p.total.at), s.daemons)
+	s.pool.Limited = limit != permits.Unlimited
 	// While some daemons may have a total without this one and others one with it, they reserve
 	// its static share or its last one.
 	reserved := min(limit, static)
@@ -99,10 +103,21 @@
 	return sync.OnceFunc(func() { s.leave(id) }), nil
 }
 
+// Declined records that a server has declined a request to a service as full, without running it.
+func (p *Pool) Declined(name string) {
+	if s := (*p.services.Load())[name]; s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := time.Now()
+		s.gate.Declined(now)
+		s.update(now)
+	}
+}
+
 // State is the state of one service.
 type State struct {
-	// Limit is the number of requests of this daemon that may be in flight; it is +Inf while the
-	// pool is not busy.
+	// Limit is the number of requests of this daemon that may be in flight; it is +Inf unless
+	// servers decline requests.
 	Limit             float64
 	InFlight, Waiting int
 	// Granted and Refused count requests since the start.
--- a/daemon/permits/pool_test.go
+++ b/daemon/permits/pool_test.go
@@ -41,6 +41,9 @@
 							releases = append(releases, release)
 						}
 					}
+					for range rapid.SampledFrom([]int{0, 1, 5}).Draw(t, "declines") {
+						p.Declined(service)
+					}
 					if rapid.IntRange(0, 3).Draw(t, "connected") > 0 {
 						pools[0].SetDaemon(strconv.Itoa(i), p.Report(time.Now()), time.Now())
 						p.SetTotal(pools[0].Total(time.Now()), time.Now())
@@ -69,6 +72,9 @@
 		c := newCluster(1, true)
 		c.run(300, 5*time.Second, 1)
 		limit := c.pools[0].Snapshot(time.Now())[service].Limit
+		for range 3 {
+			c.pools[71].Declined(service)
+		}
 		time.Sleep(1500 * time.Millisecond)
 		c.pools[0].SetDaemon("0", c.pools[0].Report(time.Now()), time.Now())
 		c.pools[0].SetTotal(c.pools[0].Total(time.Now()), time.Now())
@@ -93,6 +99,9 @@
 			t.Errorf("without a pool: %v", err)
 		}
 		p.SetPool(service, core.Pool{Slots: 1}, 1)
+		for range 3 {
+			p.Declined(service)
+		}
 		release, err := p.Enter(t.Context(), service, ticket)
 		if err != nil {
 			t.Fatal(err)
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -207,6 +207,9 @@
 			a.server.State.Unreachable(now)
 		case a.head.Notice.Backoff == 0:
 			a.server.State.Declined(now)
+			if j.engine.Permits != nil {
+				j.engine.Permits.Declined(j.service)
+			}
 		}
 		return
 	}
