proxy: a stalled request is sent to another server while that can answer in time

It was given up only when the objective had passed. Change: at services with few slots an attempt is given up at the latest time at which another server is expected to answer within the objective, unless the servers are congested. Observations of the time to the first part no longer count as pace.

--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -111,7 +111,6 @@
 	j.engine.latencies.update(a.latencyKey, func(e latency.Estimate) latency.Estimate { return e.With(j.request.size(), took, time.Now()) })
 	j.observeRunStart(a, took)
 	a.firstRatio = j.compareToReference(a, j.referenceKey(a), took)
-	j.observePace(a, a.firstRatio, time.Now())
 }
 
 // sendBuffered sends a complete response to the caller.
--- a/daemon/proxy/capacity.go
+++ b/daemon/proxy/capacity.go
@@ -127,8 +127,10 @@
 	}
 }
 
-// observePace records the time of a complete part of an answer, relative to the time that such a
-// part takes elsewhere; 0 is unknown.
+// observePace records the interval between the events of a complete stream, relative to the one
+// elsewhere; 0 is unknown. The time to the first part does not count: it is mostly that of other
+// requests at the server, and daemons that know it from each other would all leave a busy server
+// at once.
 func (j *job) observePace(a *attempt, ratio float64, now time.Time) {
 	if ratio > 0 && j.engine.Pace != nil && j.hasFewSlots() {
 		j.engine.Pace.Observe(a.server, ratio, now)
--- a/daemon/proxy/capacity_test.go
+++ b/daemon/proxy/capacity_test.go
@@ -112,6 +112,34 @@
 	}
 }
 
+// A request that waits at its server for longer than others is sent to another one while that can
+// still answer within the objective. It used to wait until the objective had passed.
+func TestStalledRequestIsAnsweredInTimeElsewhere(t *testing.T) {
+	for _, slots := range []int{12, 64} {
+		inBubble(t, func(t *testing.T) {
+			var stalls atomic.Bool
+			b := fewSlots(t, slots, new(time.Duration))
+			s := func(c net.Conn, a arrival) bool {
+				if stalls.CompareAndSwap(true, false) {
+					time.Sleep(400 * time.Millisecond)
+				}
+				time.Sleep(10 * time.Millisecond)
+				return events(0, 3, true, "Confidence: 99")(c, a)
+			}
+			b.known.set(b.known.View().Map, b.server("a", s), b.server("b", s))
+			for n := range 50 {
+				stalled := n >= 30 && n%5 == 0
+				stalls.Store(stalled)
+				r := b.ask("urgent", n)
+				if inTime := r.FirstByte < 200*time.Millisecond; stalled && inTime != (slots == 12) {
+					t.Errorf("%d slots: first part after %v, attempts %+v", slots, r.FirstByte, r.Attempts)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // A small pool of servers must not receive more requests than its slots and queue hold: each of
 // many daemons sends only what its share allows once servers have declined requests as full. The
 // others wait, or are refused as not run. Without a decline nobody waits.
--- a/daemon/proxy/timeout.go
+++ b/daemon/proxy/timeout.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"ladderridge.example/core/estimate"
 	"ladderridge.example/core/retry"
 )
 
@@ -81,8 +82,40 @@
 
 // attemptTimeout returns the time-out for the first part of a response; 0 means none.
 func (j *job) attemptTimeout() time.Duration {
+	if d, ok := j.secondAttemptTimeout(time.Now()); ok {
+		return d
+	}
 	now, size := time.Now(), j.request.size()
 	pace := j.engine.latencies.get(j.latencyKeyOf(j.model()))
 	e := retry.ExpectedLatency{Now: pace.Typical(size, now), Recent: pace.Recent(size)}
 	return retry.AttemptTimeout(e, j.route.LatencyObjective, j.deadline.Sub(now))
 }
+
+// secondAttemptTimeout returns the time-out of an attempt at a service with few slots: the latest
+// time at which the first part of an answer of another server is still expected within the
+// objective. ok is false if there is none, if the times of the service are not known, or while
+// the servers are congested, when another attempt only adds load.
+//
+// One answer in twelve or so waits behind a long prompt that other daemons have sent to the same
+// server; another server rarely has one at the same time.
+func (j *job) secondAttemptTimeout(now time.Time) (timeout time.Duration, ok bool) {
+	if !j.hasFewSlots() || j.responseStarted {
+		return 0, false
+	}
+	first := j.engine.runTimes.get(j.referenceKeyOf(j.model())).First(j.runSize(j.prompt.UniqueTokens(), 0), estimate.Conditions{})
+	if first.Median <= 0 || j.engine.Congestion.Level(j.service, now) > maxSecondAttemptLevel {
+		return 0, false
+	}
+	left := j.request.Arrived.Add(j.route.LatencyObjective).Sub(now)
+	needed := first.Quantile(secondAttemptQuantile)
+	return left - needed, left-needed >= needed
+}
+
+const (
+	// maxSecondAttemptLevel is the level of congestion up to which an attempt gives way to
+	// another one: answers begin to be late there.
+	maxSecondAttemptLevel = 0.4
+	// secondAttemptQuantile is the probability with which the other answer has to be in time, and
+	// with which the first one comes before it is given up.
+	secondAttemptQuantile = 0.9
+)
