fleet: the pace of servers counts only where a run would not end in time

Change: servers at which a run is not expected to end before the deadline are the last choice; otherwise the choice is as before.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -114,8 +114,10 @@
 	return slices.Contains(w.TimedOutHalls, s.Hall) || slices.Contains(w.Ejected, s.name)
 }
 
-// tooSlow reports whether the request is not expected to end in time at a server. Only slow
-// servers are distinguished, as in the choice.
+// tooSlow reports whether the request is not expected to end in time at a server.
+//
+// The pace has no other part in the choice. As a factor on the cost it moved requests from slow
+// servers that were idle to others, and more answers were late: all daemons know the same paces.
 func (w Criteria) tooSlow(seen snapshot) bool {
 	return w.MaxPace > 0 && seen.pace > max(1, w.MaxPace)
 }
@@ -136,7 +138,7 @@
 	now      time.Time
 
 	// ownCost is the cost of processing the part of the prompt that no other request
-	// shares, at a server of usual pace.
+	// shares.
 	ownCost float64
 
 	best *Server
@@ -147,13 +149,12 @@
 	overall, inHall preferredServer
 }
 
-// preferredServer is the server with the highest rendezvous hash, the cost of the load
-// ahead of a request there, and the server's pace.
+// preferredServer is the server with the highest rendezvous hash, and the load ahead of
+// a request there.
 type preferredServer struct {
 	server *Server
 	hash   uint64
 	load   float64
-	pace   float64
 }
 
 func newSelector(w Criteria, now time.Time) selector {
@@ -169,11 +170,11 @@
 	hash := rendezvousHash(s, sel.criteria.Affinity)
 	if sel.criteria.Affinity != 0 {
 		sel.updatePreferred(s, seen, hash)
-		if c+sel.ownCost*seen.pace >= sel.cost {
+		if c+sel.ownCost >= sel.cost {
 			// Every server has to process at least the request's own part.
 			return
 		}
-		c += seen.pace * sel.criteria.BlockCost * float64(s.State.PrefixCache.MissingTokens(sel.criteria.Prompt, sel.now)) / BlockTokens
+		c += sel.criteria.BlockCost * float64(s.State.PrefixCache.MissingTokens(sel.criteria.Prompt, sel.now)) / BlockTokens
 	}
 	if c < sel.cost || (c == sel.cost && hash > sel.hash) {
 		sel.best, sel.cost, sel.hash = s, c, hash
@@ -182,9 +183,7 @@
 
 // updatePreferred records the server if its rendezvous hash is the highest so far.
 func (sel *selector) updatePreferred(s *Server, seen snapshot, hash uint64) {
-	// Unlike at other servers, the request itself costs nothing at its preferred server,
-	// except for the time that it takes there above the usual.
-	p := preferredServer{server: s, hash: hash, load: seen.load*seen.slowness + (seen.pace - 1), pace: seen.pace}
+	p := preferredServer{server: s, hash: hash, load: seen.load * seen.slowness}
 	if sel.overall.server == nil || hash > sel.overall.hash {
 		sel.overall = p
 	}
@@ -202,7 +201,7 @@
 	if preferred.server == nil {
 		return sel.best
 	}
-	if c := preferred.load + sel.ownCost*preferred.pace; c < sel.cost || (c == sel.cost && preferred.hash > sel.hash) {
+	if c := preferred.load + sel.ownCost; c < sel.cost || (c == sel.cost && preferred.hash > sel.hash) {
 		return preferred.server
 	}
 	return sel.best
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -6,18 +6,13 @@
 // row, which arrive twice a second.
 const paceLifetime = 5 * time.Second
 
-// slowPace is the pace from which a server counts as slow in the choice of a server; all
-// others count as usual. All daemons know the same paces. If servers faster than usual
-// were preferred, all daemons would send the prompts that leave their preferred server to
-// the fastest one, before they see its load. With equal costs the prompts spread by their
-// hashes. The bound is above 1 because a few fast servers lower the mean, so that all
-// others are slightly slower than it.
+// slowPace is the pace from which a server counts as slow; all others count as usual. A few fast
+// servers lower the mean, so that all others are slightly slower than it.
 const slowPace = 1.2
 
 // SetPace records how long work takes at the server relative to the other servers of
-// its service, by the observations of all daemons. The choice of a server uses it
-// instead of this daemon's own observations for five seconds. A pace that is not
-// positive is ignored.
+// its service, by the observations of all daemons. It is used for five seconds. A pace
+// that is not positive is ignored.
 func (s *ServerState) SetPace(pace float64, now time.Time) {
 	if !(pace > 0) {
 		return
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -31,7 +31,7 @@
 	// slowness is the moving average of the response time relative to that of other
 	// servers for similar requests, 1 if they are equal.
 	slowness float64
-	// pace is the figure of all daemons that replaces slowness until paceUntil, or 0.
+	// pace is the figure of all daemons, used until paceUntil, or 0.
 	pace float64
 	// reported is how many requests the server had according to its latest report.
 	reported int
@@ -126,9 +126,8 @@
 // fields, which the compiler can keep in registers: with five, a choice among 116 servers
 // took a quarter longer.
 type snapshot struct {
-	// load is OwnLoad plus ExcessLoad. slowness is as Slowness returns it, or the pace
-	// with failures weighted in if it is known. pace is 1 if it is not known or less than
-	// slowPace.
+	// load is OwnLoad plus ExcessLoad; slowness is as Slowness returns it. pace is 1 if it
+	// is not known or less than slowPace.
 	load     float64
 	slowness float64
 	pace     float64
@@ -139,12 +138,9 @@
 	hallInBackoff := s.hall.inBackoff(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slowness, pace := s.slowness, 1.0
-	if s.pace > 0 && now.Before(s.paceUntil) {
-		if s.pace >= slowPace {
-			pace = s.pace
-		}
-		slowness = pace
+	pace := 1.0
+	if s.pace >= slowPace && now.Before(s.paceUntil) {
+		pace = s.pace
 	}
 	can := available
 	switch {
@@ -153,7 +149,7 @@
 	case hallInBackoff || now.Before(s.backoffUntil):
 		can = inBackoff
 	}
-	return snapshot{s.load + s.remote.current(now), slowness * (1 + failureCost*s.failureRate), pace, can}
+	return snapshot{s.load + s.remote.current(now), s.slowness * (1 + failureCost*s.failureRate), pace, can}
 }
 
 // SetReportedRequests records how many requests the server reports that it has.
