proxy: a larger model's time to the first part is expected by size

Cause: the probability of a larger model's answer in time went by route and model alone; the largest requests were sent to it and came late.

--- a/daemon/proxy/capacity.go
+++ b/daemon/proxy/capacity.go
@@ -76,7 +76,10 @@
 func (j *job) priceOfLargerRun(a *attempt, l cascade.Load, now time.Time) cascade.Load {
 	larger := j.engine.runTimes.get(j.referenceKeyOf(j.route.Cascade[j.step.Next().Index]))
 	size := j.runSize(a.prompt.UniqueTokens(), a.shared)
-	l.InTime *= j.probabilityOfEnd(larger, size, estimate.Conditions{Load: a.server.State.TotalLoad()})
+	c := estimate.Conditions{Load: a.server.State.TotalLoad()}
+	if left := j.request.Arrived.Add(j.route.LatencyObjective).Sub(now); left > 0 {
+		l.InTime = min(l.InTime, larger.First(size, c).Within(left)) * j.probabilityOfEnd(larger, size, c)
+	}
 	l.Priced = true
 	l.Price = j.engine.Congestion.Price(j.service, j.modelRun(a.prompt.UniqueTokens()), now)
 	return l
