permits: report only small pools, and show no expired demand

Cause: each plain service was in the report of a daemon, also if it has no slots to share. A report of more than 256 services was dropped as a whole. The dump and the gauge pool_demand showed the last total for ever when no further one arrived, and the dump had a random order.

Change: services without slots to share are not reported. State.Total is zero once it has expired; State.TotalAt, which nothing used, is removed. The dump is sorted by service.

--- a/daemon/gateway/capacity.go
+++ b/daemon/gateway/capacity.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -42,14 +44,13 @@
 // PermitDump is this daemon's share of the slots of a small pool.
 type PermitDump struct {
 	Service string `json:"service"`
-	// Limit is how many requests of this daemon may be in flight, -1 while the pool is not busy
-	// and there is no limit.
+	// Limit is how many requests of this daemon may be in flight, -1 while there is no limit.
 	Limit    float64 `json:"limit"`
 	InFlight int     `json:"in_flight"`
 	Waiting  int     `json:"waiting"`
 	Granted  int64   `json:"granted"`
 	Refused  int64   `json:"refused"`
-	// Demand is how many requests all daemons have in flight or waiting, as far as it is known.
+	// Demand is how many requests all daemons have in flight or waiting, 0 if it is unknown.
 	Demand float64 `json:"demand"`
 }
 
@@ -65,7 +66,7 @@
 	return out
 }
 
-// permitDump returns the permits of each small pool.
+// permitDump returns the permits of each small pool, sorted by service.
 func (g *Gateway) permitDump(now time.Time) []PermitDump {
 	var out []PermitDump
 	if g.engine.Permits == nil {
@@ -78,6 +79,7 @@
 		}
 		out = append(out, PermitDump{Service: name, Limit: limit, InFlight: s.InFlight, Waiting: s.Waiting, Granted: s.Granted, Refused: s.Refused, Demand: s.Total.Load()})
 	}
+	slices.SortFunc(out, func(a, b PermitDump) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
 
--- a/daemon/permits/figures.go
+++ b/daemon/permits/figures.go
@@ -54,8 +54,9 @@
 }
 
 // reported returns the least demand that was reported before a total arrived, as far back as any
-// daemon uses it: reports expire at the reader, and then totals at the daemons. Daemons use totals of different ages. With a demand that is in none or only in some of them,
-// the limits of all would add up to more than the pool.
+// daemon uses it: reports expire at the reader, and then totals at the daemons. Daemons use totals
+// of different ages. With a demand that is in none or only in some of them, the limits of all would
+// add up to more than the pool.
 func (s *service) reported(at time.Time) permits.Demand {
 	var least *ownDemand
 	for i, d := range s.own {
@@ -73,16 +74,22 @@
 func (p *Pool) Report(now time.Time) []byte {
 	figures := map[string]permits.Demand{}
 	for name, s := range *p.services.Load() {
-		figures[name] = s.report(now)
+		if d, ok := s.report(now); ok {
+			figures[name] = d
+		}
 	}
 	return encode(figures)
 }
 
-// report returns the demand for the service and records that it was reported.
-func (s *service) report(now time.Time) permits.Demand {
+// report returns the demand for the service and records that it was reported. Demand for a service
+// without slots to share is not reported.
+func (s *service) report(now time.Time) (d permits.Demand, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := s.gate.Demand(now)
+	if s.pool.Slots <= 0 {
+		return permits.Demand{}, false
+	}
+	d = s.gate.Demand(now)
 	if len(s.own) == 0 || now.Sub(s.own[len(s.own)-1].at) >= expiry {
 		s.reportsSince = now
 	}
@@ -94,7 +101,7 @@
 		d.Daemons = 0
 	}
 	s.own = append(s.own, ownDemand{Demand: d, at: now})
-	return d
+	return d, true
 }
 
 // SetDaemon implements storesync.Figures.
--- a/daemon/permits/pool.go
+++ b/daemon/permits/pool.go
@@ -123,22 +123,25 @@
 	// Granted and Refused count requests since the start.
 	Granted, Refused int64
 	Service          time.Duration
-	// Total is the demand of all daemons, at the time TotalAt.
-	Total   permits.Demand
-	TotalAt time.Time
+	// Total is the demand of all daemons, or zero if it is unknown.
+	Total permits.Demand
 }
 
 // Snapshot returns the states of all services with a pool.
 func (p *Pool) Snapshot(now time.Time) map[string]State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var total map[string]permits.Demand
+	if now.Sub(p.total.at) < expiry {
+		total = p.total.figures
+	}
 	out := map[string]State{}
 	for name, s := range *p.services.Load() {
 		s.mu.Lock()
 		out[name] = State{
 			Limit: s.gate.Limit(now), InFlight: s.gate.InFlight(), Waiting: s.gate.Waiting(),
 			Granted: s.granted.Load(), Refused: s.refused.Load(), Service: s.gate.Service(),
-			Total: p.total.figures[name], TotalAt: p.total.at,
+			Total: total[name],
 		}
 		s.mu.Unlock()
 	}
--- a/daemon/permits/pool_test.go
+++ b/daemon/permits/pool_test.go
@@ -87,9 +87,28 @@
 		if cutOff = c.pools[71].Snapshot(time.Now())[service].Limit; cutOff != 30.0/72 {
 			t.Errorf("without figures the limit is %v", cutOff)
 		}
+		if s = c.pools[0].Snapshot(time.Now())[service]; s.Total != (core.Demand{}) {
+			t.Errorf("expired demand %+v", s.Total)
+		}
 	})
 }
 
+// Guards against reports that grow with the services that need no permits: a report of more than
+// 256 services would be dropped as a whole.
+func TestReportHoldsOnlySmallPools(t *testing.T) {
+	p := permits.New()
+	p.SetPool("large", core.Pool{}, 72)
+	if data := p.Report(time.Now()); data != nil {
+		t.Errorf("report %x without small pools", data)
+	}
+	p.SetPool(service, core.Pool{Slots: 6}, 72)
+	p.SetDaemon("a", p.Report(time.Now()), time.Now())
+	p.SetTotal(p.Total(time.Now()), time.Now())
+	if s := p.Snapshot(time.Now()); len(s) != 2 || p.Malformed() != 0 {
+		t.Errorf("state %+v", s)
+	}
+}
+
 // Guards against requests that hang, callers without a retry-after time, and leaked waiters.
 func TestEnterEndsWithAnError(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
