proxy: a request with a short deadline is not queued for a permit in vain

Cause: the wait for a permit was bounded by the objective only. A request whose deadline is earlier waited until its deadline and was then refused without a retry-after time. The capacity of pools was refreshed by wall-clock time, so that it stayed old after that clock was set back.

Change: the remaining time of a ticket is at most the time until the deadline, also on routes without an objective. The refresh uses the monotonic clock; it has no test, since no test can set the wall clock back.

--- a/core/permits/gate.go
+++ b/core/permits/gate.go
@@ -42,8 +42,8 @@
 	// declined by chance.
 	fewestDeclines = 3
 	recentDeclines = 2 * declinedHalfLife
-	// defaultObjective applies to requests without an objective.
-	defaultObjective = time.Second
+	// DefaultObjective applies to requests without an objective.
+	DefaultObjective = time.Second
 	// minRetryAfter and maxRetryAfter are the limits of retry-after times.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
@@ -178,7 +178,7 @@
 	g.demand.Rate += 1 / rateInterval.Seconds()
 	g.lastID++
 	if t.Objective <= 0 {
-		t.Objective, t.Left = defaultObjective, defaultObjective
+		t.Objective, t.Left = DefaultObjective, DefaultObjective
 	}
 	t.Left = min(t.Left, t.Objective)
 	w := waiter{id: g.lastID, t: t, until: now.Add(t.Left - t.Objective/2)}
--- a/core/permits/permits.go
+++ b/core/permits/permits.go
@@ -141,7 +141,8 @@
 	Organisation string
 	// Rank is the urgency of the request; lower ones are served first.
 	Rank int
-	// Objective is the latency objective, Left the part of it that remains.
+	// Objective is the latency objective, Left the part of it that remains, or the time until the
+	// deadline if that is shorter.
 	Objective, Left time.Duration
 }
 
--- a/daemon/proxy/capacity_test.go
+++ b/daemon/proxy/capacity_test.go
@@ -205,3 +205,38 @@
 		}
 	})
 }
+
+// Guards against a request that waits for a permit until its deadline, which is earlier than the
+// objective, although it cannot be answered by then.
+func TestRequestForSmallPoolThatCannotMeetItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		b.engine.Permits, b.engine.OnComplete = permits.New(), nil
+		s := b.server("a", func(c net.Conn, a arrival) bool {
+			time.Sleep(100 * time.Millisecond)
+			return whole(200, "ok")(c, a)
+		})
+		s.Slots = 1
+		p := parts(1, "k")
+		p.Services = []routemap.Service{{Name: "s"}}
+		b.known.set(routemap.New(p), s)
+		b.known.view.Daemons = 2
+		send := func(timeout time.Duration) proxy.Outcome {
+			return b.send(t.Context(), proxy.Request{ID: "r", Path: "/once/x", Key: "k", Timeout: timeout}).outcome
+		}
+		send(time.Second)
+		for range 3 {
+			b.engine.Permits.Declined("s")
+		}
+		for range 4 {
+			go send(time.Second)
+		}
+		time.Sleep(10 * time.Millisecond)
+		begun := time.Now()
+		out, ok := send(80 * time.Millisecond).(proxy.Refused)
+		if took := time.Since(begun); !ok || out.Reason != proxy.NoSlot || took > time.Millisecond {
+			t.Errorf("%+v after %v", out, took)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/daemon/proxy/pools.go
+++ b/daemon/proxy/pools.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -19,12 +20,12 @@
 const poolRefresh = 200 * time.Millisecond
 
 // pools tracks when the capacity of pools was last updated.
-type pools struct{ refreshed atomic.Int64 }
+type pools struct{ refreshed atomic.Pointer[time.Time] }
 
 // due reports whether an update is due, to one caller only.
 func (p *pools) due(now time.Time) bool {
 	last := p.refreshed.Load()
-	return now.UnixNano()-last >= int64(poolRefresh) && p.refreshed.CompareAndSwap(last, now.UnixNano())
+	return (last == nil || now.Sub(*last) >= poolRefresh) && p.refreshed.CompareAndSwap(last, &now)
 }
 
 // refreshPools updates the capacity of the pools that have fewer slots than there are daemons.
@@ -51,7 +52,11 @@
 		return func() {}, nil
 	}
 	j.engine.refreshPools(j.view, now)
-	t := corepermits.Ticket{Organisation: j.report.Organisation, Rank: j.route.Rank, Objective: j.route.LatencyObjective, Left: j.request.Arrived.Add(j.route.LatencyObjective).Sub(now)}
+	t := corepermits.Ticket{Organisation: j.report.Organisation, Rank: j.route.Rank, Objective: cmp.Or(j.route.LatencyObjective, corepermits.DefaultObjective)}
+	t.Left = j.request.Arrived.Add(t.Objective).Sub(now)
+	if !j.deadline.IsZero() {
+		t.Left = min(t.Left, j.deadline.Sub(now))
+	}
 	release, err := j.engine.Permits.Enter(ctx, j.service, t)
 	switch {
 	case err == nil:
