storesync: take totals only from a reader that has the daemon's report

Cause: a daemon asked every daemon that it queries for the totals, and each of them answered. While the reader changes, it also queries daemons that do not read. These know the sums of other halls at most, since daemons report to the reader only.

Change: totals are asked for together with a report, from the reader, and only a reader sends them.

The tests of daemon/storesync pass.

--- a/daemon/storesync/figures.go
+++ b/daemon/storesync/figures.go
@@ -1,6 +1,7 @@
 package storesync
 
 import (
+	"slices"
 	"time"
 
 	"ladderridge.example/core/gossip"
@@ -43,15 +44,18 @@
 	return []gossip.Update{{Topic: gossip.Figures, Rows: rows}}
 }
 
-// reportFigures sends the figures of this daemon to the reader of its hall.
-func (sy *Syncer) reportFigures(reader Member, now time.Time) {
-	if now.Sub(sy.figuresReportedAt) < figuresInterval {
-		return
+// reportFigures sends the figures of this daemon to the reader of its hall, and returns the digests
+// of a request that also asks for the totals. It does neither soon after the last report: the
+// totals of a new reader, which has no report of this daemon, lack its figures.
+func (sy *Syncer) reportFigures(reader Member, digests []gossip.TopicDigest, now time.Time) []gossip.TopicDigest {
+	if len(sy.Figures) == 0 || now.Sub(sy.figuresReportedAt) < figuresInterval {
+		return digests
 	}
 	sy.figuresReportedAt = now
 	if updates := sy.figuresUpdate(func(f Figures) []byte { return f.Report(now) }); updates != nil {
 		sy.Peers.Send(reader.ID, reader.Addr, gossip.Response{Updates: updates})
 	}
+	return append(slices.Clip(digests), gossip.TopicDigest{Topic: gossip.Figures})
 }
 
 // requestsFigures reports whether the sender of a request uses figures.
--- a/daemon/storesync/figures_test.go
+++ b/daemon/storesync/figures_test.go
@@ -16,6 +16,7 @@
 	own            string
 	daemons, halls map[string]string
 	total          string
+	partial        []string // totals without this daemon
 }
 
 func newNames(own string) *names {
@@ -50,10 +51,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.total = string(data)
+	if !slices.Contains(strings.Split(f.total, ","), f.own) {
+		f.partial = append(f.partial, f.total)
+	}
 }
 
 // Guards against figures that miss daemons of another hall, or that do not reach a daemon that
-// does not read the store.
+// does not read the store, and against totals without the daemon that receives them while the
+// reader changes.
 func TestFiguresOfAllHallsReachAllDaemons(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		s := newCluster(t)
@@ -66,11 +71,22 @@
 			s.startDaemonIn(id, hall)
 		}
 		advance(10 * time.Second)
+		for _, reader := range []string{"a", "b", "c", "x", "y"} {
+			s.network.dropOutgoing(reader)
+			advance(5 * time.Second)
+			s.network.mu.Lock()
+			delete(s.network.muted, reader)
+			s.network.mu.Unlock()
+			advance(10 * time.Second)
+		}
 		for id, f := range figures {
 			f.mu.Lock()
 			if f.total != "a,b,c,x,y" {
 				t.Errorf("%s: total is %q", id, f.total)
 			}
+			if len(f.partial) > 0 {
+				t.Errorf("%s: totals without it: %q", id, f.partial)
+			}
 			f.mu.Unlock()
 		}
 	})
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -39,7 +39,7 @@
 			// Only the reader passes sessions on. The other daemons may not even run.
 			to.Sessions = sy.sessions.takeUnsent(now)
 			to.Usage = sy.unacknowledgedUsage(reader, req.Nonce, now)
-			sy.reportFigures(reader, now)
+			to.Digests = sy.reportFigures(reader, req.Digests, now)
 		}
 		sy.Peers.Send(m.ID, m.Addr, to)
 	}
@@ -114,9 +114,6 @@
 		t := sy.topics[topic]
 		req.Digests = append(req.Digests, gossip.TopicDigest{Topic: topic, Version: t.version, Sum: t.sum, LostRows: uint64(len(t.held))})
 	}
-	if len(sy.Figures) > 0 {
-		req.Digests = append(req.Digests, gossip.TopicDigest{Topic: gossip.Figures})
-	}
 	return req
 }
 
@@ -153,7 +150,8 @@
 		resp.Updates = append(resp.Updates, t.updateFor(digest.Topic, digest.Sum, now))
 		holdsMore = holdsMore || digest.LostRows > uint64(len(t.held))
 	}
-	if member.Hall == sy.Self.Hall && requestsFigures(m.Digests) {
+	// Daemons of this hall report to its reader only. Others know the sums of other halls at most.
+	if sy.reading.Load() && member.Hall == sy.Self.Hall && requestsFigures(m.Digests) {
 		resp.Updates = append(resp.Updates, sy.figuresUpdate(func(f Figures) []byte { return f.Total(now) })...)
 	}
 	sy.Peers.Send(to, member.Addr, resp)
