permits: learn the service time from answered requests only

Cause: each request in flight that ended changed the mean service time, also one that no server had answered. The bound relative to the mean compounds, so that a series of immediate rejections, or of requests that find no server, makes the service look fast. Permits cost less credit then.

Change: Leave states whether a server has answered. Other requests count only if they took longer than the mean, as a lower bound. Server errors are not answers.

--- a/core/permits/gate.go
+++ b/core/permits/gate.go
@@ -14,8 +14,8 @@
 	burst = 5
 	// serviceWeight is the weight of a new value in the moving average of service times.
 	serviceWeight = 0.125
-	// serviceStep bounds a new service time relative to the average. Servers that reject at once
-	// would otherwise look fast and attract more requests.
+	// serviceStep bounds a new service time relative to the average, and the part of a charge that
+	// a short request gets back. Servers that reject at once would otherwise attract more requests.
 	serviceStep = 2
 	// overdue is the multiple of the service time after which a request no longer counts
 	// against the limit, so that one that hangs does not block a daemon with a single permit.
@@ -211,8 +211,9 @@
 	g.advance(now)
 }
 
-// Leave records the end of a request, in flight or queued. Others are ignored.
-func (g *Gate) Leave(id ID, now time.Time) {
+// Leave records the end of a request, in flight or queued, and whether a server has answered it.
+// Others are ignored.
+func (g *Gate) Leave(id ID, answered bool, now time.Time) {
 	g.advance(now)
 	g.waiters = slices.DeleteFunc(g.waiters, func(w waiter) bool { return w.id == id })
 	gr, ok := g.grants[id]
@@ -221,10 +222,10 @@
 	}
 	delete(g.grants, id)
 	took := max(now.Sub(gr.at), resolution).Seconds()
-	if g.service == 0 {
-		g.service = took
+	// Without an answer, the time is only a lower bound.
+	if answered || g.service > 0 && took > g.service {
+		g.learn(took)
 	}
-	g.service += serviceWeight * (min(max(took, g.service/serviceStep), g.service*serviceStep) - g.service)
 	g.addWork(gr.organisation, took-gr.charge, now)
 	if gr.charge > 0 {
 		// A charge is not refunded in full: a server that rejects at once would attract more.
@@ -233,6 +234,14 @@
 	g.advance(now)
 }
 
+// learn adds a service time to the mean.
+func (g *Gate) learn(took float64) {
+	if g.service == 0 {
+		g.service = took
+	}
+	g.service += serviceWeight * (min(max(took, g.service/serviceStep), g.service*serviceStep) - g.service)
+}
+
 // Expire decides about the queued requests that can be sent or can no longer be answered.
 func (g *Gate) Expire(now time.Time, draw float64) []Outcome {
 	g.advance(now)
--- a/core/permits/permits_test.go
+++ b/core/permits/permits_test.go
@@ -50,7 +50,7 @@
 	for range 20 {
 		id, _ := g.Enter(ticket("", 0), now, 0)
 		now = now.Add(100 * time.Millisecond)
-		g.Leave(id, now)
+		g.Leave(id, true, now)
 	}
 	g.SetShares(limit, now, permits.Share{Limit: limit, Until: now.Add(time.Hour)})
 	id, _ := g.Enter(ticket("busy", 0), now, 0)
@@ -91,7 +91,7 @@
 	for range 8 {
 		g.Enter(ticket("busy", 1), now, 0)
 		now = now.Add(100 * time.Millisecond)
-		g.Leave(inFlight, now)
+		g.Leave(inFlight, true, now)
 		for _, o := range g.Expire(now, 0) {
 			if o.Decision == (permits.Go{}) {
 				inFlight = o.ID
@@ -118,18 +118,36 @@
 	}
 }
 
+// Guards against a service time that is learned from requests that no server has answered: a limit
+// below one would then be earned a hundred times as fast when the servers are back.
+func TestUnansweredRequestsAreNotFast(t *testing.T) {
+	g, id, now := gate(1)
+	for range 100 {
+		now = now.Add(time.Millisecond)
+		g.Leave(id, false, now)
+		id, _ = g.Enter(ticket("", 0), now, 0)
+	}
+	if got := g.Service(); got != 100*time.Millisecond {
+		t.Errorf("service time %v", got)
+	}
+	g.Leave(id, false, now.Add(time.Second))
+	if got := g.Service(); got <= 100*time.Millisecond {
+		t.Errorf("service time %v after a request that was not answered within a second", got)
+	}
+}
+
 // Guards against waiters without a decision in time, and requests that are lost or counted twice.
 func TestWaitersAreAnsweredInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Float64Range(0.01, 5).Draw(t, "limit")
 		g, id, now := gate(limit)
-		g.Leave(id, now)
+		g.Leave(id, true, now)
 		var inFlight []permits.ID
 		until := map[permits.ID]time.Time{}
 		for range 100 {
 			now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
 			if len(inFlight) > 0 && rapid.Bool().Draw(t, "leave") {
-				g.Leave(inFlight[0], now)
+				g.Leave(inFlight[0], true, now)
 				inFlight = inFlight[1:]
 			}
 			for _, o := range g.Expire(now, 0) {
--- a/daemon/permits/pool.go
+++ b/daemon/permits/pool.go
@@ -81,18 +81,18 @@
 }
 
 // Enter waits until a request may be sent to a service. The caller calls release when the request
-// has ended. The error is of kind NoSlot if the request is refused, or Cancelled if ctx ends.
-func (p *Pool) Enter(ctx context.Context, name string, t permits.Ticket) (release func(), err error) {
+// has ended, with whether a server has answered it. The error is of kind NoSlot if the request is refused, or Cancelled if ctx ends.
+func (p *Pool) Enter(ctx context.Context, name string, t permits.Ticket) (release func(answered bool), err error) {
 	s := (*p.services.Load())[name]
 	if s == nil {
-		return func() {}, nil
+		return func(bool) {}, nil
 	}
 	id, d, answer := s.enter(t)
 	if answer != nil {
 		select {
 		case d = <-answer:
 		case <-ctx.Done():
-			s.leave(id)
+			s.leave(id, false)
 			return nil, &Error{Op: opEnter, Kind: Cancelled, Err: context.Cause(ctx)}
 		}
 	}
@@ -100,7 +100,7 @@
 		s.refused.Add(1)
 		return nil, &Error{Op: opEnter, Kind: NoSlot, Err: RetryAfter(d.RetryAfter)}
 	}
-	return sync.OnceFunc(func() { s.leave(id) }), nil
+	return func(answered bool) { s.leave(id, answered) }, nil
 }
 
 // Declined records that a server has declined a request to a service as full, without running it.
@@ -193,12 +193,12 @@
 }
 
 // leave records the end of a request, or of its wait.
-func (s *service) leave(id permits.ID) {
+func (s *service) leave(id permits.ID, answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	delete(s.answers, id)
-	s.gate.Leave(id, now)
+	s.gate.Leave(id, answered, now)
 	s.update(now)
 }
 
--- a/daemon/permits/pool_test.go
+++ b/daemon/permits/pool_test.go
@@ -33,7 +33,7 @@
 				pools[i].SetPool(service, pool, n)
 			}
 			for range rapid.IntRange(1, 24).Draw(t, "intervals") {
-				var releases []func()
+				var releases []func(bool)
 				sum := 0.0
 				for i, p := range pools {
 					for range rapid.SampledFrom([]int{0, 1, 30}).Draw(t, "requests") {
@@ -59,7 +59,7 @@
 					t.Fatalf("limits add up to %v", sum)
 				}
 				for _, release := range releases {
-					release()
+					release(true)
 				}
 			}
 		})
@@ -135,7 +135,7 @@
 		if took := time.Since(begun); !fault.Is(err, permits.NoSlot) || permits.RetryAfterOf(err) == 0 || took != 500*time.Millisecond {
 			t.Errorf("half of the objective without a permit: %v after %v", err, took)
 		}
-		time.AfterFunc(100*time.Millisecond, release)
+		time.AfterFunc(100*time.Millisecond, func() { release(true) })
 		if _, err := p.Enter(t.Context(), service, ticket); err != nil {
 			t.Errorf("with a released permit: %v", err)
 		}
--- a/daemon/permits/replay_test.go
+++ b/daemon/permits/replay_test.go
@@ -86,7 +86,7 @@
 }
 
 func (c *cluster) send(p *permits.Pool, server int, organisation string) {
-	begun, r := time.Now(), c.results[organisation]
+	begun, r, answered := time.Now(), c.results[organisation], false
 	if c.gated {
 		release, err := p.Enter(context.Background(), service, core.Ticket{Organisation: organisation, Objective: objective, Left: objective})
 		c.mu.Lock()
@@ -98,7 +98,7 @@
 			r.refused++
 			return
 		}
-		defer release()
+		defer func() { release(answered) }()
 	} else {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -123,6 +123,7 @@
 	c.mu.Lock()
 	c.held[server]--
 	r.answered++
+	answered = true
 	if time.Since(begun) > objective+time.Millisecond {
 		r.late++
 	}
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -249,8 +250,12 @@
 	if out != nil {
 		return out
 	}
-	defer release()
-	return j.run(ctx)
+	answered := false
+	defer func() { release(answered) }()
+	out = j.run(ctx)
+	a, ok := out.(Answered)
+	answered = ok && a.Status < http.StatusInternalServerError
+	return out
 }
 
 // awaitStart waits a moment for the first configuration of a daemon that has just started, or
--- a/daemon/proxy/pools.go
+++ b/daemon/proxy/pools.go
@@ -47,9 +47,9 @@
 
 // awaitPermit waits until the request may be sent to its service, and returns how to end its use
 // of the permit. Otherwise it returns why the request is refused.
-func (j *job) awaitPermit(ctx context.Context, now time.Time) (release func(), out Outcome) {
+func (j *job) awaitPermit(ctx context.Context, now time.Time) (release func(answered bool), out Outcome) {
 	if j.engine.Permits == nil || len(j.route.Cascade) > 0 {
-		return func() {}, nil
+		return func(bool) {}, nil
 	}
 	j.engine.refreshPools(j.view, now)
 	t := corepermits.Ticket{Organisation: j.report.Organisation, Rank: j.route.Rank, Objective: cmp.Or(j.route.LatencyObjective, corepermits.DefaultObjective)}
