--- a/daemon/permits/pool_test.go
+++ b/daemon/permits/pool_test.go
@@ -33,7 +33,7 @@
 				pools[i].SetPool(service, pool, n)
 			}
 			for range rapid.IntRange(1, 24).Draw(t, "intervals") {
-				var releases []func()
+				var releases []func(bool)
 				sum := 0.0
 				for i, p := range pools {
 					for range rapid.SampledFrom([]int{0, 1, 30}).Draw(t, "requests") {
@@ -59,7 +59,7 @@
 					t.Fatalf("limits add up to %v", sum)
 				}
 				for _, release := range releases {
-					release()
+					release(true)
 				}
 			}
 		})
@@ -87,9 +87,28 @@
 		if cutOff = c.pools[71].Snapshot(time.Now())[service].Limit; cutOff != 30.0/72 {
 			t.Errorf("without figures the limit is %v", cutOff)
 		}
+		if s = c.pools[0].Snapshot(time.Now())[service]; s.Total != (core.Demand{}) {
+			t.Errorf("expired demand %+v", s.Total)
+		}
 	})
 }
 
+// Guards against reports that grow with the services that need no permits: a report of more than
+// 256 services would be dropped as a whole.
+func TestReportHoldsOnlySmallPools(t *testing.T) {
+	p := permits.New()
+	p.SetPool("large", core.Pool{}, 72)
+	if data := p.Report(time.Now()); data != nil {
+		t.Errorf("report %x without small pools", data)
+	}
+	p.SetPool(service, core.Pool{Slots: 6}, 72)
+	p.SetDaemon("a", p.Report(time.Now()), time.Now())
+	p.SetTotal(p.Total(time.Now()), time.Now())
+	if s := p.Snapshot(time.Now()); len(s) != 2 || p.Malformed() != 0 {
+		t.Errorf("state %+v", s)
+	}
+}
+
 // Guards against requests that hang, callers without a retry-after time, and leaked waiters.
 func TestEnterEndsWithAnError(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -116,7 +135,7 @@
 		if took := time.Since(begun); !fault.Is(err, permits.NoSlot) || permits.RetryAfterOf(err) == 0 || took != 500*time.Millisecond {
 			t.Errorf("half of the objective without a permit: %v after %v", err, took)
 		}
-		time.AfterFunc(100*time.Millisecond, release)
+		time.AfterFunc(100*time.Millisecond, func() { release(true) })
 		if _, err := p.Enter(t.Context(), service, ticket); err != nil {
 			t.Errorf("with a released permit: %v", err)
 		}
--- a/daemon/proxy/pools.go
+++ b/daemon/proxy/pools.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -19,12 +20,12 @@
 const poolRefresh = 200 * time.Millisecond
 
 // pools tracks when the capacity of pools was last updated.
-type pools struct{ refreshed atomic.Int64 }
+type pools struct{ refreshed atomic.Pointer[time.Time] }
 
 // due reports whether an update is due, to one caller only.
 func (p *pools) due(now time.Time) bool {
 	last := p.refreshed.Load()
-	return now.UnixNano()-last >= int64(poolRefresh) && p.refreshed.CompareAndSwap(last, now.UnixNano())
+	return (last == nil || now.Sub(*last) >= poolRefresh) && p.refreshed.CompareAndSwap(last, &now)
 }
 
 // refreshPools updates the capacity of the pools that have fewer slots than there are daemons.
@@ -46,12 +47,16 @@
 
 // awaitPermit waits until the request may be sent to its service, and returns how to end its use
 // of the permit. Otherwise it returns why the request is refused.
-func (j *job) awaitPermit(ctx context.Context, now time.Time) (release func(), out Outcome) {
+func (j *job) awaitPermit(ctx context.Context, now time.Time) (release func(answered bool), out Outcome) {
 	if j.engine.Permits == nil || len(j.route.Cascade) > 0 {
-		return func() {}, nil
+		return func(bool) {}, nil
 	}
 	j.engine.refreshPools(j.view, now)
-	t := corepermits.Ticket{Organisation: j.report.Organisation, Rank: j.route.Rank, Objective: j.route.LatencyObjective, Left: j.request.Arrived.Add(j.route.LatencyObjective).Sub(now)}
+	t := corepermits.Ticket{Organisation: j.report.Organisation, Rank: j.route.Rank, Objective: cmp.Or(j.route.LatencyObjective, corepermits.DefaultObjective)}
+	t.Left = j.request.Arrived.Add(t.Objective).Sub(now)
+	if !j.deadline.IsZero() {
+		t.Left = min(t.Left, j.deadline.Sub(now))
+	}
 	release, err := j.engine.Permits.Enter(ctx, j.service, t)
 	switch {
 	case err == nil:
