price: a run of average cost costs a request's value at a level of 0.3

Cause: at a level of 0.4, where such a run cost a request's value, one answer in twenty is already late. Change: the factor of the squared level is 10 instead of 6.

--- a/core/price/price.go
+++ b/core/price/price.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// scarcity is the price of a run of average cost at a level of 1. At a level of 0.4 answers
-	// begin to be late, since their times are log-normal with a spread of about 0.7. There a run
-	// of average cost has to cost about the value of one request, so that it is not started.
-	scarcity = 6
+	// scarcity is the price of a run of average cost at a level of 1. Times of answers are log-normal
+	// with a spread of about 0.7, so that one in forty is late at a level of 0.3, and one in twenty
+	// at 0.4. By then a run of average cost has to cost the value of one request, so that it is not
+	// started.
+	scarcity = 10
 	// tokenWork is the work of a token to process, relative to that of an output token, as billed.
 	tokenWork = 0.25
 	// maxTokens bounds the tokens of a run. No model has a context that large.
