proxy: waits and run times only from what they describe

Callers that left before the first part counted as short waits: 20 of them, each after 1 ms, lowered the level of a congested service from 1.05 to 0.13 in TestCallersThatLeaveDoNotLowerTheLevel. An abandoned wait now counts only if it is longer than the level; the test requires that 0.9 of the level remain.

The rest of a stream that was interrupted at one server and continued at another counted as a whole run. After 50 of them, a request with 100 ms left was sent for a run of 800 ms in TestContinuedStreamsDoNotShortenTheExpectedRun. Now only answers from the first event on count, and the request is refused as too late.

Admission no longer builds a hashed prompt to get the length of its last part.

--- a/daemon/congestion/tracker.go
+++ b/daemon/congestion/tracker.go
@@ -102,6 +102,20 @@
 	t.log(e)
 }
 
+// ObserveAbandoned records that an answer was abandoned after that share of its objective, before
+// its first part. The wait would have been longer, so a share below the level says nothing.
+func (t *Tracker) ObserveAbandoned(service string, share float64, now time.Time) {
+	s := t.service(service)
+	s.mu.Lock()
+	level, e := s.level(now)
+	if share > level {
+		s.market = s.market.WithWait(share, now)
+		_, e = s.level(now)
+	}
+	s.mu.Unlock()
+	t.log(e)
+}
+
 // ObserveUse records work of an organisation at the service's servers.
 func (t *Tracker) ObserveUse(service, organisation string, work float64, now time.Time) {
 	s := t.service(service)
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -53,6 +53,8 @@
 	shared float64
 	// weight is the load that the attempt adds to the server.
 	weight float64
+	// lastEvent is the id of the event after which the answer is to continue, or -1.
+	lastEvent int64
 	// firstRatio is the time to the first part divided by the time that the version not in
 	// roll-out takes for a similar request, 0 if that is unknown.
 	firstRatio float64
@@ -133,7 +135,7 @@
 // open sends the request to a server and reads the response head. It aborts the attempt after
 // timeout, if that is set and the retry budget allows another attempt.
 func (j *job) open(ctx context.Context, s *fleet.Server, timeout time.Duration) *attempt {
-	a := &attempt{server: s, model: j.model(), sent: time.Now()}
+	a := &attempt{server: s, model: j.model(), sent: time.Now(), lastEvent: j.lastEvent}
 	a.latencyKey = j.latencyKeyOf(a.model)
 	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
 	ctx, a.cancel = context.WithCancel(ctx)
@@ -168,7 +170,7 @@
 // compose builds the request for a server.
 func (j *job) compose(a *attempt) channel.Request {
 	r := j.request
-	attempt := Attempt{Request: r, Server: a.server, Model: a.model, Urgency: j.urgency(), LastEvent: j.lastEvent}
+	attempt := Attempt{Request: r, Server: a.server, Model: a.model, Urgency: j.urgency(), LastEvent: a.lastEvent}
 	if j.organisation != nil {
 		attempt.Organisation = j.organisation.Name
 	}
--- a/daemon/proxy/capacity.go
+++ b/daemon/proxy/capacity.go
@@ -9,7 +9,6 @@
 	"ladderridge.example/core/cascade"
 	"ladderridge.example/core/estimate"
 	"ladderridge.example/core/fleet"
-	"ladderridge.example/core/prefixcache"
 	"ladderridge.example/core/price"
 )
 
@@ -39,7 +38,7 @@
 		return nil
 	}
 	left := j.request.Arrived.Add(j.route.LatencyObjective).Sub(now)
-	times, size := j.engine.runTimes.get(j.referenceKeyOf(j.model())), j.runSize(prefixcache.NewPrompt(j.model(), j.request.Prompt).UniqueTokens(), 0)
+	times, size := j.engine.runTimes.get(j.referenceKeyOf(j.model())), j.runSize(j.request.uniqueTokens(), 0)
 	r := admission.Request{
 		Organisation: j.report.Organisation, Rank: j.route.Rank, Cost: j.modelRun(j.request.promptTokens()).Cost(),
 		InTime: times.First(size, estimate.Conditions{}).Within(left), Possible: j.probabilityOfEnd(times, size, estimate.Conditions{}),
@@ -111,9 +110,10 @@
 }
 
 // observeRunEnd records the time between the first and the last event of a complete stream at a
-// service with few slots. The output in tokens is not known; the estimate is by the expected one.
+// service with few slots. The rest of a stream that was interrupted elsewhere is not a whole run. The
+// output in tokens is not known; the estimate is by the expected one.
 func (j *job) observeRunEnd(a *attempt, took time.Duration) {
-	if j.hasFewSlots() && j.request.LastEvent < 0 {
+	if a.lastEvent < 0 && j.hasFewSlots() {
 		size, c := j.runSize(a.prompt.UniqueTokens(), a.shared), a.conditions()
 		j.engine.runTimes.update(j.referenceKey(a), func(m estimate.Model) estimate.Model { return m.WithEnd(size, c, took, size.Output) })
 	}
@@ -122,11 +122,29 @@
 // observeWait records how long the first part of the smallest model's answer took, as a share of
 // the objective: the congestion of a service with few slots.
 func (j *job) observeWait(took time.Duration, now time.Time) {
-	if j.step.Index == 0 && j.route.LatencyObjective > 0 && j.hasFewSlots() {
-		j.engine.Congestion.ObserveWait(j.service, took.Seconds()/j.route.LatencyObjective.Seconds(), now)
+	if j.countsForLevel() {
+		j.engine.Congestion.ObserveWait(j.service, j.shareOfObjective(took), now)
 	}
 }
 
+// observeAbandonedWait records how long the smallest model's answer had taken when it was abandoned
+// before its first part.
+func (j *job) observeAbandonedWait(took time.Duration, now time.Time) {
+	if j.countsForLevel() {
+		j.engine.Congestion.ObserveAbandoned(j.service, j.shareOfObjective(took), now)
+	}
+}
+
+// countsForLevel reports whether the wait for the current attempt's first part counts as congestion.
+func (j *job) countsForLevel() bool {
+	return j.step.Index == 0 && j.route.LatencyObjective > 0 && j.hasFewSlots()
+}
+
+// shareOfObjective returns a time as a share of the route's latency objective.
+func (j *job) shareOfObjective(took time.Duration) float64 {
+	return took.Seconds() / j.route.LatencyObjective.Seconds()
+}
+
 // observePace records the interval between the events of a complete stream, relative to the one
 // elsewhere; 0 is unknown. The time to the first part does not count: it is mostly that of other
 // requests at the server, and daemons that know it from each other would all leave a busy server
--- a/daemon/proxy/capacity_test.go
+++ b/daemon/proxy/capacity_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -205,3 +206,56 @@
 		}
 	})
 }
+
+// A caller that leaves at once says nothing about the wait at the servers. Such requests counted as
+// short waits and lowered the level of a congested service.
+func TestCallersThatLeaveDoNotLowerTheLevel(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		wait := 300 * time.Millisecond
+		b := fewSlots(t, 12, &wait)
+		defer time.Sleep(wait)
+		for n := range 20 {
+			b.ask("urgent", n)
+		}
+		before := b.engine.Congestion.Level("s", time.Now())
+		for n := range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			b.send(ctx, proxy.Request{ID: fmt.Sprint("gone", n), Path: "/urgent/x", Key: "k", Model: proxy.AnyModel, Timeout: 2 * time.Second})
+			cancel()
+		}
+		if after := b.engine.Congestion.Level("s", time.Now()); after < 0.9*before {
+			t.Errorf("level %.2f after callers left, was %.2f", after, before)
+		}
+	})
+}
+
+// The rest of a stream that continues at another server takes less time than a whole run. It
+// counted as one, so that requests that could not end in time were sent.
+func TestContinuedStreamsDoNotShortenTheExpectedRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := fewSlots(t, 12, new(time.Duration))
+		var breaks atomic.Bool
+		s := func(c net.Conn, a arrival) bool {
+			time.Sleep(5 * time.Millisecond)
+			switch {
+			case a.header.Get("After") != "":
+				return pacedFrom(2, 5, time.Millisecond)(c, a)
+			case breaks.Load():
+				return events(1, 1, false)(c, a)
+			}
+			return paced(5, 200*time.Millisecond)(c, a)
+		}
+		b.known.set(b.known.View().Map, b.server("a", s), b.server("b", s))
+		for n := range 80 {
+			breaks.Store(n >= 30)
+			if out, ok := b.ask("urgent", n).Outcome.(proxy.Answered); !ok {
+				t.Fatalf("request %d: %v", n, out)
+			}
+		}
+		r := proxy.Request{ID: "short", Path: "/urgent/x", Key: "k", Model: proxy.AnyModel, Timeout: 100 * time.Millisecond}
+		r.Prompt, r.ExpectedOutput = []prefixcache.Part{{ID: "p", Tokens: 600}}, 100
+		if out, ok := b.send(t.Context(), r).outcome.(proxy.Refused); !ok || out.Reason != proxy.TooLate {
+			t.Errorf("%T %v, want a refusal as too late", b.reports[len(b.reports)-1].Outcome, out)
+		}
+	})
+}
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -326,10 +326,14 @@
 
 // paced returns a script that answers with a complete stream of n events with a pause between
 // them.
-func paced(n int, pause time.Duration) script {
+func paced(n int, pause time.Duration) script { return pacedFrom(1, n, pause) }
+
+// pacedFrom returns a script that answers with the events from one id to another with a pause
+// between them.
+func pacedFrom(from, to int, pause time.Duration) script {
 	return func(c net.Conn, a arrival) bool {
-		events(1, 1, false)(c, a)
-		for i := 2; i <= n; i++ {
+		events(from, from, false)(c, a)
+		for i := from + 1; i <= to; i++ {
 			time.Sleep(pause)
 			text := "id: " + strconv.Itoa(i) + "\ndata: x\n\n"
 			if _, err := io.WriteString(c, strconv.FormatInt(int64(len(text)), 16)+"\r\n"+text+"\r\n"); err != nil {
--- a/daemon/proxy/observe.go
+++ b/daemon/proxy/observe.go
@@ -35,7 +35,7 @@
 // responses would not count.
 func (j *job) observeAbandoned(a *attempt) {
 	least := j.engine.references.get(j.referenceKey(a)).Relative(a.features(), time.Since(a.sent))
-	j.observeWait(time.Since(a.sent), time.Now())
+	j.observeAbandonedWait(time.Since(a.sent), time.Now())
 	f := j.newObservation(a)
 	f.FirstRatio, f.Stage = least, storesync.Abandoned
 	j.engine.StoreSync.Observe(f)
--- a/daemon/proxy/request.go
+++ b/daemon/proxy/request.go
@@ -80,6 +80,14 @@
 // promptTokens returns the length of the prompt in tokens.
 func (r *Request) promptTokens() int { return prefixcache.Tokens(r.Prompt) }
 
+// uniqueTokens returns the length in tokens of the part of the prompt that no other request shares.
+func (r *Request) uniqueTokens() int {
+	if len(r.Prompt) == 0 {
+		return 0
+	}
+	return r.Prompt[len(r.Prompt)-1].Tokens
+}
+
 // size returns the length of the prompt in blocks.
 func (r *Request) size() float64 { return blocks(r.promptTokens()) }
 
