admission: send a few requests although they are expected too late

Only runs that end correct the estimate of run times. After a service had been slow, requests with short deadlines were all refused as too late, so that no run ended and the refusals never stopped: 600 of 600 requests over ten minutes in TestShortDeadlinesAreServedAgainAfterSlowRuns, on servers that were fast again. One in 20 of them is now sent.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -1,7 +1,8 @@
 // Package admission decides whether a request is sent to the model servers of its service or is
 // refused now, with a time after which it may be tried again. It refuses only what is of use to
-// callers: a request that cannot end before its deadline, and under severe congestion, when most
-// answers are late, some of the requests whose runs delay others the most.
+// callers: requests that cannot end before their deadlines, except for a few probes, and under
+// severe congestion, when most answers are late, some of the requests whose runs delay others the
+// most.
 package admission
 
 import (
@@ -21,6 +22,10 @@
 	// leastPossible is the probability of an end before the deadline below which a request is
 	// refused at once.
 	leastPossible = 0.02
+	// probes is the fraction of the requests that are expected to end too late but are sent. Only
+	// runs that end correct the estimate: without probes, a service that was slow for a while would
+	// refuse all requests with short deadlines from then on.
+	probes = 0.05
 	// lateValue is the value of a late answer relative to one in time. Users state 0.3 to 0.5.
 	lateValue = 0.35
 	// shareWeight is how much severity rises with an organisation's share above the fair one.
@@ -102,7 +107,7 @@
 	if !(draw >= 0 && draw < 1) {
 		draw = 0
 	}
-	if r.Possible < leastPossible {
+	if r.Possible < leastPossible && draw < 1-probes {
 		return Refuse{Reason: TooLate, RetryAfter: retryAfter(s, draw)}
 	}
 	if p := Probability(r, s); draw < p {
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -65,3 +65,17 @@
 		admission.Decide(r, admission.State{Level: 1.2, Share: 1.1}, 0.6)
 	}
 }
+
+// Guards against a service that refuses all requests as too late and therefore never learns that
+// its servers are fast again.
+func TestFewRequestsAreSentAlthoughTooLate(t *testing.T) {
+	sent := 0
+	for i := range 1000 {
+		if _, ok := admission.Decide(admission.Request{Possible: 0}, admission.State{Level: 2}, float64(i)/1000).(admission.Send); ok {
+			sent++
+		}
+	}
+	if sent < 10 || sent > 60 {
+		t.Errorf("%d of 1000 requests that end too late are sent", sent)
+	}
+}
--- a/daemon/proxy/capacity_test.go
+++ b/daemon/proxy/capacity_test.go
@@ -259,3 +259,33 @@
 		}
 	})
 }
+
+// Once servers were slow, requests with short deadlines were refused as too late for ever: only runs
+// that end show that the servers are fast again, and none was sent.
+func TestShortDeadlinesAreServedAgainAfterSlowRuns(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := fewSlots(t, 12, new(time.Duration))
+		pause := 400 * time.Millisecond
+		s := func(c net.Conn, a arrival) bool {
+			time.Sleep(5 * time.Millisecond)
+			return paced(5, pause)(c, a)
+		}
+		b.known.set(b.known.View().Map, b.server("a", s), b.server("b", s))
+		for n := range 60 {
+			b.ask("urgent", n)
+		}
+		pause = time.Millisecond
+		refused := [2]int{}
+		for n := range 600 {
+			r := proxy.Request{ID: fmt.Sprint("short", n), Path: "/urgent/x", Key: "k", Model: proxy.AnyModel, Timeout: 300 * time.Millisecond}
+			r.Prompt, r.ExpectedOutput = []prefixcache.Part{{ID: "p", Tokens: 600}}, 100
+			if out, ok := b.send(t.Context(), r).outcome.(proxy.Refused); ok && out.Reason == proxy.TooLate {
+				refused[n/300]++
+			}
+			time.Sleep(time.Second)
+		}
+		if refused[0] == 0 || refused[1] > 0 {
+			t.Errorf("refused %d, then %d of 300 requests", refused[0], refused[1])
+		}
+	})
+}
