--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// lifetime is how long a report or a total is used: three times the interval
-	// between two reports, so that two of them may be lost.
+	// lifetime is how long a report or a total is used: three times the interval between
+	// two reports, so that two of them may be lost. Reports of most servers are made less
+	// often, by maxBytesPerSecond, so that fewer of them may be lost.
 	lifetime = 1500 * time.Millisecond
 	// totalInterval is the minimum time between two computations of the total: half of
 	// the interval between two reports.
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -128,3 +128,17 @@
 		}
 	})
 }
+
+// Guards against a figure of a bad message that makes a server eight times slower: the mean 0 is
+// never sent.
+func TestMeanThatIsNeverSentCountsAsUsual(t *testing.T) {
+	a := newTracker(4)
+	observe(a, 30, 1, 1, 1, 1)
+	report := a.Report(now)
+	report[9] &= 7 // the first server's figure, after the checksum and a byte of bits
+	a.SetDaemon("a", report, now)
+	a.SetTotal(a.Total(now), now)
+	if p := a.Pace(0, now); p < 0.9 || p > 1.1 {
+		t.Errorf("pace %.2f, want 1", p)
+	}
+}
--- a/core/pace/wire.go
+++ b/core/pace/wire.go
@@ -68,7 +68,11 @@
 	return byte(1 + math.Round(steps*(limit+max(-limit, min(limit, log)))))
 }
 
+// unpackLog decodes a logarithm; a byte that packLog never returns counts as 0.
 func unpackLog(b byte, steps, limit float64) float64 {
+	if b == 0 {
+		return 0
+	}
 	return max(-limit, min(limit, float64(b-1)/steps-limit))
 }
 
