--- a/daemon/congestion/congestion_test.go
+++ b/daemon/congestion/congestion_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,6 +169,7 @@
 func TestCongestionIsLoggedOnceAndDumped(t *testing.T) {
 	var out bytes.Buffer
 	var wg sync.WaitGroup
+	var refused atomic.Uint64
 	d := newTracker(&out)
 	for range 4 {
 		wg.Go(func() {
@@ -175,15 +177,17 @@
 				now := start.Add(time.Duration(i) * 10 * time.Millisecond)
 				d.ObserveWait("s", 3, now)
 				d.Price("s", run, now)
-				d.Admit("s", admission.Request{Rank: 2, Possible: 1, InTime: 1}, 0.1, now)
+				if r, ok := d.Admit("s", admission.Request{Rank: 2, Possible: 1, InTime: 1}, 0.1, now).(admission.Refuse); ok && r.Reason == admission.Congested {
+					refused.Add(1)
+				}
 				d.SetTotal(d.Report(now), now)
 			}
 		})
 	}
 	wg.Wait()
-	states, refused := d.Snapshot(start.Add(time.Second)), d.Refused(admission.Congested)
-	if len(states) != 1 || !states[0].Congested || states[0].Price < 6 || refused == 0 || states[0].Refused["congested"] != refused {
-		t.Errorf("state is %+v with %d refused", states, refused)
+	states, n := d.Snapshot(start.Add(time.Second)), refused.Load()
+	if len(states) != 1 || !states[0].Congested || states[0].Price < 6 || n == 0 || states[0].Refused["congested"] != n {
+		t.Errorf("state is %+v with %d refused", states, n)
 	}
 	d.Level("s", start.Add(time.Minute))
 	if got := out.String(); strings.Count(got, "\n") != 2 || !strings.Contains(got, "is congested") || !strings.Contains(got, "calm again") {
--- a/daemon/congestion/tracker.go
+++ b/daemon/congestion/tracker.go
@@ -37,7 +37,6 @@
 	Log log.Logger
 
 	services atomic.Pointer[map[string]*service]
-	refused  [admission.Reasons]atomic.Uint64
 	dropped  atomic.Uint64
 
 	// mu protects the reports of other daemons and the creation of services.
@@ -162,21 +161,12 @@
 	d := admission.Decide(r, state, draw)
 	if d, ok := d.(admission.Refuse); ok {
 		s.refused[d.Reason]++
-		t.refused[d.Reason].Add(1)
 	}
 	s.mu.Unlock()
 	t.log(e)
 	return d
 }
 
-// Refused returns the number of requests refused for a reason.
-func (t *Tracker) Refused(reason admission.Reason) uint64 {
-	if reason >= admission.Reasons {
-		return 0
-	}
-	return t.refused[reason].Load()
-}
-
 // Dropped returns the number of messages that were dropped because they are not valid.
 func (t *Tracker) Dropped() uint64 { return t.dropped.Load() }
 
