fleet: slow servers are preferred to those in back-off

Servers on which a run would not end in time were in one group with those in back-off, so that an idle unreachable server was chosen over a slow one with one request, which did not happen without a pace. They are now a group of their own, chosen first. TestSlowServersAreBetterThanThoseInBackoff failed before, with and without a fraction of the servers. BenchmarkChoose among 140 servers, three runs on a busy machine: 7.7 to 11.9 us before, 8.9 to 10.2 us after, no allocations.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -34,7 +34,7 @@
 	if w.Fraction > 0 {
 		return l.chooseFromSubset(w, now)
 	}
-	preferred, fallback := newSelector(w, now), newSelector(w, now)
+	preferred, slow, fallback := newSelector(w, now), newSelector(w, now), newSelector(w, now)
 	for _, s := range l.open[w.Service] {
 		if !eligible(s, w, now) {
 			continue
@@ -42,28 +42,35 @@
 		seen := s.State.snapshot(now)
 		switch {
 		case seen.availability == full:
-		case seen.availability == inBackoff || isFallback(s, w) || w.tooSlow(seen):
+		case seen.availability == inBackoff || isFallback(s, w):
 			fallback.consider(s, seen)
+		case w.tooSlow(seen):
+			slow.consider(s, seen)
 		default:
 			preferred.consider(s, seen)
 		}
 	}
-	return best(preferred, fallback)
+	return best(&preferred, &slow, &fallback)
 }
 
 // chooseFromSubset chooses from the fraction of the servers that the request may use.
 func (l *List) chooseFromSubset(w Criteria, now time.Time) *Server {
-	var preferred, fallback []*Server
+	var preferred, slow, fallback []*Server
 	for _, s := range l.open[w.Service] {
 		seen := s.State.snapshot(now)
 		switch {
 		case seen.availability == full || !eligible(s, w, now):
-		case seen.availability == inBackoff || isFallback(s, w) || w.tooSlow(seen):
+		case seen.availability == inBackoff || isFallback(s, w):
 			fallback = append(fallback, s)
+		case w.tooSlow(seen):
+			slow = append(slow, s)
 		default:
 			preferred = append(preferred, s)
 		}
 	}
+	if len(preferred) == 0 {
+		preferred = slow
+	}
 	if len(preferred) == 0 {
 		preferred = fallback
 	}
@@ -71,15 +78,18 @@
 	for _, s := range l.subset(preferred, w) {
 		sel.consider(s, s.State.snapshot(now))
 	}
-	return best(sel, newSelector(w, now))
+	return sel.winner()
 }
 
-// best returns the winner of the preferred servers, or else that of the fallback
-// servers.
-func best(preferred, fallback selector) *Server {
+// best returns the winner of the preferred servers, or else that of the slow ones, or else that
+// of the fallback servers.
+func best(preferred, slow, fallback *selector) *Server {
 	if s := preferred.winner(); s != nil {
 		return s
 	}
+	if s := slow.winner(); s != nil {
+		return s
+	}
 	return fallback.winner()
 }
 
@@ -114,7 +124,8 @@
 	return slices.Contains(w.TimedOutHalls, s.Hall) || slices.Contains(w.Ejected, s.name)
 }
 
-// tooSlow reports whether the request is not expected to end in time at a server.
+// tooSlow reports whether the request is not expected to end in time at a server. Such servers
+// are preferred to those in back-off, which probably do not answer at all.
 //
 // The pace has no other part in the choice. As a factor on the cost it moved requests from slow
 // servers that were idle to others, and more answers were late: all daemons know the same paces.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -200,7 +200,8 @@
 	// server, like those that have failed recently.
 	Ejected []string
 	// MaxPace is the highest pace of a server at which the request can end in time; servers
-	// that are known to be slower are used only if there is no other. 0 is no limit.
+	// that are known to be slower are used only if all others are in back-off or are not to be
+	// used for other reasons. 0 is no limit.
 	MaxPace float64
 	// TimedOutHalls lists halls in which a server timed out for this request. They are
 	// used only if there is no other.
--- a/core/fleet/pace_test.go
+++ b/core/fleet/pace_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// Guards against a run that goes to a server in back-off, which probably does not answer at all,
+// because the only other server is slow.
+func TestSlowServersAreBetterThanThoseInBackoff(t *testing.T) {
+	for _, fraction := range []float64{0, 1} {
+		servers, w := pool(2), fleet.Criteria{MaxPace: 1.4, Fraction: fraction}
+		failed := choose(t, servers, w)
+		for _, s := range servers {
+			if s != failed {
+				s.State.SetPace(1.5, now)
+				s.State.Begin(1)
+			}
+		}
+		failed.State.Unreachable(now)
+		if choose(t, servers, w) == failed {
+			t.Errorf("fraction %v: the server in back-off was chosen", fraction)
+		}
+	}
+}
+
 // Guards against prompts that leave the server that has them cached because all daemons know that
 // it is slow: they would all send them to the same other one.
 func TestPaceAloneMovesNoPrompt(t *testing.T) {
