--- a/daemon/gateway/capacity.go
+++ b/daemon/gateway/capacity.go
@@ -83,6 +83,14 @@
 	return out
 }
 
+// droppedFigures returns how many figures of other daemons were dropped.
+func (g *Gateway) droppedFigures() float64 {
+	if g.engine.Congestion == nil {
+		return 0
+	}
+	return float64(g.engine.Congestion.Dropped()) + float64(g.engine.Pace.Malformed()) + float64(g.engine.Permits.Malformed())
+}
+
 // capacityCollector exports the congestion of services with few slots and the permits of small
 // pools.
 type capacityCollector struct {
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -61,6 +61,7 @@
 		}
 		return 0
 	})
+	counter("figures_dropped_total", "Figures of other daemons that do not decode or are out of range.", g.droppedFigures)
 	g.dutyMetrics(counter)
 	r.MustRegister(newRepeatCollector(g), newLimitCollector(g), newCapacityCollector(g))
 	return r
