--- a/core/cascade/cascade.go
+++ b/core/cascade/cascade.go
@@ -22,6 +22,9 @@
 	// models from making other requests late where prompt processing is the bottleneck, at a small
 	// cost on calm days. That cost would be larger if the term were not multiplied by WaitShare.
 	delayCost = 2
+	// idlePrice is the least price of a larger model's run: also on idle servers it processes the
+	// prompt again and is paid for.
+	idlePrice = 0.1
 	// lateWorth is the value of a late answer to callers as a fraction of one in time. The users
 	// state 0.3 to 0.5.
 	lateWorth = 0.35
@@ -104,7 +107,7 @@
 // value of a good answer in time.
 func (l Load) costToOthers() float64 {
 	if l.Priced {
-		return l.Price
+		return max(l.Price, idlePrice)
 	}
 	return l.WaitShare + delayCost*l.WaitShare*l.Delay
 }
--- a/core/cascade/cascade_test.go
+++ b/core/cascade/cascade_test.go
@@ -46,6 +46,10 @@
 	if cascade.ConfidenceThreshold(cascade.Load{InTime: 1, WaitShare: 0.5}) >= cascade.ConfidenceThreshold(cascade.Load{InTime: 1}) {
 		t.Error("wait share does not lower the threshold")
 	}
+	calm, dear := cascade.Load{InTime: 1, Priced: true}, cascade.Load{InTime: 1, Priced: true, Price: 0.5}
+	if got := cascade.ConfidenceThreshold(calm); got >= 60 || got <= cascade.ConfidenceThreshold(dear) {
+		t.Errorf("a run on idle servers is free, or a price does not lower the threshold: %v", got)
+	}
 	if cascade.Start(3).Escalate(0, true, cascade.Load{InTime: 0}) {
 		t.Error("answer dropped with no time left")
 	}
