--- a/daemon/bodylimit/bodylimit_test.go
+++ b/daemon/bodylimit/bodylimit_test.go
@@ -70,26 +70,49 @@
 	})
 }
 
+// listener is a listener of a single connection in memory.
+type listener struct {
+	conns chan net.Conn
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	if c, ok := <-l.conns; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l listener) Close() error   { return nil }
+func (l listener) Addr() net.Addr { return &net.TCPAddr{} }
+
 // Guards against callers that never end their bodies, and against the deadline of a body ending
 // a long run or the next request on the connection.
 func TestDeadlineOfBody(t *testing.T) {
-	const timeout = 50 * time.Millisecond
-	l := &bodylimit.Limiter{Budget: bodylimit.Budget{Limit: 100}, Timeout: func() time.Duration { return timeout }}
-	s := httptest.NewServer(l.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, err := io.ReadAll(r.Body); fault.Is(err, bodylimit.TimedOut) {
-			w.Header().Set("Connection", "close")
-			w.WriteHeader(http.StatusRequestTimeout)
-		} else if time.Sleep(2 * timeout); r.Context().Err() != nil {
-			w.WriteHeader(http.StatusInternalServerError)
-		}
-	})))
-	defer s.Close()
-	c, _ := net.Dial("tcp", s.Listener.Addr().String())
-	from := bufio.NewReader(c)
-	for i, body := range []string{"ok", "ok", "o"} {
-		_, _ = fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"+body)
-		if resp, err := http.ReadResponse(from, nil); err != nil || resp.StatusCode != []int{200, 200, 408}[i] {
-			t.Fatalf("request %d: %v, %v", i, resp, err)
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = time.Second
+		l := &bodylimit.Limiter{Budget: bodylimit.Budget{Limit: 100}, Timeout: func() time.Duration { return timeout }}
+		s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: l.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.ReadAll(r.Body); fault.Is(err, bodylimit.TimedOut) {
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusRequestTimeout)
+			} else if time.Sleep(2 * timeout); r.Context().Err() != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+			}
+		}))}
+		c, server := net.Pipe()
+		conns := make(chan net.Conn, 1)
+		conns <- server
+		close(conns)
+		go func() { _ = s.Serve(listener{conns: conns}) }()
+		from := bufio.NewReader(c)
+		for i, body := range []string{"ok", "ok", "o"} {
+			go func() { _, _ = fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"+body) }()
+			if resp, err := http.ReadResponse(from, nil); err != nil || resp.StatusCode != []int{200, 200, 408}[i] {
+				t.Fatalf("request %d: %v, %v", i, resp, err)
+			}
 		}
-	}
+		_ = c.Close()
+		_ = s.Close()
+		time.Sleep(time.Minute)
+	})
 }
