proxy: the request log says which attempts used a kept connection

Cause: during the incident, VMs whose new connections were refused still answered some requests; the log did not say that these had used connections opened before. Change: BeforeSend is told the path of a request; "tries" of a request's log line names kept connections.

--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -172,7 +172,7 @@
 // checkBeforeSend runs the last check before the first byte is sent. It runs once the
 // connection is open, as connecting takes time and the process may have been
 // suspended meanwhile.
-func (x *Exchange) checkBeforeSend() error {
+func (x *Exchange) checkBeforeSend(channel.Path) error {
 	if err := x.BeforeSend(); err != nil {
 		return err
 	}
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -73,12 +73,19 @@
 	MaxIdle time.Duration
 	// BeforeSend, if set, is called once the connection is established, just
 	// before the first byte is sent; its error stops the request.
-	BeforeSend func() error
+	BeforeSend func(Path) error
 	// Matches reports whether the head of an answer belongs to this request;
 	// nil accepts any answer.
 	Matches func(http.Header) bool
 }
 
+// Path is how a request reaches its server.
+type Path struct {
+	// Reused reports whether the connection was open before. The answer then
+	// does not show that a new connection can be established.
+	Reused bool
+}
+
 // Pool keeps idle connections to servers for further requests.
 type Pool struct {
 	// Dial opens a connection; NewPool sets one over TCP.
@@ -240,7 +247,8 @@
 		maxIdle = x.MaxIdle
 	}
 	c := p.takeIdle(x.Addr, maxIdle)
-	if c != nil {
+	path := Path{Reused: c != nil}
+	if path.Reused {
 		p.Reused.Add(1)
 	} else {
 		var err error
@@ -249,7 +257,7 @@
 		}
 	}
 	if x.BeforeSend != nil {
-		if err := x.BeforeSend(); err != nil {
+		if err := x.BeforeSend(path); err != nil {
 			c.close()
 			return nil, &Error{Op: opExchange, Kind: StoppedBeforeSend, Err: err}
 		}
--- a/daemon/channel/pool_test.go
+++ b/daemon/channel/pool_test.go
@@ -117,7 +117,7 @@
 	p := newPool()
 	x := request(addr, "a")
 	stop := errors.New("stop")
-	x.BeforeSend = func() error {
+	x.BeforeSend = func(channel.Path) error {
 		if p.Opened.Load() != 1 {
 			t.Error("BeforeSend was called before there was a connection")
 		}
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -182,6 +182,9 @@
 			b.WriteString("; ")
 		}
 		b.WriteString(t.Server + " " + t.Model + " " + strconv.FormatInt(t.Took.Milliseconds(), 10) + "ms " + t.Result)
+		if t.Path.Reused {
+			b.WriteString(", kept connection")
+		}
 		if t.Notice.Any() {
 			b.WriteString(", " + t.Notice.String())
 		}
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -36,6 +36,7 @@
 	result attemptResult
 	err    error
 	sent   time.Time
+	path   channel.Path
 	// cancel aborts the attempt at the server.
 	cancel context.CancelFunc
 	ended  bool
@@ -180,7 +181,7 @@
 	x := channel.Request{
 		Addr: a.server.Addr, Method: r.Method, Target: r.Target, Host: r.Host, Header: j.engine.Dialect.Compose(attempt),
 		Body: r.Body, SendLength: r.HasBody, Matches: func(h http.Header) bool { return j.engine.Dialect.Matches(r.ID, h) },
-		BeforeSend: func() error { return j.admit(a) },
+		BeforeSend: func(path channel.Path) error { a.path = path; return j.admit(a) },
 	}
 	if !j.route.MayRepeat() {
 		x.MaxIdle = channel.NonRepeatableMaxIdle
@@ -341,7 +342,7 @@
 
 // reportAttempt adds an attempt to the report.
 func (j *job) reportAttempt(a *attempt, result string) {
-	j.report.Attempts = append(j.report.Attempts, AttemptReport{Server: a.server.ID, Model: a.model, Result: result, Notice: a.head.Notice, Took: time.Since(a.sent)})
+	j.report.Attempts = append(j.report.Attempts, AttemptReport{Server: a.server.ID, Model: a.model, Result: result, Notice: a.head.Notice, Took: time.Since(a.sent), Path: a.path})
 }
 
 // maxDeclined is how many servers may decline a request before it is refused: when several
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -157,6 +157,7 @@
 	// Notice is what the server reported about itself.
 	Notice notice.Notice
 	Took   time.Duration
+	Path   channel.Path
 }
 
 // Serve proxies one request and returns its outcome. The sink receives data only as a part
