--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -77,6 +77,10 @@
 	// system. A caller that has already bound the addresses passes its listeners here, so
 	// that no other process can take an address in between.
 	Listen func(ctx context.Context, addr string) (net.Listener, error)
+	// PeerConn is the UDP socket for other daemons; nil opens one on the address of the settings.
+	PeerConn *net.UDPConn
+	// Dial opens connections to backend servers; nil uses the operating system.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	log         log.Logger
 	logWriter   *logwriter.Writer
@@ -130,7 +134,7 @@
 	}
 	g.syncer = storesync.New()
 	keys.Trusted = g.syncer.PublicKey
-	g.peers = &peer.Transport{Addr: s.Peers, Keys: keys, Log: g.log, Deliver: func(in peer.Incoming) {
+	g.peers = &peer.Transport{Addr: s.Peers, Conn: g.PeerConn, Keys: keys, Log: g.log, Deliver: func(in peer.Incoming) {
 		g.syncer.HandleMessage(in.From, in.Message)
 	}}
 	g.syncer.Store, g.syncer.Decoder, g.syncer.Peers, g.syncer.Log = g.Platform.Store, g.Platform.Decoder, sender{g.peers}, g.log
@@ -138,6 +142,9 @@
 	g.syncer.Self = storesync.Member{ID: s.ID, Hall: s.Hall, Addr: s.PeerAddr(), Public: keys.Public(), Start: g.Start, Capacity: s.Capacity()}
 	g.channels = channel.NewPool()
 	g.channels.Listed = g.listed
+	if g.Dial != nil {
+		g.channels.Dial = g.Dial
+	}
 	g.reporter = newReporter(g.log)
 	g.engine = proxy.New()
 	g.engine.StoreSync, g.engine.Channels, g.engine.Dialect = g.syncer, g.channels, g.Platform.Dialect
--- a/daemon/peer/transport.go
+++ b/daemon/peer/transport.go
@@ -45,6 +45,8 @@
 type Transport struct {
 	// Addr is the UDP address to listen on.
 	Addr string
+	// Conn is the UDP socket to use; nil opens one on Addr.
+	Conn *net.UDPConn
 	// Keys authenticates this daemon and verifies others.
 	Keys Identity
 	// Deliver is called with each received message; it must not block for long.
@@ -117,11 +119,7 @@
 
 // Run listens for connections and carries messages until ctx ends.
 func (t *Transport) Run(ctx context.Context) error {
-	addr, err := net.ResolveUDPAddr("udp", t.Addr)
-	if err != nil {
-		return &Error{Op: "listen for daemons", Kind: BadAddress, Err: err}
-	}
-	conn, err := net.ListenUDP("udp", addr)
+	conn, err := t.listen()
 	if err != nil {
 		return &Error{Op: "listen for daemons", Kind: BadAddress, Err: err}
 	}
@@ -151,6 +149,18 @@
 	}
 }
 
+// listen returns the UDP socket to use.
+func (t *Transport) listen() (*net.UDPConn, error) {
+	if t.Conn != nil {
+		return t.Conn, nil
+	}
+	addr, err := net.ResolveUDPAddr("udp", t.Addr)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp", addr)
+}
+
 // Send queues a message to the daemon with the given id and does not block.
 func (t *Transport) Send(id, addr string, m Message) {
 	t.SendAll(map[string]string{id: addr}, m)
