soak: cut daemons from all backend servers, and check what they serve

Change: a build of the daemon for the soak (tag soak) whose paths to the servers are cut by a file: silent, refused or reset; one daemon, half, all but one or all of them, for 3.5 to 6.5 s, beside all other faults. The check is the users' rule as it stands: first tries at daemons that are cut, from 3 s after the cut began, are served less than two thirds as often as elsewhere, and more than 10 + 1 in 50 of all fail there. A planned stop is not blamed for a request whose server has crashed under it: has two (LOST), cut by resets of llm-2-1, to which their daemon was connected directly, 48 ms after they had come.

--- a/daemon/cmd/ladderridged/cmd_gateway.go
+++ b/daemon/cmd/ladderridged/cmd_gateway.go
@@ -63,6 +63,7 @@
 	g := gateway.New(s)
 	g.Start = uint64(time.Now().UnixNano())
 	g.ReadSettings = func() (*settings.Gateway, error) { return settings.LoadGateway(path) }
+	g.Dial = serverDialer()
 	store := platform.NewStore(s.StoreURL)
 	g.Platform = gateway.Platform{
 		Store: store, DutyRows: store, Decoder: platform.Rows{}, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath,
--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -49,6 +49,9 @@
 		c.exposure(o)
 		c.rolledBack(o)
 	}
+	for _, cut := range c.seen.Cuts {
+		c.servedWhileCut(cut)
+	}
 	c.quarantined()
 	c.recovered()
 	return c.findings
@@ -86,10 +89,18 @@
 	}
 }
 
+// crashed reports whether a server crashed while it ran a request.
+func (c *checker) crashed(a Request) bool {
+	return slices.ContainsFunc(c.runs[a.ID], func(r Execution) bool {
+		at, ok := c.seen.Crashed[Incarnation{Server: r.Server, Start: r.Start}]
+		return ok && !at.Before(r.At) && !at.After(a.Ended)
+	})
+}
+
 // cutByStop checks that the graceful stop of a daemon interrupts no request that has reached a
-// server.
+// server, unless that has crashed.
 func (c *checker) cutByStop(a Request) {
-	if a.Reply.Err == nil || errors.Is(a.Reply.Err, os.ErrDeadlineExceeded) || len(c.runs[a.ID]) == 0 {
+	if a.Reply.Err == nil || errors.Is(a.Reply.Err, os.ErrDeadlineExceeded) || len(c.runs[a.ID]) == 0 || c.crashed(a) {
 		return
 	}
 	stopped := slices.ContainsFunc(c.seen.Spans, func(s FaultSpan) bool { return s.Kind == Terminate && s.overlaps(a.Daemon, a.Sent, a.Ended) })
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -195,3 +195,32 @@
 		t.Error("another seed brings the same")
 	}
 }
+
+// addCut adds a cut of daemon 1 from all servers, with requests to it and to daemon 2 of which
+// some are refused.
+func addCut(s *soak.Observations, each, refused int) {
+	s.Cuts = append(s.Cuts, soak.ServerCut{Daemons: map[int]bool{1: true}, Mode: "silent", From: after(20), To: after(30)})
+	for n := range 2 * each {
+		a, r := good()
+		a.ID, a.Daemon, a.Sent, a.Ended = fmt.Sprint("cut-", n), 1+n%2, after(24), after(24.1)
+		a.Reply.Body = (&standin.Runner{ID: "s"}).Answer(a.ID)
+		r.Run.ID = a.ID
+		if a.Daemon == 1 && n/2 < refused {
+			a.Reply = standin.Reply{Status: http.StatusServiceUnavailable, Complete: true}
+		} else {
+			s.Runs = append(s.Runs, r)
+		}
+		s.Requests = append(s.Requests, a)
+	}
+}
+
+// Without this check the soak did not notice that daemons without a path refused their callers.
+func TestCheckFindsCutDaemonsThatServeLittle(t *testing.T) {
+	for refused, want := range map[int]int{0: 0, 12: 0, 40: 1} {
+		var s soak.Observations
+		addCut(&s, 100, refused)
+		if got := soak.CheckBounds(s); len(got) != want {
+			t.Errorf("%d of 100 refused: %v", refused, got)
+		}
+	}
+}
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -72,6 +72,7 @@
 		return
 	}
 	b.present = false
+	b.cluster.recorder.crashed(Incarnation{Server: b.runner.ID, Start: b.starts}, time.Now())
 	b.mu.Unlock()
 	if err := b.link.SetDown(true); err != nil {
 		b.cluster.recorder.found("SOAK", err.Error())
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -146,6 +146,7 @@
 	// A process group of its own: the system resumes stopped processes of an orphaned group, so
 	// a paused daemon in the soak's group would resume when the shell that started the soak
 	// exits.
+	cmd.Env = append(os.Environ(), pathFileEnv+"="+d.pathFile())
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	d.starts++
 	if err := cmd.Start(); err != nil {
@@ -157,6 +158,16 @@
 	return true
 }
 
+// pathFileEnv tells the daemon's build for the soak the file that cuts its paths to the servers.
+const pathFileEnv = "LADDERRIDGE_SOAK_PATH"
+
+func (d *daemon) pathFile() string { return d.file + ".path" }
+
+// setPath cuts the paths to the servers in a way, or heals them with "".
+func (d *daemon) setPath(mode string) error {
+	return os.WriteFile(d.pathFile(), []byte(mode), 0o600)
+}
+
 // signal sends a signal to the process, if it is running.
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,6 +38,9 @@
 	// StoreReturns is not drawn at random; Options.StoreRestores enables it.
 	StoreReturns FaultKind = "store returns from a copy"
 
+	// CutServers is not drawn at random; Options.ServerCuts enables it.
+	CutServers FaultKind = "daemon reaches no server"
+
 	// Faults of backend servers and of the connections to them.
 	SlowServer    FaultKind = "server is delayed"
 	ResetServer   FaultKind = "server's connections are reset"
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -86,6 +86,9 @@
 	Added    map[uint64]time.Time
 	Left     map[Incarnation]time.Time
 	Rollouts []Rollout
+	Cuts     []ServerCut
+	// Crashed holds when a request has crashed a server.
+	Crashed map[Incarnation]time.Time
 	// Settled is when the last fault had ended and all daemons were ready; zero if they did not
 	// become ready.
 	Settled time.Time
@@ -106,7 +109,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{seen: Observations{Revoked: map[string]time.Time{}, Added: map[uint64]time.Time{}, Left: map[Incarnation]time.Time{}}}
+	return &recorder{seen: Observations{Revoked: map[string]time.Time{}, Added: map[uint64]time.Time{}, Left: map[Incarnation]time.Time{}, Crashed: map[Incarnation]time.Time{}}}
 }
 
 func (o *recorder) update(f func(*Observations)) {
@@ -134,6 +137,11 @@
 func (o *recorder) left(i Incarnation, at time.Time) {
 	o.update(func(s *Observations) { s.Left[i] = at })
 }
+
+func (o *recorder) crashed(i Incarnation, at time.Time) {
+	o.update(func(s *Observations) { s.Crashed[i] = at })
+}
+
 func (o *recorder) settled(at time.Time) { o.update(func(s *Observations) { s.Settled = at }) }
 
 func (o *recorder) rollout(r Rollout) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,8 @@
 	Announcements bool
 	// StoreRestores has the store become unavailable and return from an older copy.
 	StoreRestores bool
+	// ServerCuts cuts some of the daemons from all backend servers.
+	ServerCuts bool
 	// LyingServer makes one server violate a guarantee, which the checks must detect.
 	LyingServer bool
 }
@@ -97,7 +99,12 @@
 	if o.StoreRestores {
 		restorer.start(ctx)
 	}
+	cutter := newCutter(s, o.Seed)
+	if o.ServerCuts {
+		cutter.start(ctx)
+	}
 	s.play(ctx, plan)
+	cutter.stop()
 	announcer.stop()
 	limiter.stop()
 	restorer.stop()
