storesync: a version that no request can reach is not completed

Cause: near its deadline a version without answers counts as good, since nothing speaks against it; a daemon did not know that no request could reach it. Change: a daemon that reaches no server, or did not until a moment ago, does not complete a version that nobody has had an answer of. Why this mends it: the version is completed or rolled back on its first answers, which come as soon as servers are reached.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -76,9 +76,10 @@
 	reached time.Time
 	// checked is when the direct path to any server was last checked.
 	checked time.Time
-	// lost is set between Lost and Regained; lostAt is when it was last set.
-	lost   bool
-	lostAt time.Time
+	// lost is set between Lost and Regained; lostAt and regainedAt are when that last changed.
+	lost       bool
+	lostAt     time.Time
+	regainedAt time.Time
 }
 
 // server is what is known of the path to one server.
@@ -244,7 +245,7 @@
 		p.lost, p.lostAt = true, now
 		return Lost
 	case p.lost && !doubtful:
-		p.lost = false
+		p.lost, p.regainedAt = false, now
 		return Regained
 	}
 	return Unchanged
@@ -292,13 +293,15 @@
 	Failing int
 	// Reached is when a direct connection to any server was last established.
 	Reached time.Time
+	// RegainedAt is when the servers were last reached again after Lost.
+	RegainedAt time.Time
 }
 
 // Status returns the state of the paths.
 func (p *Paths) Status(now time.Time) Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Status{Lost: p.lost && p.doubtful(now), Failing: p.failedSince(time.Time{}, now), Reached: p.reached}
+	return Status{Lost: p.lost && p.doubtful(now), Failing: p.failedSince(time.Time{}, now), Reached: p.reached, RegainedAt: p.regainedAt}
 }
 
 // Prune forgets servers that are no longer listed and failures that no longer count.
--- a/daemon/gateway/relay.go
+++ b/daemon/gateway/relay.go
@@ -19,9 +19,19 @@
 	g.relay.Helpers.Self, g.relay.OnAnswer = s.ID, g.reporter.countRelay
 	g.relayServer = &relay.Server{Pool: g.channels, Listed: g.listedAt, OnServed: g.reporter.reportServed}
 	g.peers.Relay = g.relayServer.Serve
+	g.syncer.Unreachable = g.unreachable
 	g.channels.Relay, g.channels.Reference, g.channels.OnPathChange = g.relay, g.referenceServer, g.onPathChange
 }
 
+// regainedPause is how long after the servers are reached again the first answers may take.
+const regainedPause = 1500 * time.Millisecond
+
+// unreachable reports whether this daemon reaches no servers, or did not until a moment ago.
+func (g *Gateway) unreachable(now time.Time) bool {
+	status := g.channels.Paths.Status(now)
+	return status.Lost || now.Sub(status.RegainedAt) < regainedPause
+}
+
 // relayMembers returns the other daemons.
 func (g *Gateway) relayMembers() []relay.Member {
 	others := g.syncer.Others()
--- a/daemon/storesync/rollout_driver.go
+++ b/daemon/storesync/rollout_driver.go
@@ -164,6 +164,10 @@
 	default:
 		return
 	}
+	if next.State == canary.Completed && seen.Answers() == 0 && sy.Unreachable != nil && sy.Unreachable(now) {
+		// That nothing speaks against the version shows nothing if no request can reach it.
+		return
+	}
 	if next.State == canary.Completed && verdict.Suspicion != "" {
 		if now.Sub(sy.dueSince(service, next.State, now)) < sy.writeDelay(next.State) {
 			return
--- a/daemon/storesync/rollout_test.go
+++ b/daemon/storesync/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,12 @@
 func startRollout(t *testing.T, daemons, seconds int) (*cluster, []*storesync.Syncer) {
 	t.Helper()
 	s := newCluster(t)
+	return s, s.startRollout(daemons, seconds)
+}
+
+// startRollout starts daemons and orders a roll-out that is to be completed within some seconds.
+func (s *cluster) startRollout(daemons, seconds int) []*storesync.Syncer {
+	s.t.Helper()
 	s.writeConfig(1, "k")
 	s.store.set(gossip.Servers, "old", "v1")
 	var syncers []*storesync.Syncer
@@ -28,7 +35,7 @@
 	s.store.set(gossip.Servers, "new", "v2")
 	s.store.set(gossip.Operator, "order/s", fmt.Sprintf(`{"Version":"v2","Seconds":%d}`, seconds))
 	advance(time.Second)
-	return s, syncers
+	return syncers
 }
 
 func (s *cluster) storedProgress() canary.Progress {
@@ -248,6 +255,29 @@
 	})
 }
 
+// All daemons once lost their paths to the servers for the time of an order, and completed a version
+// that fails since nobody had an answer of it.
+func TestVersionThatNoRequestReachesIsNotCompleted(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCluster(t)
+		var reachable atomic.Bool
+		s.unreachable = func(time.Time) bool { return !reachable.Load() }
+		syncers := s.startRollout(3, 6)
+		advance(10 * time.Second)
+		if p := s.storedProgress(); p.State != canary.Running {
+			t.Fatalf("while no server is reached the state is %v", p)
+		}
+		for _, d := range syncers {
+			observeFailures(d, 10)
+		}
+		reachable.Store(true)
+		advance(5 * time.Second)
+		if p := s.storedProgress(); p.State != canary.RolledBack {
+			t.Errorf("after failed answers the state is %v", p)
+		}
+	})
+}
+
 // A version that is slower than tolerated, but by too little to be rejected at once, is not
 // completed, because there would be no version left to roll back to. One that is not slower is
 // completed.
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -76,6 +76,9 @@
 	// Rate returns how many requests per second this daemon receives for a service. nil means
 	// unknown.
 	Rate func(service string) float64
+	// Unreachable reports whether this daemon reaches no servers, or did not until a moment ago.
+	// nil means never.
+	Unreachable func(now time.Time) bool
 	// Usage is the usage data that daemons exchange. nil means none.
 	Usage UsageExchange
 	// Figures are the counters that daemons add up, by name. nil means none.
