--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -24,8 +24,12 @@
 type Both struct{}
 
 // Relayed connects through another daemon. With Check a direct connection is tried in the
-// background, to find out whether the path has recovered.
-type Relayed struct{ Check bool }
+// background, to find out whether the path has recovered. FailedFor is the time since direct
+// connections to the server began to fail, 0 if only those to others did.
+type Relayed struct {
+	Check     bool
+	FailedFor time.Duration
+}
 
 // Fail does not connect: neither this daemon nor another one has reached the server just now.
 type Fail struct{}
@@ -132,7 +136,7 @@
 	case noHelper:
 		return Fail{}
 	}
-	return Relayed{Check: check}
+	return Relayed{Check: check, FailedFor: now.Sub(s.since)}
 }
 
 // takeCheck reports whether the direct path to a server may be checked now, and counts the check.
--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -34,6 +34,8 @@
 	// keeps an idle connection from then on, or 0 if it does not say.
 	idleSince time.Time
 	keepAlive time.Duration
+	// reason says why the connection leads through another daemon, if it does.
+	reason string
 }
 
 func newPersistentConn(conn net.Conn) *persistentConn {
--- a/daemon/channel/path.go
+++ b/daemon/channel/path.go
@@ -45,6 +45,8 @@
 	Reused bool
 	// Via is the daemon through which the connection leads, "" if it is direct.
 	Via string
+	// Reason says why the connection is not direct.
+	Reason string
 }
 
 // Relay connects to servers through other daemons.
@@ -67,6 +69,13 @@
 	Release()
 }
 
+// newRelayedConn returns a connection through another daemon with the reason for it.
+func newRelayedConn(conn RelayConn, reason string) *persistentConn {
+	c := newPersistentConn(conn)
+	c.reason = reason
+	return c
+}
+
 // via returns the daemon through which the connection leads, "" if it is direct.
 func (c *persistentConn) via() string {
 	if relayed, ok := c.conn.(RelayConn); ok {
@@ -116,7 +125,7 @@
 		if plan.Check {
 			go p.checkDirect(e.Addr)
 		}
-		return p.openRelayed(ctx, e)
+		return p.openRelayed(ctx, e, plan)
 	default:
 		return nil, unreachable(errNoPath)
 	}
@@ -168,11 +177,15 @@
 }
 
 // openRelayed opens a connection through another daemon.
-func (p *Pool) openRelayed(ctx context.Context, e Endpoint) (*persistentConn, error) {
+func (p *Pool) openRelayed(ctx context.Context, e Endpoint, plan reach.Relayed) (*persistentConn, error) {
 	conn, answer := p.Relay.Dial(ctx, e)
 	if answer == reach.Connected {
 		p.Paths.Relayed(e.Addr, time.Now())
-		return newPersistentConn(conn), nil
+		reason := "direct path to other servers fails"
+		if plan.FailedFor > 0 {
+			reason = "direct path has failed for " + plan.FailedFor.Truncate(time.Millisecond).String()
+		}
+		return newRelayedConn(conn, reason), nil
 	}
 	if ctx.Err() == nil {
 		p.recordAnswer(e, answer)
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -247,7 +247,7 @@
 		if c, err = p.open(ctx, x.Endpoint); err != nil {
 			return nil, err
 		}
-		path.Via = c.via()
+		path.Via, path.Reason = c.via(), c.reason
 	}
 	if x.BeforeSend != nil {
 		if err := x.BeforeSend(path); err != nil {
--- a/daemon/channel/race.go
+++ b/daemon/channel/race.go
@@ -55,7 +55,7 @@
 			if v.answer == reach.Connected {
 				p.Paths.Relayed(e.Addr, time.Now())
 				go r.recordDirect()
-				return newPersistentConn(v.conn), nil
+				return newRelayedConn(v.conn, r.reason()), nil
 			}
 			r.refusal = v.answer
 		case <-delay.C:
@@ -71,6 +71,14 @@
 	}
 }
 
+// reason says why another daemon has connected first.
+func (r *dialRace) reason() string {
+	if r.directErr != nil {
+		return "direct connection failed"
+	}
+	return "direct connection is slower"
+}
+
 // startDirect starts the direct attempt.
 func (r *dialRace) startDirect() {
 	go func() {
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -194,7 +194,7 @@
 			b.WriteString(", kept connection")
 		}
 		if t.Path.Via != "" {
-			b.WriteString(", through " + t.Path.Via)
+			b.WriteString(", through " + t.Path.Via + " (" + t.Path.Reason + ")")
 		}
 		if t.Notice.Any() {
 			b.WriteString(", " + t.Notice.String())
