Servers that fail if they reject too many requests get what they have slots for

Callers saw: servers of a service that say that they are brittle (Server-Brittle) fall over again and again under load, and with them all that runs there (LIMIT). Cause: nothing read the header, and a request is tried at up to three full servers by each daemon: an allowance of rejections that all daemons share, and nobody counts. Change: core/brittle. While a server is brittle a daemon has its share of the slots in flight there; a rejection lowers that, and it rises so slowly that all daemons together plan for half of what the server bears. Requests without room wait for a moment and are then refused at once. Why this mends it: requests that do not exceed the slots are not rejected, and the first ones that are stop their daemon for longer than all others need to notice.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -97,7 +97,7 @@
 // limit still allows it.
 func (s *ServerState) take(now time.Time) bool {
 	s.mu.Lock()
-	ok := s.limit.take(now)
+	ok := s.takeSlot(now) && s.limit.take(now)
 	if ok {
 		s.cold.recordRequest(now)
 	}
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"ladderridge.example/core/brittle"
 	"ladderridge.example/core/notice"
 	"ladderridge.example/core/prefixcache"
 )
@@ -39,6 +40,14 @@
 	limit    limit
 	remote   remoteLoad
 	hall     *HallState
+	// service is nil in a daemon that does not share states of services. phase and slots
+	// determine this daemon's share of the slots of a brittle server, bound what it may have
+	// in flight there.
+	service *ServiceState
+	phase   float64
+	slots   int
+	bound   brittle.Bound
+	chosen  chosen
 	// paceUntil is read only if there is a pace.
 	paceUntil time.Time
 }
@@ -99,6 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight++
+	s.chosen.begin()
 	s.load += weight
 }
 
@@ -117,8 +127,8 @@
 	available availability = iota
 	// inBackoff is a server that is chosen only if there is no other.
 	inBackoff
-	// full is a server that is cold or has a limit, while this daemon's share is used
-	// up.
+	// full is a server that is cold, brittle or has a limit, while this daemon's share
+	// is used up.
 	full
 )
 
@@ -144,7 +154,7 @@
 	}
 	can := available
 	switch {
-	case s.cold.full(now) || s.limit.full(now):
+	case s.cold.full(now) || s.limit.full(now) || s.atBound(now):
 		can = full
 	case hallInBackoff || now.Before(s.backoffUntil):
 		can = inBackoff
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -19,11 +19,16 @@
 	Backoff time.Duration
 	// Limit is the rate limit of the server for all daemons together.
 	Limit Limit
+	// Rejections is how many requests the server may reject in a second, from all daemons
+	// together: it fails if it has to reject more. 0 is no such bound. MalformedRejections is the
+	// announced text if it is not a number; it does not change the bound.
+	Rejections          float64
+	MalformedRejections string
 }
 
 // Any reports whether the notice is not empty.
 func (n Notice) Any() bool {
-	return n.Leaving || n.Backoff > 0 || n.Limit.Rate > 0 || n.Limit.Malformed != ""
+	return n.Leaving || n.Backoff > 0 || n.Limit.Rate > 0 || n.Limit.Malformed != "" || n.Rejections > 0 || n.MalformedRejections != ""
 }
 
 // String returns the notice as text for log lines, "" if it is empty.
@@ -41,6 +46,12 @@
 	if n.Limit.Malformed != "" {
 		words = append(words, "names a limit that is none: "+strconv.Quote(n.Limit.Malformed))
 	}
+	if n.Rejections > 0 {
+		words = append(words, "may reject "+strconv.FormatFloat(n.Rejections, 'g', 4, 64)+" a second")
+	}
+	if n.MalformedRejections != "" {
+		words = append(words, "names a number of rejections that is none: "+strconv.Quote(n.MalformedRejections))
+	}
 	return strings.Join(words, ", ")
 }
 
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -80,6 +80,9 @@
 	// leaves, and how much longer it asks for no requests.
 	AnnouncedLeaving   bool  `json:"says_leaving"`
 	AnnouncedBackoffMS int64 `json:"wants_rest_ms"`
+	// RejectionBound is how many requests in a second the servers of its service may reject, from
+	// all daemons together, before they fail; 0 is no bound.
+	RejectionBound float64 `json:"may_reject_per_second,omitempty"`
 	// Limit is the rate limit for all daemons together, if the server announced one.
 	Limit *LimitDump `json:"limit,omitempty"`
 	// Drained reports whether its data hall is drained. ColdMS is how much longer the server
@@ -155,6 +158,9 @@
 		notices := s.State.Notices.State()
 		out.AnnouncedLeaving = notices.Leaving()
 		out.Limit = limitDump(s, now)
+		if s.Brittle(now) {
+			out.RejectionBound = s.State.RejectionBound()
+		}
 		if notices.InBackoff(now) {
 			out.AnnouncedBackoffMS = notices.BackoffUntil.Sub(now).Milliseconds()
 		}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -155,6 +155,7 @@
 	g.syncer.SuspendClock, g.engine.SuspendClock = suspend.TotalSuspended, suspend.TotalSuspended
 	g.engine.Hall, g.engine.OnComplete, g.engine.OnNotice = s.Hall, g.reporter.report, g.reporter.logNotice
 	g.engine.OnLimitChange, g.syncer.OnLimitChange = g.onLimitChange, g.reporter.logLimitChange
+	g.engine.OnRejectionBound = g.reporter.logRejectionBound
 	g.engine.Budget = &retry.Budget{Seed: g.Start}
 	g.syncer.OnServerRestart = g.engine.ServerRestarted
 	g.syncer.Exposure = canary.Exposure{Share: s.ExposureShare, Slack: s.ExposureSlack}
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -144,6 +144,15 @@
 		Str("told_by", current.From).Str("malformed", current.Malformed).Msg(message)
 }
 
+// logRejectionBound logs that servers begin to announce how many rejections they bear, or no longer do.
+func (r *reporter) logRejectionBound(s *fleet.Server, rejections float64) {
+	message := "server: announced that it fails if it rejects too many requests"
+	if rejections == 0 {
+		message = "server: no longer announces that it fails if it rejects too many requests"
+	}
+	r.log.Info().Str("server", s.Incarnation().String()).Str("service", s.Service).Float64("rejections_per_second", rejections).Msg(message)
+}
+
 // countNotices counts the notices that servers announced in their answers.
 func (r *reporter) countNotices(rep proxy.Report) {
 	for _, t := range rep.Attempts {
@@ -156,9 +165,12 @@
 		if t.Notice.Limit.Rate > 0 {
 			r.notices.WithLabelValues(rep.Service, "limit").Inc()
 		}
-		if t.Notice.Limit.Malformed != "" {
+		if t.Notice.Limit.Malformed != "" || t.Notice.MalformedRejections != "" {
 			r.notices.WithLabelValues(rep.Service, "malformed limit").Inc()
 		}
+		if t.Notice.Rejections > 0 {
+			r.notices.WithLabelValues(rep.Service, "brittle").Inc()
+		}
 	}
 }
 
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -215,6 +215,7 @@
 	}
 	a.head = j.engine.Dialect.ParseHead(a.reply.Status, a.reply.Header)
 	j.observeNotice(a, now)
+	j.observeRejectionBound(a, now)
 	if a.head.NotRun {
 		a.result, a.complete = declined, true
 		j.history = j.history.With(attempts.NotRun)
@@ -224,6 +225,7 @@
 			a.server.State.Unreachable(now)
 		case a.head.Notice.Backoff == 0:
 			a.server.State.Declined(now)
+			a.server.State.Rejected(now)
 			if j.engine.Permits != nil {
 				j.engine.Permits.Declined(j.service)
 			}
@@ -248,6 +250,18 @@
 	}
 }
 
+// observeRejectionBound records how many rejections the server says that it bears. Each of its answers
+// says so, but a rejection without it may come from an intermediary.
+func (j *job) observeRejectionBound(a *attempt, now time.Time) {
+	n := a.head.Notice
+	if n.MalformedRejections != "" || (n.Rejections == 0 && (a.head.NotRun || a.head.WrongServer)) {
+		return
+	}
+	if a.server.ObserveRejectionBound(n.Rejections, a.sent, now) && j.engine.OnRejectionBound != nil {
+		j.engine.OnRejectionBound(a.server, n.Rejections)
+	}
+}
+
 // observeNotice records what the server reports about itself in a response head, whatever the
 // result of the attempt is.
 func (j *job) observeNotice(a *attempt, now time.Time) {
@@ -364,8 +378,20 @@
 }
 
 // maxDeclined is how many servers may decline a request before it is refused: when several
-// have no free slot, another one is unlikely to have one.
-const maxDeclined = 3
+// have no free slot, another one is unlikely to have one. Of servers that fail if they reject too
+// many it is maxDeclinedBrittle.
+const (
+	maxDeclined        = 3
+	maxDeclinedBrittle = 2
+)
+
+// maxDeclined returns how many servers may decline the request.
+func (j *job) maxDeclined() int {
+	if j.view.Servers.Brittle(j.service, time.Now()) {
+		return maxDeclinedBrittle
+	}
+	return maxDeclined
+}
 
 // mayRetry reports whether the request may be sent to another server. It takes the retry from
 // the budget.
@@ -376,7 +402,7 @@
 	if !j.history.MayRepeat(!j.route.MayRepeat()) {
 		return false
 	}
-	if j.history.Ran >= max(1, j.route.Attempts) || j.history.Declined >= maxDeclined {
+	if j.history.Ran >= max(1, j.route.Attempts) || j.history.Declined >= j.maxDeclined() {
 		return false
 	}
 	if j.history.Reached() == 0 || j.paid {
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -58,6 +58,10 @@
 	// OnLimitChange is called when a server's limit starts, changes or ends; may be nil.
 	OnLimitChange func(s *fleet.Server, was, is notice.LimitState)
 
+	// OnRejectionBound is called when the servers of a service begin to announce how many rejections
+	// in a second they bear, or no longer do so; may be nil.
+	OnRejectionBound func(s *fleet.Server, rejections float64)
+
 	// MaxBuffered is the limit in bytes of the complete responses that are buffered for callers,
 	// over all requests; 0 means defaultMaxBuffered. Above it responses are forwarded unbuffered.
 	MaxBuffered int64
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -50,6 +50,7 @@
 		head.Confidence, head.Confident = n, true
 	}
 	head.Notice = notice.Notice{Leaving: h.Get("Leaving") != "", Backoff: notice.ParseSeconds(h.Get("Rest")), Limit: notice.ParseRates(h.Values("Limit"))}
+	head.Notice.Rejections = notice.ParseRates(h.Values("Brittle")).Rate
 	head.Notice.Limit.Lifted = len(h.Values("Limit")) == 0 && !head.NotRun
 	return head
 }
@@ -153,7 +154,11 @@
 	b.engine.StoreSync, b.engine.Channels, b.engine.Dialect = b.known, pool, dialect{}
 	b.engine.Budget = &retry.Budget{Ratio: 2, Window: 10 * time.Second, Slack: 800}
 	b.engine.SetKeyAge(4*time.Second, 0)
-	b.engine.OnComplete = func(r proxy.Report) { b.reports = append(b.reports, r) }
+	b.engine.OnComplete = func(r proxy.Report) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.reports = append(b.reports, r)
+	}
 	return b
 }
 
--- a/daemon/proxy/run.go
+++ b/daemon/proxy/run.go
@@ -16,7 +16,9 @@
 	for {
 		s, ok := j.next(time.Now())
 		if !ok {
-			return j.giveUp(ctx, reason)
+			if s, ok = j.awaitRoom(ctx); !ok {
+				return j.giveUp(ctx, j.withoutServer(reason))
+			}
 		}
 		if out := j.recheck(time.Now()); out != nil {
 			return j.withExecutionState(out)
--- a/daemon/storesync/read.go
+++ b/daemon/storesync/read.go
@@ -160,6 +160,7 @@
 	if sy.states[i] == nil {
 		sy.states[i] = fleet.NewServerState(sy.hall(s.Hall))
 		sy.states[i].Notices = sy.noticesOf(i)
+		sy.states[i].JoinService(sy.service(s.Service), s.ID, s.Slots)
 	}
 	s.State = sy.states[i]
 	return &s
@@ -173,6 +174,14 @@
 	return sy.halls[name]
 }
 
+// service returns the state that all servers of a service share.
+func (sy *Syncer) service(name string) *fleet.ServiceState {
+	if sy.services[name] == nil {
+		sy.services[name] = &fleet.ServiceState{Daemon: sy.Self.ID, Daemons: func() int { return sy.view.Load().Daemons }}
+	}
+	return sy.services[name]
+}
+
 // stillLapsed returns the servers whose entries expired while the store was unavailable.
 func (sy *Syncer) stillLapsed(was *fleet.List, now time.Time) []*fleet.Server {
 	if was == nil {
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -162,6 +162,7 @@
 	// unlisted has the notices of servers that are not listed any more.
 	unlisted map[fleet.Incarnation]unlisted
 	halls    map[string]*fleet.HallState
+	services map[string]*fleet.ServiceState
 	// drained has the drained data halls, by when this daemon learned of it. undrainedAt is
 	// when halls that were drained were taken into use again.
 	drained     map[string]time.Time
@@ -256,7 +257,7 @@
 func New() *Syncer {
 	sy := &Syncer{
 		events: make(chan event, eventBacklog), republish: make(chan struct{}, 1), leaving: map[fleet.Incarnation]uint64{},
-		topics: map[gossip.Topic]*topicState{}, states: map[fleet.Incarnation]*fleet.ServerState{}, unlisted: map[fleet.Incarnation]unlisted{}, halls: map[string]*fleet.HallState{},
+		topics: map[gossip.Topic]*topicState{}, states: map[fleet.Incarnation]*fleet.ServerState{}, unlisted: map[fleet.Incarnation]unlisted{}, halls: map[string]*fleet.HallState{}, services: map[string]*fleet.ServiceState{},
 		drained: map[string]time.Time{}, undrainedAt: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]revision.Revision{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, pendingRequests: map[uint64]time.Time{}, subscribers: map[string]time.Time{}, announcedSums: map[gossip.Topic]uint64{}, readers: newReaders(),
 		malformedSums: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), serverLoad: serverload.NewTracker(), limits: newLimits(),
--- a/soak/announcements.go
+++ b/soak/announcements.go
@@ -76,10 +76,19 @@
 // applyAnnouncement sets what the server announces, with its rate limit. The caller holds b.mu.
 func (b *backend) applyAnnouncement(w standin.Announcement, limit string) {
 	b.announcement, b.limit = w, limit
-	w.Limit = limit
+	w.Limit, w.Brittle, w.NoQueue = limit, b.brittle, b.noQueue
 	b.runner.Announce(w)
 }
 
+// setBrittle has the server announce how many requests it bears to refuse in a second, 0 for none, and
+// sets whether none may wait.
+func (b *backend) setBrittle(n int, noQueue bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.brittle, b.noQueue = n, noQueue
+	b.applyAnnouncement(b.announcement, b.limit)
+}
+
 // isRunning reports whether the given start of the server is still running. A server that has
 // since stopped is restarted by whatever stopped it.
 func (b *backend) isRunning(start int) bool {
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -40,6 +40,10 @@
 	crashes atomic.Uint64
 	// retired servers are not started again.
 	retired bool
+	// brittle is how many requests the server bears to refuse in a second, noQueue that none may wait.
+	brittle int
+	noQueue bool
+	falls   atomic.Int64
 }
 
 // The capacity, services and models of the backend servers.
@@ -76,7 +80,10 @@
 	}
 	b.keepID, b.startedAt = false, time.Now().UnixMilli()
 	start := b.starts
-	r := &standin.Runner{ID: b.id, Slots: slots, Work: processingTime}
+	r := &standin.Runner{ID: b.id, Slots: slots, Work: processingTime, OnFall: func() { b.fall(start) }}
+	if b.cluster.brittle {
+		r.Slots, r.Queue = brittleSlots, slots-brittleSlots
+	}
 	if b.service == modelStream {
 		r.Events, r.Confidence = streamEvents, map[string]int{smallModel: 40, largeModel: 90}
 	}
@@ -90,14 +97,15 @@
 		b.cluster.recorder.arrived(Arrival{ID: id, Server: r.ID, Start: start, Announcement: w, At: time.Now()})
 	}
 	r.Play(b.fault)
-	b.runner, b.present, b.announcement, b.limit = r, true, standin.Announcement{}, ""
+	b.runner, b.present = r, true
+	b.applyAnnouncement(standin.Announcement{}, "")
 	return b.register(false)
 }
 
 // register writes the server's entry to the store. The caller holds b.mu.
 func (b *backend) register(leaving bool) error {
 	return b.cluster.store.SetServer(b.runner.ID, standin.Entry{
-		Service: b.service, Addr: b.link.Addr(), Hall: b.hall, Version: b.version, Slots: slots, Leaving: leaving, Born: b.startedAt,
+		Service: b.service, Addr: b.link.Addr(), Hall: b.hall, Version: b.version, Slots: b.runner.Slots, Leaving: leaving, Born: b.startedAt,
 	})
 }
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -224,3 +224,13 @@
 		}
 	}
 }
+
+// Without this check the soak did not notice that daemons made brittle servers fall over.
+func TestCheckFindsBrittleServersThatFall(t *testing.T) {
+	for falls, want := range map[int]int{0: 0, 2: 0, 3: 1} {
+		s := soak.Observations{Brittle: []soak.BrittleTime{{Service: "api", Servers: 3, Bears: 4, Falls: falls, From: after(1), To: after(9)}}}
+		if got := soak.CheckBounds(s); len(got) != want {
+			t.Errorf("%d falls: %v", falls, got)
+		}
+	}
+}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -15,7 +15,9 @@
 
 // cluster holds everything that a run starts: the store, the backend servers and the daemons.
 type cluster struct {
-	seed     uint64
+	seed uint64
+	// brittle gives the servers few slots and a queue, as brittle servers need.
+	brittle  bool
 	recorder *recorder
 	store    *standin.Store
 	server   *httptest.Server
@@ -67,7 +69,7 @@
 
 func newCluster(o Options, p Plan) (*cluster, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &cluster{seed: o.Seed, recorder: newRecorder(), store: standin.NewStore(), cancel: cancel, config: initialConfig()}
+	s := &cluster{seed: o.Seed, brittle: o.BrittleServers, recorder: newRecorder(), store: standin.NewStore(), cancel: cancel, config: initialConfig()}
 	s.server = httptest.NewServer(s.store)
 	if err := s.build(ctx, o, p); err != nil {
 		s.close()
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -87,6 +87,7 @@
 	Left     map[Incarnation]time.Time
 	Rollouts []Rollout
 	Cuts     []ServerCut
+	Brittle  []BrittleTime
 	// Crashed holds when a request has crashed a server.
 	Crashed map[Incarnation]time.Time
 	// Settled is when the last fault had ended and all daemons were ready; zero if they did not
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,6 +60,9 @@
 	StoreRestores bool
 	// ServerCuts cuts some of the daemons from all backend servers.
 	ServerCuts bool
+	// BrittleServers has the servers of a service announce that they fail if they refuse too many
+	// requests in a second.
+	BrittleServers bool
 	// LyingServer makes one server violate a guarantee, which the checks must detect.
 	LyingServer bool
 }
@@ -103,8 +106,13 @@
 	if o.ServerCuts {
 		cutter.start(ctx)
 	}
+	brittler := newBrittler(s, o.Seed)
+	if o.BrittleServers {
+		brittler.start(ctx)
+	}
 	s.play(ctx, plan)
 	cutter.stop()
+	brittler.stop()
 	announcer.stop()
 	limiter.stop()
 	restorer.stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 	daemonsFlag  = flag.Int("soak.daemons", 0, "number of daemons; 0 has the seed determine it")
 	extrasFlag   = flag.Bool("soak.strange", true, "also inject requests that crash servers, corrupted store entries, announcements in answers and restores of the store")
 	cutsFlag     = flag.Bool("soak.cuts", true, "also cut daemons from all backend servers")
+	brittleFlag  = flag.Bool("soak.brittle", true, "also have servers announce that they fail if they refuse too many requests")
 	keepFlag     = flag.String("soak.keep", "", "directory for the settings files and logs of runs with findings")
 )
 
@@ -103,6 +104,14 @@
 	}
 }
 
+// TestShortRunWithBrittleServers has servers that fail if they refuse too many requests.
+func TestShortRunWithBrittleServers(t *testing.T) {
+	report := run(t, soak.Options{Seed: 6, Daemons: 3, Length: 6 * time.Second, BrittleServers: true})
+	if len(report.Findings) > 0 {
+		t.Error(report)
+	}
+}
+
 // TestChecksFindLyingServer has one server run requests and report them as not run: an unsafe
 // request then runs twice, or is refused as not run although it ran.
 func TestChecksFindLyingServer(t *testing.T) {
@@ -177,7 +186,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag})
+			report := run(t, soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag, BrittleServers: extras && *brittleFlag})
 			if len(report.Findings) > 0 {
 				t.Errorf("make soak SEED=%d repeats this", seed)
 			}
