relay: look up the other daemons once a second, not for each connection

Cause: with a thousand daemons a list of all of them was built for each connection through another one. Change: the list is used for a second; candidates of equal load are ordered by two hashes that need no new string.

--- a/core/reach/helpers.go
+++ b/core/reach/helpers.go
@@ -130,7 +130,7 @@
 func (h *Helpers) Choose(candidates []Candidate, r Request, now time.Time) (id string, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	least, highest := math.MaxInt, uint64(0)
+	least, highest, own := math.MaxInt, uint64(0), xxhash.Sum64String(h.Self)
 	for _, c := range candidates {
 		one := h.helpers[c.ID]
 		if r.Asked[c.ID] || one.paused(r.Addr, now) {
@@ -140,7 +140,7 @@
 		if c.Hall != r.OwnHall && c.Hall != r.Hall {
 			load += otherHallExcess
 		}
-		hash := xxhash.Sum64String(h.Self + "\x00" + c.ID)
+		hash := xxhash.Sum64String(c.ID) ^ own
 		if load < least || (load == least && hash > highest) {
 			id, least, highest, ok = c.ID, load, hash, true
 		}
--- a/daemon/relay/client.go
+++ b/daemon/relay/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -46,6 +48,33 @@
 	Helpers reach.Helpers
 	// OnAnswer is called with each answer of another daemon; may be nil.
 	OnAnswer func(reach.Answer)
+
+	directory atomic.Pointer[directory]
+}
+
+// directory has the other daemons at a time. It is immutable.
+type directory struct {
+	at         time.Time
+	members    map[string]Member
+	candidates []reach.Candidate
+}
+
+// directoryTTL is how long a directory is used. With a thousand daemons, one for each connection would
+// take more time than the connection.
+const directoryTTL = time.Second
+
+// current returns a directory that is not too old.
+func (c *Client) current(now time.Time) *directory {
+	if d := c.directory.Load(); d != nil && now.Sub(d.at) < directoryTTL {
+		return d
+	}
+	d := &directory{at: now, members: map[string]Member{}}
+	for _, m := range c.Members() {
+		d.members[m.ID] = m
+		d.candidates = append(d.candidates, reach.Candidate{ID: m.ID, Hall: m.Hall})
+	}
+	c.directory.Store(d)
+	return d
 }
 
 var _ channel.Relay = (*Client)(nil)
@@ -68,11 +97,12 @@
 }
 
 func (c *Client) prune() {
-	listed := map[string]bool{}
-	for _, m := range c.Members() {
-		listed[m.ID] = true
-	}
-	c.Helpers.Prune(func(id string) bool { return listed[id] }, time.Now())
+	now := time.Now()
+	members := c.current(now).members
+	c.Helpers.Prune(func(id string) bool {
+		_, ok := members[id]
+		return ok
+	}, now)
 }
 
 // Available implements channel.Relay.
@@ -83,13 +113,10 @@
 func (c *Client) Dial(ctx context.Context, e channel.Endpoint) (channel.RelayConn, reach.Answer) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	members := map[string]Member{}
-	var candidates []reach.Candidate
-	for _, m := range c.Members() {
-		if e.RelayAllowed == nil || e.RelayAllowed(m.Hall) {
-			members[m.ID] = m
-			candidates = append(candidates, reach.Candidate{ID: m.ID, Hall: m.Hall})
-		}
+	d := c.current(time.Now())
+	candidates := d.candidates
+	if e.RelayAllowed != nil {
+		candidates = slices.DeleteFunc(slices.Clone(candidates), func(one reach.Candidate) bool { return !e.RelayAllowed(one.Hall) })
 	}
 	asked, last := map[string]bool{}, reach.Silent
 	for len(asked) < maxAsked && ctx.Err() == nil {
@@ -98,7 +125,7 @@
 			break
 		}
 		asked[id] = true
-		conn, answer := c.ask(ctx, members[id], e)
+		conn, answer := c.ask(ctx, d.members[id], e)
 		if c.OnAnswer != nil {
 			c.OnAnswer(answer)
 		}
