--- a/daemon/gateway/relay.go
+++ b/daemon/gateway/relay.go
@@ -77,8 +77,12 @@
 	return servers[rand.IntN(len(servers))].Addr //nolint:gosec // Any of them will do.
 }
 
-// onPathChange logs that the servers are out of this daemon's reach, or reached again.
+// onPathChange logs that the servers are out of this daemon's reach, or reached again. A daemon that
+// reaches a few of them changes between the two.
 func (g *Gateway) onPathChange(c reach.Change) {
+	if !g.reporter.pathLines.take(int64(time.Since(startedAt) / time.Second)) {
+		return
+	}
 	status := g.channels.Paths.Status(time.Now())
 	if c == reach.Lost {
 		g.log.Warn().Int("servers_failing", status.Failing).Time("last_reached", status.Reached).Msg("reach: connections to servers fail on this VM's path: requests pass through other daemons")
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -33,6 +33,7 @@
 	successLines lineLimiter
 	failureLines lineLimiter
 	relayLines   lineLimiter
+	pathLines    lineLimiter
 	omitted      atomic.Int64
 }
 
@@ -41,6 +42,7 @@
 	maxSuccessLines = 20
 	maxFailureLines = 100
 	maxRelayLines   = 20
+	maxPathLines    = 2
 )
 
 // lineLimiter limits the number of log lines in each second.
@@ -79,7 +81,7 @@
 			[]string{"answer"}),
 		relayServed: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "relay_served_total", Help: "Connections to servers that other daemons asked for, by the answer."},
 			[]string{"answer"}),
-		relayLines: lineLimiter{perSecond: maxRelayLines}, successLines: lineLimiter{perSecond: maxSuccessLines}, failureLines: lineLimiter{perSecond: maxFailureLines},
+		relayLines: lineLimiter{perSecond: maxRelayLines}, pathLines: lineLimiter{perSecond: maxPathLines}, successLines: lineLimiter{perSecond: maxSuccessLines}, failureLines: lineLimiter{perSecond: maxFailureLines},
 	}
 }
 
