--- a/daemon/channel/path_test.go
+++ b/daemon/channel/path_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -179,20 +180,20 @@
 // A daemon that is cut off itself said that the servers had exited.
 func TestCutOffDaemonDoesNotBlameServers(t *testing.T) {
 	for name, c := range map[string]struct {
-		reference bool
-		want      reach.Answer
-	}{"own path cut": {false, reach.CutOff}, "own path intact": {true, reach.ServerRefused}} {
+		reached []string
+		want    reach.Answer
+	}{"own path cut": {nil, reach.CutOff}, "one server reached": {[]string{"other"}, reach.CutOff}, "own path intact": {[]string{"other", "reference"}, reach.ServerRefused}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := &wire{}
 				p := newPathPool(t, w)
 				p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-					if addr == "reference" && c.reference {
+					if slices.Contains(c.reached, addr) {
 						return w.dial(ctx, addr)
 					}
 					return nil, syscall.ECONNREFUSED
 				}
-				p.Reference = func(string) string { return "reference" }
+				p.References = func(string) []string { return []string{"reference", "other"} }
 				if _, got := p.Connect(t.Context(), "a", time.Second); got != c.want {
 					t.Errorf("answer %v, not %v", got, c.want)
 				}
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -97,10 +97,10 @@
 	// Paths is what is known of the direct paths to the servers; it is used
 	// with Relay.
 	Paths reach.Paths
-	// Reference returns the address of another server that is reached over the
-	// same path as the given one, or "": connecting to it shows that the path is
+	// References returns the addresses of a few other servers that are reached over
+	// the same path as the given one: connecting to them shows that the path is
 	// intact.
-	Reference func(except string) string
+	References func(except string) []string
 	// OnPathChange is called when the servers are lost to this daemon, or
 	// reached again; may be nil.
 	OnPathChange func(reach.Change)
--- a/daemon/channel/serve.go
+++ b/daemon/channel/serve.go
@@ -39,7 +39,7 @@
 // Connect connects to a server directly on behalf of another daemon; a maxIdle
 // of 0 means the default. Without a
 // connection the answer tells whether the server or this daemon's own path is
-// at fault: to know that, it connects to another server.
+// at fault: to know that, it connects to other servers.
 func (p *Pool) Connect(ctx context.Context, addr string, maxIdle time.Duration) (*ServerConn, reach.Answer) {
 	if c := p.takeIdle(addr, Endpoint{MaxIdle: maxIdle}.maxIdle()); c != nil {
 		return p.serverConn(addr, c), reach.Connected
@@ -74,16 +74,28 @@
 	return &ServerConn{Conn: c.conn, pool: p, addr: addr, conn: c}
 }
 
-// provePath reports whether a direct connection to another server than the given
-// one can be opened.
+// provePath reports whether direct connections to other servers than the given
+// one can be opened. One of several may be reached by chance while the path to
+// the others is cut.
 func (p *Pool) provePath(except string) bool {
-	if p.Reference == nil {
+	if p.References == nil {
 		return false
 	}
-	addr := p.Reference(except)
-	if addr == "" {
-		return false
+	addrs := p.References(except)
+	proven := make(chan bool, len(addrs))
+	for _, addr := range addrs {
+		go func() { proven <- p.reaches(addr) }()
+	}
+	intact := len(addrs) > 0
+	for range addrs {
+		intact = <-proven && intact
 	}
+	return intact
+}
+
+// reaches reports whether a direct connection to a server can be opened, and keeps
+// it for the next request.
+func (p *Pool) reaches(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), relayedDialTimeout)
 	defer cancel()
 	c, err := p.openAndRecord(ctx, addr)
--- a/daemon/gateway/relay.go
+++ b/daemon/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,7 +19,7 @@
 	g.relayServer = &relay.Server{Pool: g.channels, Listed: g.listedAt, OnServed: g.reporter.reportServed}
 	g.peers.Relay = g.relayServer.Serve
 	g.syncer.Unreachable = g.unreachable
-	g.channels.Relay, g.channels.Reference, g.channels.OnPathChange = g.relay, g.referenceServer, g.onPathChange
+	g.channels.Relay, g.channels.References, g.channels.OnPathChange = g.relay, g.referenceServers, g.onPathChange
 }
 
 // regainedPause is how long after the servers are reached again the first answers may take.
@@ -48,33 +47,39 @@
 	return v.Servers != nil && v.Servers.At(addr) != nil
 }
 
-// referenceServer returns the address of another server than the given one, or "" if there is
-// none: of its service and hall, else of its service, else any. Servers in back-off are not left
-// out: the one server that this daemon happens to reach would say nothing of the others.
-func (g *Gateway) referenceServer(addr string) string {
+// maxReferences is how many servers show that a path is intact.
+const maxReferences = 2
+
+// referenceServers returns the addresses of other servers than the given one: of its service and
+// hall, else of its service, else any. Servers in back-off are not left out: the one server that this
+// daemon happens to reach would say nothing of the others.
+func (g *Gateway) referenceServers(addr string) []string {
 	v := g.syncer.View()
 	if v.Servers == nil {
-		return ""
+		return nil
 	}
 	of := v.Servers.At(addr)
 	if of == nil {
-		return ""
+		return nil
 	}
 	now := time.Now()
-	candidates := func(servers []*fleet.Server, suits func(*fleet.Server) bool) []*fleet.Server {
-		return slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return s.Addr == addr || !s.Open(now) || !suits(s) })
-	}
-	servers := candidates(v.Servers.Service(of.Service), func(s *fleet.Server) bool { return s.Hall == of.Hall })
-	if len(servers) == 0 {
-		servers = candidates(v.Servers.Service(of.Service), func(*fleet.Server) bool { return true })
+	others := func(servers []*fleet.Server, suits func(*fleet.Server) bool) []string {
+		var out []string
+		for _, i := range rand.Perm(len(servers)) {
+			if s := servers[i]; s.Addr != addr && s.Open(now) && suits(s) && len(out) < maxReferences {
+				out = append(out, s.Addr)
+			}
+		}
+		return out
 	}
-	if len(servers) == 0 {
-		servers = candidates(v.Servers.All(), func(*fleet.Server) bool { return true })
+	addrs := others(v.Servers.Service(of.Service), func(s *fleet.Server) bool { return s.Hall == of.Hall })
+	if len(addrs) == 0 {
+		addrs = others(v.Servers.Service(of.Service), func(*fleet.Server) bool { return true })
 	}
-	if len(servers) == 0 {
-		return ""
+	if len(addrs) == 0 {
+		addrs = others(v.Servers.All(), func(*fleet.Server) bool { return true })
 	}
-	return servers[rand.IntN(len(servers))].Addr //nolint:gosec // Any of them will do.
+	return addrs
 }
 
 // onPathChange logs that the servers are out of this daemon's reach, or reached again. A daemon that
