reach, brittle: comments read anew

Cause: a reader had to read three comments twice, and nothing said that the answers' numbers go over the wire. Change: comments only.

--- a/core/brittle/brittle.go
+++ b/core/brittle/brittle.go
@@ -44,9 +44,9 @@
 	maxInterval = 10 * time.Second
 )
 
-// Share returns how many of a server's slots are a daemon's at a time; slots of 0 are unknown and not
-// shared. What is left of an even division goes to each daemon for a part of the time: the phase, in
-// [0, 1), is that of the daemon at the server.
+// Share returns how many of a server's slots a daemon may use now; slots is 0 if their number is
+// unknown, which sets no bound. The remainder of an even division rotates among the daemons; phase,
+// in [0, 1), is the daemon's place in the rotation at this server.
 func Share(slots, daemons int, phase float64, now time.Time) int {
 	if slots <= 0 {
 		return math.MaxInt
@@ -55,7 +55,7 @@
 	return int(float64(slots)/float64(max(1, daemons)) + turn)
 }
 
-// turnPeriod is the time in which each daemon has its part of what is left.
+// turnPeriod is the time of one rotation.
 const turnPeriod = time.Second
 
 // Bound is the number of requests that a daemon may have in flight at a server. It begins at the
--- a/core/reach/helpers.go
+++ b/core/reach/helpers.go
@@ -18,7 +18,7 @@
 // Answer is what became of a request to another daemon for a connection.
 type Answer int
 
-// The answers.
+// The answers. Their numbers are part of the protocol between daemons.
 const (
 	// Connected: it has connected to the server.
 	Connected Answer = iota
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -10,10 +10,10 @@
 // Plan is how to connect to a server: Direct, Both, Relayed or Fail.
 type Plan interface{ plan() }
 
-// Direct connects directly. Another daemon is asked too if that fails, or after RelayAfter; with
-// NoRelay it is not, because a daemon with an intact path has just failed to connect. Unconfirmed
-// is as NoRelay, but because no other daemon can help: a failure does not tell whether the path or
-// the server is at fault.
+// Direct connects directly. If that fails, or has not succeeded after RelayAfter, another daemon is
+// asked to connect as well. No other daemon is asked with NoRelay, because one with an intact path
+// has just failed to connect, nor with Unconfirmed, because none can help: a failure then does not
+// tell whether the path or the server is at fault.
 type Direct struct {
 	RelayAfter  time.Duration
 	NoRelay     bool
