channel, reach: three comments reworded

Cause: a reader had to guess that the zero answer means none yet, and two comments read badly. Change: comments only.

--- a/core/reach/helpers.go
+++ b/core/reach/helpers.go
@@ -87,8 +87,8 @@
 	unsupportedPause = 30 * time.Second
 	// reportTTL is how long the number of connections counts that a daemon has reported.
 	reportTTL = 2 * time.Second
-	// otherHallExcess is how many connections more a daemon of this hall or the server's may
-	// serve before one elsewhere is asked: traffic between halls is paid for.
+	// otherHallExcess is added to the load of a daemon that is neither in this hall nor in the
+	// server's: traffic between halls is paid for.
 	otherHallExcess = 8
 )
 
--- a/daemon/channel/race.go
+++ b/daemon/channel/race.go
@@ -17,8 +17,8 @@
 	relayed chan relayResult
 	// started is set once another daemon has been asked.
 	started bool
-	// directErr is the error of the direct attempt, refusal the answer of other
-	// daemons that have not connected.
+	// directErr is the error of the direct attempt, nil until it has failed. refusal
+	// is the answer of other daemons that could not connect, Connected until then.
 	directErr error
 	refusal   reach.Answer
 }
--- a/daemon/channel/serve.go
+++ b/daemon/channel/serve.go
@@ -37,9 +37,8 @@
 }
 
 // Connect connects to a server directly on behalf of another daemon; a maxIdle
-// of 0 means the default. Without a
-// connection the answer tells whether the server or this daemon's own path is
-// at fault: to know that, it connects to other servers.
+// of 0 means the default. Without a connection the answer tells whether the server
+// or this daemon's own path is at fault: to know that, it connects to other servers.
 func (p *Pool) Connect(ctx context.Context, addr string, maxIdle time.Duration) (*ServerConn, reach.Answer) {
 	if c := p.takeIdle(addr, Endpoint{MaxIdle: maxIdle}.maxIdle()); c != nil {
 		return p.serverConn(addr, c), reach.Connected
