storesync: a reader that learned of a restore from others keeps lost rows

What callers saw: after an outage of the store of 0.3 s or more, requests went to a data hall that the operator had drained, and none to a new server, from the first second after the store's return until the rows were written again.

Cause: a daemon with the same rows as another one takes the other's version, and with it the new era of the store. When it then reads the store itself, the era is no longer new to it, so rows that the copy lacks counted as removed. A whole hall follows such a reader.

Change: a row that no daemon has read in the present era of the store counts as lost, not as removed, for the time in which lost rows are held. The time counts from when the daemon learned of the era, as it does for the daemon that read first.

Ruled out: the store's fake; it had lost the row and said so in every read.

--- a/daemon/storesync/restore.go
+++ b/daemon/storesync/restore.go
@@ -52,7 +52,6 @@
 // known rows. A row that has an old content in the copy is held with its known content, under
 // the version that the store has. A row that the copy lacks is held too.
 func (t *topicState) reconcile(rows []gossip.Row, version revision.Revision, now time.Time) []gossip.Row {
-	restored := t.known && version.Era > t.version.Era
 	if t.restoredAt.IsZero() || now.Sub(t.restoredAt) > maxCopyAge && len(t.held) == 0 {
 		return rows
 	}
@@ -74,15 +73,22 @@
 		out = append(out, row)
 	}
 	for key, was := range t.rows {
-		if _, held := t.held[key]; !present[key] && (restored || held) {
+		if _, held := t.held[key]; !present[key] && (held || t.isUnread(was, version, now)) {
 			was.Version = revision.New(version.Era, 0)
-			t.hold(key, now)
+			t.hold(key, t.unreadSince)
 			out = append(out, was)
 		}
 	}
 	return out
 }
 
+// isUnread reports whether a row is known from before the restore only: no daemon has read it
+// from the store in the era of the version. A daemon may learn the era from another daemon
+// before it reads the store itself.
+func (t *topicState) isUnread(row gossip.Row, version revision.Revision, now time.Time) bool {
+	return !row.Version.After(revision.New(version.Era, 0)) && now.Sub(t.unreadSince) <= rewriteTimeout
+}
+
 // recordHeldByPeer records that another daemon holds rows that the store has lost.
 func (t *topicState) recordHeldByPeer(update gossip.Update, now time.Time) {
 	if update.LostRows > 0 {
@@ -155,7 +161,7 @@
 	if !t.known || version.Era <= t.version.Era {
 		return
 	}
-	t.restoredAt = now
+	t.restoredAt, t.unreadSince = now, now
 	sy.Log.Warn().Str("topic", string(topic)).Stringer("version", version).Stringer("was", t.version).Msg("storesync: store restored from a backup copy; rows that it has lost are held until they are written again")
 	sy.Restores.Add(1)
 	if topic == gossip.Members && now.Sub(sy.startedAt) < maxCopyAge {
--- /dev/null
+++ b/daemon/storesync/rewrites_test.go
@@ -0,0 +1,74 @@
+package storesync_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ladderridge.example/core/gossip"
+	"ladderridge.example/daemon/storesync"
+)
+
+// lostChanges is a store with daemons in two halls, of which the restored copy lacks four changes: a
+// new server, a removed one, one that is leaving and a drained hall.
+type lostChanges struct {
+	*cluster
+
+	daemons []*storesync.Syncer
+	copied  storeCopy
+}
+
+func newLostChanges(t *testing.T) *lostChanges {
+	t.Helper()
+	s := newCluster(t)
+	s.newDecoder = func(string) storesync.Decoder { return leavingDecoder{} }
+	s.writeConfig(1, "k", "revoked")
+	for _, id := range []string{"a", "gone", "leaves"} {
+		s.store.set(gossip.Servers, id, "v1@h1#100")
+	}
+	s.store.set(gossip.Servers, "there", "v1@h2#100")
+	l := &lostChanges{cluster: s, daemons: startTwoHalls(s, 1)}
+	advance(4 * time.Second)
+	l.copied = s.store.copyState()
+	l.write()
+	advance(2 * time.Second)
+	return l
+}
+
+// write makes the changes, or repeats them after a restore.
+func (l *lostChanges) write() {
+	l.writeConfig(5, "k")
+	l.store.set(gossip.Operator, "empty/h2", "{}")
+	l.store.set(gossip.Servers, "leaves", "v1@h1#100!")
+	l.store.set(gossip.Servers, "gone", "")
+	l.store.set(gossip.Servers, "new", "v1@h1#100")
+}
+
+// check reports daemons that do not use the changes.
+func (l *lostChanges) check(when string) {
+	l.t.Helper()
+	for i, d := range l.daemons {
+		v := d.View()
+		if v.Map.Number != 5 || v.Drained["h2"].IsZero() || !unusable(d, "leaves") || !unusable(d, "gone") || unusable(d, "new") {
+			l.t.Errorf("%s: daemon %d: configuration %d, hall drained %v, out of use: leaving server %v, removed server %v, new server %v",
+				when, i, v.Map.Number, !v.Drained["h2"].IsZero(), unusable(d, "leaves"), unusable(d, "gone"), unusable(d, "new"))
+		}
+	}
+}
+
+// Guards against readers that drop what the store has lost: a daemon that learned of the restore from
+// another daemon, and then read the store, took the lost rows for removed ones.
+func TestReaderInformedOfARestoreKeepsLostRows(t *testing.T) {
+	for _, outage := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				l := newLostChanges(t)
+				l.restoreAfterOutage(l.copied, outage)
+				for n := range 48 {
+					advance(100 * time.Millisecond)
+					l.check(fmt.Sprint((n+1)*100, " ms after the restore"))
+				}
+			})
+		})
+	}
+}
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -32,6 +32,9 @@
 	// held has the keys of rows that the store has lost, by since when: their known contents
 	// are newer than those of the store.
 	held map[string]time.Time
+	// unreadSince is since when the store has an era in which it may lack rows that are known
+	// from the era before, or zero.
+	unreadSince time.Time
 }
 
 // content is a previous content of a row, with the number of its version.
