storesync: a difference from the reader at the same version is repaired

Cause: a daemon looks only at updates with a later version. Once it has other rows than its reader at the same version, whatever made the difference, nothing makes them equal: each response names both sums and carries the rows, and is ignored.

Evidence: with all rows of a topic but one injected as the next version, the daemons that do not read the store lack the row 8 s later, in each of the topics operator, servers and members.

Change: at an equal version a daemon takes the rows of its reader, or without one of a daemon whose state is recent enough, unless the store answers it. Daemons follow only those before them in the order of the readers, so two never follow each other. The store is not asked, and the messages are the same. Counted (row_mismatches_total) and logged with the keys.

Elsewhere: limits are compared by a hash of their contents, usage is acknowledged by nonce, figures are sent whole: an equal version stands for equal content nowhere else. Requests in quarantine are rows of the members topic.

--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -44,6 +44,7 @@
 	counter("peer_received_bytes_total", "Bytes received from other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().ReceivedBytes) })
 	counter("log_lines_dropped_total", "Log lines that found the backlog full or could not be written.", func() float64 { return float64(g.logWriter.Dropped()) })
 	counter("standstills_total", "Times that the VM has stood still.", func() float64 { return float64(g.syncer.Suspensions.Load()) })
+	counter("row_mismatches_total", "Topics whose rows differed from those of the reader at the same version of the store, and were replaced.", func() float64 { return float64(g.syncer.Mismatches.Load()) })
 	counter("rows_spoiled_total", "Rows of the store that came and do not decode.", func() float64 { return float64(g.syncer.CorruptedRows.Load()) })
 	counter("servers_ended_total", "Servers that ended without notice while requests of this daemon were under way there.", func() float64 { return float64(g.syncer.ServerExits.Load()) })
 	counter("callers_unread_total", "Callers that were let go since they did not read their answer.", func() float64 { return float64(g.slowReaders.Disconnected.Load()) })
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -62,6 +62,9 @@
 		return
 	}
 	sy.reading.Store(reads)
+	for _, t := range sy.topics {
+		t.served = false
+	}
 	sy.Log.Info().Bool("reading", reads).Str("reader", reader.ID).Dur("age", age).Msg("storesync: reader of the store has changed")
 	if !reads {
 		sy.stopReading()
@@ -299,6 +302,8 @@
 		sy.checkEra(update.Topic, update.Version, now)
 		t.version = revision.Latest(t.version, update.Version)
 		t.confirm(confirmed)
+	case t.known && update.Version == t.version && sy.isUpstream(from, t, confirmed, now):
+		gone, newer = sy.repair(from, t, update, confirmed, now)
 	case t.known && !update.Version.After(t.version):
 		if update.Version == t.version && !t.restoredAt.IsZero() {
 			// One of the two daemons holds rows that the store has lost.
@@ -319,3 +324,38 @@
 		sy.applyTopicChange(update.Topic, gone, newer, now)
 	}
 }
+
+// storeServes reports whether the rows of a topic come from the store itself: it answers this
+// daemon.
+func (sy *Syncer) storeServes(t *topicState, now time.Time) bool {
+	return sy.reading.Load() && t.served && now.Sub(sy.storeAnsweredAt) <= sy.readers.maxUsableAge
+}
+
+// isUpstream reports whether this daemon has its rows from the sender of an update: from its
+// reader, or without one from a daemon whose state is recent enough. Daemons ask only those
+// before them in the order of the readers, so that no two of them follow each other.
+func (sy *Syncer) isUpstream(from string, t *topicState, confirmed, now time.Time) bool {
+	if sy.storeServes(t, now) {
+		return false
+	}
+	if reader, ok := sy.readers.reader(); ok {
+		return reader.ID == from
+	}
+	return now.Sub(confirmed) <= sy.readers.maxUsableAge
+}
+
+// repair replaces rows that differ from those of the reader at the same version.
+func (sy *Syncer) repair(from string, t *topicState, update gossip.Update, confirmed, now time.Time) (gone []string, newer bool) {
+	before, rows := t.sum, len(t.rows)
+	if update.Complete {
+		gone, _ = t.replace(update.Rows, update.Version, confirmed, now)
+	} else {
+		gone, _ = t.apply(update, confirmed, now)
+	}
+	if t.sum == before {
+		return gone, false
+	}
+	sy.Mismatches.Add(1)
+	sy.Log.Warn().Str("topic", string(update.Topic)).Str("from", from).Stringer("version", update.Version).Int("rows", len(t.rows)).Int("rows_before", rows).Strs("keys", t.history[len(t.history)-1].keys).Uint64("lost_rows", update.LostRows).Msg("storesync: rows differed from those of the reader at the same version; replaced")
+	return gone, true
+}
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -108,6 +108,9 @@
 	CorruptedRows atomic.Int64
 	// Restores counts topics that were restored from a backup copy of the store.
 	Restores atomic.Int64
+	// Mismatches counts topics whose rows differed from those of the reader at the same version
+	// and were replaced.
+	Mismatches atomic.Int64
 	// ServerExits counts servers that exited while requests of this daemon were in flight
 	// there.
 	ServerExits atomic.Int64
@@ -394,6 +397,7 @@
 		sy.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.unavailableSince)).Stringer("version", e.page.Version).Msg("storesync: store available again")
 		t.unavailableSince, t.recoveredAt = time.Time{}, now
 	}
+	t.served = true
 	sy.rollouts.clock(e.page.ClockMS, now)
 	var gone []string
 	var newer bool
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -32,6 +32,8 @@
 	// held has the keys of rows that the store has lost, by since when: their known contents
 	// are newer than those of the store.
 	held map[string]time.Time
+	// served is set once the store has answered this daemon since it last began to read.
+	served bool
 	// unreadSince is since when the store has an era in which it may lack rows that are known
 	// from the era before, or zero.
 	unreadSince time.Time
