storesync: rows that are written again with the same content stay in use

What callers saw: five seconds after a restore that followed an outage of a second or more, daemons sent requests to a data hall that the operator had drained, or none to a new server, although the store had both rows again.

Cause: a checksum of rows leaves versions out, so a row that is written again with the content that a daemon holds changes no checksum, and no update about it is sent. A daemon that reads the store sees the row; one that read it during the outage and no longer does holds the row as lost until the time is over, and then removes it. An outage of a second has most daemons of a hall read the store.

Change: an update says already how many of its rows the store has lost (LostRows). A daemon that has its rows from others takes none at the same checksum as the confirmation that the store has all of them. So that the number is true, a daemon that takes over rows or a version takes over the number with them.

--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -115,7 +115,7 @@
 	sy.addLimits(&req, now)
 	for _, topic := range topics {
 		t := sy.topics[topic]
-		req.Digests = append(req.Digests, gossip.TopicDigest{Topic: topic, Version: t.version, Sum: t.sum, LostRows: uint64(len(t.held))})
+		req.Digests = append(req.Digests, gossip.TopicDigest{Topic: topic, Version: t.version, Sum: t.sum, LostRows: t.lostRows()})
 	}
 	return req
 }
@@ -151,7 +151,7 @@
 			continue
 		}
 		resp.Updates = append(resp.Updates, t.updateFor(digest.Topic, digest.Sum, now))
-		holdsMore = holdsMore || digest.LostRows > uint64(len(t.held))
+		holdsMore = holdsMore || digest.LostRows > t.lostRows()
 	}
 	// Daemons of this hall report to its reader only. Others know the sums of other halls at most.
 	if sy.reading.Load() && member.Hall == sy.Self.Hall && requestsFigures(m.Digests) {
@@ -166,7 +166,7 @@
 
 // updateFor returns the update of a topic for a daemon whose rows have a checksum.
 func (t *topicState) updateFor(topic gossip.Topic, sum uint64, now time.Time) gossip.Update {
-	out := gossip.Update{Topic: topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: t.sum, Base: sum, LostRows: uint64(len(t.held))}
+	out := gossip.Update{Topic: topic, Version: t.version, AgeMS: uint64(max(0, now.Sub(t.confirmed).Milliseconds())), Sum: t.sum, Base: sum, LostRows: t.lostRows()}
 	if !t.recoveredAt.IsZero() {
 		out.ReturnedMS = uint64(max(1, now.Sub(t.recoveredAt).Milliseconds()))
 	}
@@ -300,6 +300,9 @@
 	case update.Sum == t.sum:
 		t.known = true
 		sy.checkEra(update.Topic, update.Version, now)
+		if !sy.storeServes(t, now) {
+			t.mergeLost(update)
+		}
 		t.version = revision.Latest(t.version, update.Version)
 		t.confirm(confirmed)
 	case t.known && update.Version == t.version && sy.isUpstream(from, t, confirmed, now):
@@ -314,6 +317,7 @@
 		sy.checkEra(update.Topic, update.Version, now)
 		t.recordHeldByPeer(update, now)
 		gone, newer = t.replace(update.Rows, update.Version, confirmed, now)
+		t.lostAtPeer = update.LostRows
 	default:
 		sy.checkEra(update.Topic, update.Version, now)
 		t.recordHeldByPeer(update, now)
@@ -349,6 +353,7 @@
 	before, rows := t.sum, len(t.rows)
 	if update.Complete {
 		gone, _ = t.replace(update.Rows, update.Version, confirmed, now)
+		t.lostAtPeer = update.LostRows
 	} else {
 		gone, _ = t.apply(update, confirmed, now)
 	}
--- a/daemon/storesync/restore.go
+++ b/daemon/storesync/restore.go
@@ -100,7 +100,7 @@
 // lost, if this daemon has read them from the restored copy. Rows that the store has accepted
 // since the other daemon read it are kept.
 func (t *topicState) mergeHeld(update gossip.Update, now time.Time) (gone []string, newer bool) {
-	if update.Version.Era != t.version.Era || update.LostRows <= uint64(len(t.held)) || !update.Complete && update.Base != t.sum {
+	if update.Version.Era != t.version.Era || update.LostRows <= t.lostRows() || !update.Complete && update.Base != t.sum {
 		return nil, false
 	}
 	t.restoredAt = now
@@ -143,6 +143,35 @@
 	}
 }
 
+// lostRows returns how many of the rows the store has lost.
+func (t *topicState) lostRows() uint64 { return max(uint64(len(t.held)), t.lostAtPeer) }
+
+// mergeLost merges how many of its rows the store has lost according to a daemon with the same
+// rows. A held row that is written again with the known content does not change their checksum.
+func (t *topicState) mergeLost(update gossip.Update) {
+	switch {
+	case update.Version.Era < t.version.Era:
+	case update.LostRows == 0:
+		t.confirmHeld(update.Version)
+	case update.Version.After(t.version):
+		t.lostAtPeer = update.LostRows
+	}
+}
+
+// confirmHeld records that the store has all rows as of a version.
+func (t *topicState) confirmHeld(version revision.Revision) {
+	if t.lostRows() > 0 {
+		for key, row := range t.rows {
+			if row.Version.Number == 0 {
+				row.Version = version
+				t.rows[key] = row
+			}
+		}
+	}
+	clear(t.held)
+	t.lostAtPeer, t.unreadSince = 0, time.Time{}
+}
+
 // expiredHeld returns the keys of rows that the store lacks and that nobody has written again
 // in time.
 func (t *topicState) expiredHeld(now time.Time) []string {
@@ -180,7 +209,15 @@
 		if topic == gossip.Progress {
 			continue
 		}
-		if keys := t.expiredHeld(now); len(keys) > 0 {
+		keys := t.expiredHeld(now)
+		switch {
+		case len(keys) == 0:
+		case !sy.storeServes(t, now):
+			// Only a daemon that reads the store knows whether they are written again.
+			for _, key := range keys {
+				delete(t.held, key)
+			}
+		default:
 			sy.Log.Warn().Str("topic", string(topic)).Strs("keys", keys).Msg("storesync: rows lost by the store were not written again in time; removed")
 			sy.applyTopicChange(topic, t.set(nil, keys, now), true, now)
 		}
--- a/daemon/storesync/rewrites_test.go
+++ b/daemon/storesync/rewrites_test.go
@@ -72,3 +72,24 @@
 		})
 	}
 }
+
+// Guards against daemons that remove rows which were written again with the same content: those that did
+// not read the store were never told, and used a drained hall once the time to hold rows was over.
+func TestRowsWrittenAgainAreNotRemoved(t *testing.T) {
+	for _, outage := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		for _, pause := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprint(outage, " ", pause), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					l := newLostChanges(t)
+					l.restoreAfterOutage(l.copied, outage)
+					advance(pause)
+					l.write()
+					for n := range 150 {
+						l.check(fmt.Sprint(n*100, " ms after the rows were written again"))
+						advance(100 * time.Millisecond)
+					}
+				})
+			})
+		}
+	}
+}
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -397,7 +397,7 @@
 		sy.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.unavailableSince)).Stringer("version", e.page.Version).Msg("storesync: store available again")
 		t.unavailableSince, t.recoveredAt = time.Time{}, now
 	}
-	t.served = true
+	t.served, t.lostAtPeer = true, 0
 	sy.rollouts.clock(e.page.ClockMS, now)
 	var gone []string
 	var newer bool
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -34,6 +34,9 @@
 	held map[string]time.Time
 	// served is set once the store has answered this daemon since it last began to read.
 	served bool
+	// lostAtPeer is how many of the rows the store has lost according to the daemon that sent
+	// them or their version.
+	lostAtPeer uint64
 	// unreadSince is since when the store has an era in which it may lack rows that are known
 	// from the era before, or zero.
 	unreadSince time.Time
@@ -204,7 +207,7 @@
 		return nil, false
 	}
 	gone = t.set(update.Rows, update.Removed, now)
-	t.version, t.known = revision.Latest(update.Version, t.version), true
+	t.version, t.known, t.lostAtPeer = revision.Latest(update.Version, t.version), true, update.LostRows
 	t.confirm(confirmed)
 	return gone, true
 }
