storesync: a daemon that holds lost rows does not remove rows of others

What callers saw: daemons that never removed a row themselves sent requests to a data hall that the operator had drained, next to one that had.

Cause: a daemon that holds more lost rows than another counts as the one that knows better, and every row that it lacks was removed at the other one as well, even one that this had just read from the store. That a server was removed before the restore and that a daemon lacks it for any other reason looked the same.

Change: a daemon that ignores rows of the copy, since they were removed before it, names them in Removed of its complete updates, where builds so far read nothing. Only these rows are removed, and those that the changes between two known sums name.

Beside older builds: their complete updates name none, so that a daemon which starts between a restore and the repeated removal may use the server until the operator removes it again.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -103,8 +103,9 @@
 	ReturnedMS uint64
 	// LostRows is the number of rows that the sender holds and the store lost.
 	LostRows uint64
-	// Complete reports that Rows are all rows of the topic. Otherwise Rows and Removed are the
-	// changes since the rows with the sum Base.
+	// Complete reports that Rows are all rows of the topic; Removed are then the keys that the
+	// store has again because it was restored from a copy from before their removal. Otherwise
+	// Rows and Removed are the changes since the rows with the sum Base.
 	Complete bool
 	Base     uint64
 	Rows     []Row
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -181,7 +181,7 @@
 		// has arrived.
 		out.Rows, out.Removed = nil, nil
 	case !known:
-		out.Rows, out.Removed, out.Complete = t.rowList(), nil, true
+		out.Rows, out.Removed, out.Complete = t.rowList(), t.ignoredKeys(), true
 	}
 	return out
 }
--- a/daemon/storesync/restore.go
+++ b/daemon/storesync/restore.go
@@ -52,6 +52,7 @@
 // known rows. A row that has an old content in the copy is held with its known content, under
 // the version that the store has. A row that the copy lacks is held too.
 func (t *topicState) reconcile(rows []gossip.Row, version revision.Revision, now time.Time) []gossip.Row {
+	clear(t.ignored)
 	if t.restoredAt.IsZero() || now.Sub(t.restoredAt) > maxCopyAge && len(t.held) == 0 {
 		return rows
 	}
@@ -67,7 +68,7 @@
 			row.Data = was.Data
 			t.hold(row.Key, now)
 		default:
-			// The row was removed before the restore.
+			t.ignored[row.Key] = true
 			continue
 		}
 		out = append(out, row)
@@ -111,30 +112,24 @@
 			lost = append(lost, row)
 		}
 	}
-	removed := slices.DeleteFunc(t.keysMissingAt(update), func(key string) bool { return t.rows[key].Version.After(update.Version) })
+	// The sender may lack a row for other reasons than its removal before the restore.
+	removed := slices.DeleteFunc(slices.Clone(update.Removed), func(key string) bool {
+		was, has := t.rows[key]
+		return !has || was.Version.After(update.Version)
+	})
 	gone = t.set(lost, removed, now)
 	for _, row := range lost {
 		t.hold(row.Key, now)
 	}
+	for _, key := range removed {
+		t.ignored[key] = true
+	}
 	return gone, len(lost)+len(removed) > 0
 }
 
-// keysMissingAt returns the keys of rows that another daemon does not have.
-func (t *topicState) keysMissingAt(update gossip.Update) []string {
-	if !update.Complete {
-		return slices.DeleteFunc(slices.Clone(update.Removed), func(key string) bool { _, has := t.rows[key]; return !has })
-	}
-	present := make(map[string]bool, len(update.Rows))
-	for _, row := range update.Rows {
-		present[row.Key] = true
-	}
-	var out []string
-	for key := range t.rows {
-		if !present[key] {
-			out = append(out, key)
-		}
-	}
-	return out
+// ignoredKeys returns the keys of rows that the restored store has and that were removed before.
+func (t *topicState) ignoredKeys() []string {
+	return slices.Collect(maps.Keys(t.ignored))
 }
 
 func (t *topicState) hold(key string, now time.Time) {
--- a/daemon/storesync/rewrites_test.go
+++ b/daemon/storesync/rewrites_test.go
@@ -93,3 +93,28 @@
 		}
 	}
 }
+
+// Guards against a wrong removal that spreads: a daemon that held some lost rows counted as the one that
+// knows better, and others removed every row that it lacked.
+func TestDaemonThatHoldsLostRowsDoesNotRemoveOthers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		l := newLostChanges(t)
+		l.restoreAfterOutage(l.copied, 100*time.Millisecond)
+		l.write()
+		advance(3 * time.Second)
+		l.store.mu.Lock()
+		version := l.store.tables[gossip.Servers]["new"].Version
+		leaving := l.store.tables[gossip.Servers]["leaves"]
+		l.store.mu.Unlock()
+		for _, d := range l.daemons {
+			d.HandleMessage("other", gossip.Response{Updates: []gossip.Update{
+				{Topic: gossip.Servers, Version: version, LostRows: 1, Complete: true, Rows: []gossip.Row{leaving}},
+				{Topic: gossip.Operator, Version: version, LostRows: 1, Complete: true},
+			}})
+		}
+		for n := range 30 {
+			advance(100 * time.Millisecond)
+			l.check(fmt.Sprint((n+1)*100, " ms after the update"))
+		}
+	})
+}
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -32,6 +32,8 @@
 	// held has the keys of rows that the store has lost, by since when: their known contents
 	// are newer than those of the store.
 	held map[string]time.Time
+	// ignored has the keys of rows that the restored store has and that were removed before.
+	ignored map[string]bool
 	// served is set once the store has answered this daemon since it last began to read.
 	served bool
 	// lostAtPeer is how many of the rows the store has lost according to the daemon that sent
@@ -72,7 +74,7 @@
 const maxHistory = 64
 
 func newTopicState() *topicState {
-	return &topicState{rows: map[string]gossip.Row{}, oldContents: map[string][]content{}, held: map[string]time.Time{}}
+	return &topicState{rows: map[string]gossip.Row{}, oldContents: map[string][]content{}, held: map[string]time.Time{}, ignored: map[string]bool{}}
 }
 
 // takeDirty returns the keys of rows that have changed since its last call.
@@ -127,12 +129,14 @@
 			}
 		}
 		delete(t.held, row.Key)
+		delete(t.ignored, row.Key)
 		t.sum += row.Sum()
 		t.rows[row.Key] = row
 		changed = append(changed, row.Key)
 	}
 	for _, key := range removed {
 		delete(t.held, key)
+		delete(t.ignored, key)
 		if was, ok := t.rows[key]; ok {
 			t.sum -= was.Sum()
 			t.recordOldContent(key, now)
