storesync: a second restore of the store starts the time to write again anew

What callers saw: rows that the store had lost twice in a row were dropped within a second or two of the second return: a new server got no requests, a drained hall did.

Cause: the time that a row is held counted from the first of two restores. Two readers could let rows expire although the store did not answer about their topic, or had been restored again since: whether it answers was judged by the topic of the configuration alone.

Evidence: with all merges of six daemons logged (trial) the reader of h1 dropped the new server at 12.075 s, held since the first restore at 7.050 s, 0.4 s after the second; its topic of servers was still at version 2.17, that of the configuration had come to era 3.

Change: a new era starts the time anew for all held rows; rows expire only while the store answers about their topic in the era of the configuration.

--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -330,9 +330,10 @@
 }
 
 // storeServes reports whether the rows of a topic come from the store itself: it answers this
-// daemon.
+// daemon, and has not been restored since it answered about this topic.
 func (sy *Syncer) storeServes(t *topicState, now time.Time) bool {
-	return sy.reading.Load() && t.served && now.Sub(sy.storeAnsweredAt) <= sy.readers.maxUsableAge
+	return sy.reading.Load() && t.served && t.unavailableSince.IsZero() && now.Sub(sy.storeAnsweredAt) <= sy.readers.maxUsableAge &&
+		t.version.Era >= sy.topics[gossip.Operator].version.Era
 }
 
 // isUpstream reports whether this daemon has its rows from the sender of an update: from its
--- a/daemon/storesync/restore.go
+++ b/daemon/storesync/restore.go
@@ -186,6 +186,9 @@
 		return
 	}
 	t.restoredAt, t.unreadSince = now, now
+	for key := range t.held {
+		t.held[key] = now
+	}
 	sy.Log.Warn().Str("topic", string(topic)).Stringer("version", version).Stringer("was", t.version).Msg("storesync: store restored from a backup copy; rows that it has lost are held until they are written again")
 	sy.Restores.Add(1)
 	if topic == gossip.Members && now.Sub(sy.startedAt) < maxCopyAge {
