storesync: a removed server does not return from a reader that started later

What callers saw: after a second restore requests went to a server that had been removed before the first one, from all daemons of a hall.

Cause: daemons recognise old contents of a restored copy by what they remember of earlier changes. One that started later remembers none, reads the removed server from the copy, and sends it to its hall as a change, which was applied unseen: only complete updates were compared with what is remembered. A hall that ignored the server did not tell its reader either, since removals were not counted as lost, and a reader that learned of it kept the server for two seconds as one whose entry had expired during the outage.

Change: an update whose rows have old contents is compared like the store's own copy. Ignored removals count as lost, so a daemon that lacks them asks for them; what it then removes does not count as expired. A row with a version after the first known one of the era was written in it: it is new, even if it has number and content of an old one, which happens if the same copy comes back twice.

What stays: the later reader itself uses the server until it has asked, at most two seconds after the restore (checked), and a daemon that has read the removed server from one copy may hold it for five as lost by the next.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -51,7 +51,7 @@
 	// Sum is a hash of the rows' keys and contents. The store's version increases with every
 	// write to any topic, the sum changes only with a write to this one.
 	Sum uint64
-	// LostRows is the number of rows that the sender holds and the store lost.
+	// LostRows is the number of rows and removals that the sender knows and the store lost.
 	LostRows uint64
 }
 
@@ -101,7 +101,7 @@
 	// ReturnedMS is the time since the store became reachable again after an outage, in
 	// milliseconds, or 0 if there was none. Rows that expired during the outage may return.
 	ReturnedMS uint64
-	// LostRows is the number of rows that the sender holds and the store lost.
+	// LostRows is the number of rows and removals that the sender knows and the store lost.
 	LostRows uint64
 	// Complete reports that Rows are all rows of the topic; Removed are then the keys that the
 	// store has again because it was restored from a copy from before their removal. Otherwise
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -312,7 +312,8 @@
 			// One of the two daemons holds rows that the store has lost.
 			t.confirm(confirmed)
 		}
-		gone, newer = t.mergeHeld(update, now)
+		// Servers removed before the restore have not just expired.
+		newer = t.mergeHeld(update, now)
 	case update.Complete:
 		sy.checkEra(update.Topic, update.Version, now)
 		t.recordHeldByPeer(update, now)
--- a/daemon/storesync/restore.go
+++ b/daemon/storesync/restore.go
@@ -42,8 +42,11 @@
 }
 
 // isOldContent reports whether a row has a content that it once had and that has been changed
-// or removed since.
+// or removed since. A row that was written after the restore may have the number of an old one.
 func (t *topicState) isOldContent(row gossip.Row) bool {
+	if row.Version.After(t.eraVersion) {
+		return false
+	}
 	sum := row.Sum()
 	return slices.ContainsFunc(t.oldContents[row.Key], func(c content) bool { return c.number == row.Version.Number && c.sum == sum })
 }
@@ -100,9 +103,9 @@
 // mergeHeld takes over the rows that another daemon of the same era holds and the store has
 // lost, if this daemon has read them from the restored copy. Rows that the store has accepted
 // since the other daemon read it are kept.
-func (t *topicState) mergeHeld(update gossip.Update, now time.Time) (gone []string, newer bool) {
+func (t *topicState) mergeHeld(update gossip.Update, now time.Time) (changed bool) {
 	if update.Version.Era != t.version.Era || update.LostRows <= t.lostRows() || !update.Complete && update.Base != t.sum {
-		return nil, false
+		return false
 	}
 	t.restoredAt = now
 	var lost []gossip.Row
@@ -117,14 +120,14 @@
 		was, has := t.rows[key]
 		return !has || was.Version.After(update.Version)
 	})
-	gone = t.set(lost, removed, now)
+	t.set(lost, removed, now)
 	for _, row := range lost {
 		t.hold(row.Key, now)
 	}
 	for _, key := range removed {
 		t.ignored[key] = true
 	}
-	return gone, len(lost)+len(removed) > 0
+	return len(lost)+len(removed) > 0
 }
 
 // ignoredKeys returns the keys of rows that the restored store has and that were removed before.
@@ -138,8 +141,10 @@
 	}
 }
 
-// lostRows returns how many of the rows the store has lost.
-func (t *topicState) lostRows() uint64 { return max(uint64(len(t.held)), t.lostAtPeer) }
+// lostRows returns how many of the rows and removals the store has lost.
+func (t *topicState) lostRows() uint64 {
+	return max(uint64(len(t.held)+len(t.ignored)), t.lostAtPeer)
+}
 
 // mergeLost merges how many of its rows the store has lost according to a daemon with the same
 // rows. A held row that is written again with the known content does not change their checksum.
@@ -164,6 +169,7 @@
 		}
 	}
 	clear(t.held)
+	clear(t.ignored)
 	t.lostAtPeer, t.unreadSince = 0, time.Time{}
 }
 
@@ -185,7 +191,7 @@
 	if !t.known || version.Era <= t.version.Era {
 		return
 	}
-	t.restoredAt, t.unreadSince = now, now
+	t.restoredAt, t.unreadSince, t.eraVersion = now, now, version
 	for key := range t.held {
 		t.held[key] = now
 	}
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -1,6 +1,7 @@
 package storesync
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -39,6 +40,9 @@
 	// lostAtPeer is how many of the rows the store has lost according to the daemon that sent
 	// them or their version.
 	lostAtPeer uint64
+	// eraVersion is the first known version of the present era. Rows with later versions were
+	// written in it.
+	eraVersion revision.Revision
 	// unreadSince is since when the store has an era in which it may lack rows that are known
 	// from the era before, or zero.
 	unreadSince time.Time
@@ -210,12 +214,29 @@
 	if t.sum != update.Base || t.sumAfter(update.Rows, update.Removed) != update.Sum {
 		return nil, false
 	}
+	if slices.ContainsFunc(update.Rows, t.isOldContent) {
+		// The sender does not know what was removed before a restore, and has read it again.
+		gone, _ = t.replace(t.rowsAfter(update), update.Version, confirmed, now)
+		return gone, true
+	}
 	gone = t.set(update.Rows, update.Removed, now)
 	t.version, t.known, t.lostAtPeer = revision.Latest(update.Version, t.version), true, update.LostRows
 	t.confirm(confirmed)
 	return gone, true
 }
 
+// rowsAfter returns all rows after the changes of an update.
+func (t *topicState) rowsAfter(update gossip.Update) []gossip.Row {
+	rows := maps.Clone(t.rows)
+	for _, row := range update.Rows {
+		rows[row.Key] = row
+	}
+	for _, key := range update.Removed {
+		delete(rows, key)
+	}
+	return slices.Collect(maps.Values(rows))
+}
+
 // applyPage applies the rows that have changed up to a version.
 func (t *topicState) applyPage(p Page, confirmed, now time.Time) (gone []string, newer bool) {
 	if p.Version.Before(t.version) {
