storesync: drawn restores start all daemons before the copy is made

Cause: with more than six daemons (-agreement.daemons) the others started after a server had been removed, and do not know of it: the check applies to daemons that do. Change: they start with the first six.

--- a/daemon/storesync/agreement_test.go
+++ b/daemon/storesync/agreement_test.go
@@ -48,11 +48,7 @@
 
 func runDrawnRestore(t *testing.T, random *rand.Rand) {
 	t.Helper()
-	r := &drawnRestore{lostChanges: newLostChanges(t), random: random, stops: map[*storesync.Syncer]func(){}, otherContent: random.IntN(3) == 0}
-	for n := 3; n < *agreementDaemons; n++ {
-		r.daemons = append(r.daemons, r.startDaemonIn(fmt.Sprint("h1-more-", n), "h1"), r.startDaemonIn(fmt.Sprint("h2-more-", n), "h2"))
-	}
-	advance(4 * time.Second)
+	r := &drawnRestore{lostChanges: newLostChanges(t, *agreementDaemons), random: random, stops: map[*storesync.Syncer]func(){}, otherContent: random.IntN(3) == 0}
 	for i, stop := range r.cancels {
 		r.stops[r.daemons[i]] = stop
 	}
--- a/daemon/storesync/rewrites_test.go
+++ b/daemon/storesync/rewrites_test.go
@@ -29,7 +29,8 @@
 	born int
 }
 
-func newLostChanges(t *testing.T) *lostChanges {
+// newLostChanges starts three daemons or more in each hall.
+func newLostChanges(t *testing.T, perHall int) *lostChanges {
 	t.Helper()
 	s := newCluster(t)
 	s.newDecoder = func(string) storesync.Decoder { return leavingDecoder{} }
@@ -39,6 +40,9 @@
 	}
 	s.store.set(gossip.Servers, "there", "v1@h2#100")
 	l := &lostChanges{cluster: s, daemons: startTwoHalls(s, 1), startedAt: map[*storesync.Syncer]time.Time{}, stopped: map[*storesync.Syncer]bool{}, born: 100}
+	for n := 3; n < perHall; n++ {
+		l.daemons = append(l.daemons, s.startDaemonIn(fmt.Sprint("h1-more-", n), "h1"), s.startDaemonIn(fmt.Sprint("h2-more-", n), "h2"))
+	}
 	advance(4 * time.Second)
 	l.copied = s.store.copyState()
 	l.write()
@@ -79,7 +83,7 @@
 	for _, outage := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
 		t.Run(outage.String(), func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
-				l := newLostChanges(t)
+				l := newLostChanges(t, 3)
 				l.restoreAfterOutage(l.copied, outage)
 				for n := range 48 {
 					advance(100 * time.Millisecond)
@@ -97,7 +101,7 @@
 		for _, pause := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
 			t.Run(fmt.Sprint(outage, " ", pause), func(t *testing.T) {
 				inBubble(t, func(t *testing.T) {
-					l := newLostChanges(t)
+					l := newLostChanges(t, 3)
 					l.restoreAfterOutage(l.copied, outage)
 					advance(pause)
 					l.write()
@@ -115,7 +119,7 @@
 // knows better, and others removed every row that it lacked.
 func TestDaemonThatHoldsLostRowsDoesNotRemoveOthers(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		l := newLostChanges(t)
+		l := newLostChanges(t, 3)
 		l.restoreAfterOutage(l.copied, 100*time.Millisecond)
 		l.write()
 		advance(3 * time.Second)
@@ -142,7 +146,7 @@
 	for _, outage := range []time.Duration{0, 700 * time.Millisecond, 3 * time.Second} {
 		t.Run(outage.String(), func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
-				l := newLostChanges(t)
+				l := newLostChanges(t, 3)
 				l.restoreAfterOutage(l.copied, outage)
 				advance(4 * time.Second)
 				l.restoreAfterOutage(l.copied, outage)
@@ -159,7 +163,7 @@
 // a reader that had started later and read the server from a copy.
 func TestRemovedServerDoesNotReturnFromALaterReader(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		l := newLostChanges(t)
+		l := newLostChanges(t, 3)
 		late := l.startDaemonIn(firstReaderID("h1-0-1", "h1-1-1", "h1-2-1"), "h1")
 		advance(4 * time.Second)
 		if !late.ReadsStore() {
