soak: the store returns after a long outage, and all daemons agree with it

Cause: the soak restored the store every few seconds and did not see that daemons used a drained hall afterwards. Its outages lasted 0.8 s at most, in which daemons that do not read the store do not try it; rows were written again within 0.4 s; no hall was drained; other changes of the same topic followed at once and repaired what was wrong; and no check compared what daemons know with the store.

Change: a last restore after an outage of one to four seconds, rows that are written again within four, and then no change for eight, in which the checksums of all topics at all daemons must equal the store's, but for as long as a change may take (AGREE). The dump lists the topics with rows, checksum, version and lost rows.

--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"ladderridge.example/core/fleet"
@@ -20,6 +21,8 @@
 	// HeldBytes is the memory taken by complete answers that are buffered for callers.
 	HeldBytes int64      `json:"held_answer_bytes"`
 	Peers     peer.Usage `json:"peers"`
+	// Topics lists what this daemon has of the store.
+	Topics []TopicDump `json:"topics"`
 	// Drained maps each drained data hall, whose servers get no requests, to the milliseconds
 	// since this daemon learned that it is drained.
 	Drained map[string]int64 `json:"emptied_halls"`
@@ -40,6 +43,20 @@
 	Duties []duties.Status `json:"duties"`
 }
 
+// TopicDump is the state of one topic of the store. Daemons with the same rows have the same
+// checksum.
+type TopicDump struct {
+	Topic   string `json:"topic"`
+	Version string `json:"version"`
+	Rows    int    `json:"rows"`
+	// Checksum is the hash of the rows' keys and contents, in hexadecimal.
+	Checksum string `json:"checksum"`
+	// LostRows is the number of rows and removals that the store has lost in a restore.
+	LostRows uint64 `json:"lost_rows"`
+	// AgeMS is the time since the rows were known to be current.
+	AgeMS int64 `json:"age_ms"`
+}
+
 // QuarantineDump is a request in quarantine.
 type QuarantineDump struct {
 	// Content is the same content hash as in the log lines of its requests.
@@ -130,6 +147,9 @@
 	if v.Map != nil {
 		d.Config = v.Map.Number
 	}
+	for _, t := range v.Topics {
+		d.Topics = append(d.Topics, TopicDump{Topic: string(t.Topic), Version: t.Version.String(), Rows: t.Rows, Checksum: fmt.Sprintf("%016x", t.Sum), LostRows: t.LostRows, AgeMS: now.Sub(t.ConfirmedAt).Milliseconds()})
+	}
 	d.Drained = map[string]int64{}
 	for hall, since := range v.Drained {
 		d.Drained[hall] = now.Sub(since).Milliseconds()
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -489,6 +489,7 @@
 	v.ConfigAt = sy.topics[gossip.Operator].confirmed
 	v.ServersAt = sy.topics[gossip.Servers].confirmed
 	v.Daemons = sy.daemons()
+	v.Topics = sy.topicStatus()
 	v.SuspendedTotal, v.ResumedAt = sy.suspendedTotal, sy.resumedAt
 	v.rollouts, v.withdrawn, v.ejected, v.firstSeen = sy.rollouts.snapshot(), sy.rollouts.withdrawnCopy(), maps.Clone(sy.rollouts.ejected), sy.firstSeen
 	sy.view.Store(&v)
--- a/daemon/storesync/view.go
+++ b/daemon/storesync/view.go
@@ -6,8 +6,10 @@
 
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/gossip"
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/quota"
+	"ladderridge.example/core/revision"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/suspend"
 )
@@ -35,6 +37,8 @@
 	// Corrupted has the entries that could not be decoded to a server, by their keys, with the
 	// error.
 	Corrupted map[string]string
+	// Topics has the state of the topics that daemons exchange.
+	Topics []TopicStatus
 	// Quarantine has the crash counts of requests. nil means that there are none.
 	Quarantine *quarantine.Registry
 
@@ -53,6 +57,29 @@
 	sessions  *sessions
 }
 
+// TopicStatus is the state of one topic. Daemons with the same rows have the same checksum.
+type TopicStatus struct {
+	Topic   gossip.Topic
+	Version revision.Revision
+	Rows    int
+	Sum     uint64
+	// LostRows is the number of rows and removals that the store has lost in a restore.
+	LostRows uint64
+	// ConfirmedAt is the latest time at which the rows were known to be current.
+	ConfirmedAt time.Time
+}
+
+// topicStatus returns the state of the known topics.
+func (sy *Syncer) topicStatus() []TopicStatus {
+	out := make([]TopicStatus, 0, len(gossipedTopics))
+	for _, topic := range gossipedTopics {
+		if t := sy.topics[topic]; t.known {
+			out = append(out, TopicStatus{Topic: topic, Version: t.version, Rows: len(t.rows), Sum: t.sum, LostRows: t.lostRows(), ConfirmedAt: t.confirmed})
+		}
+	}
+	return out
+}
+
 // ConfigAge returns the age of the configuration. It includes the time for which the VM was
 // suspended.
 func (v *View) ConfigAge(now time.Time) time.Duration {
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -34,6 +34,8 @@
 	// readiness is the address of the readiness check that the load balancer queries.
 	readiness string
 	ready     atomic.Bool
+	// admin is the address for the daemon's state.
+	admin string
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -75,7 +77,7 @@
 func newDaemon(o Options, number, halls int, store string) (*daemon, error) {
 	d := &daemon{
 		number: number, id: fmt.Sprintf("entry-%d", number), hall: hallName(number % halls), program: o.Program,
-		readiness: freeAddr(), exited: make(chan struct{}),
+		readiness: freeAddr(), admin: freeAddr(), exited: make(chan struct{}),
 	}
 	callers, peers := freeAddr(), freeAddr()
 	var err error
@@ -106,7 +108,7 @@
 slack = 50
 [stop]
 grace = %s
-`, d.id, d.hall, callers, d.readiness, freeAddr(), peers, d.peers.Addr(), d.store.Addr(), keyAge, shutdownGrace)
+`, d.id, d.hall, callers, d.readiness, d.admin, peers, d.peers.Addr(), d.store.Addr(), keyAge, shutdownGrace)
 	if err := os.WriteFile(d.file, []byte(settings), 0o600); err != nil {
 		return nil, &Error{Op: "write settings", Kind: NoStart, Err: err}
 	}
--- a/soak/restores.go
+++ b/soak/restores.go
@@ -103,6 +103,41 @@
 	d.cluster.initialServers()[0].leave()
 }
 
+// The bounds of the outage before the restore that checks agreement, and of the delay until the
+// lost writes are repeated.
+const (
+	minLongOutage, longOutageSpan = time.Second, 3 * time.Second
+	longRewriteDelay              = 4 * time.Second
+)
+
+// drainedHall is a data hall without servers, which the operator drains.
+const drainedHall = "hall-unused"
+
+// agreement simulates a restore after an outage in which most daemons try the store, with writes
+// that are repeated with the same contents. Nothing else changes until all daemons have agreed
+// with the store for longer than they hold lost rows.
+func (d *restorer) agreement(ctx context.Context, bound time.Duration) {
+	store := d.cluster.store
+	copied := store.Copy()
+	d.cluster.addRoute()
+	d.cluster.initialServers()[1].leave()
+	if err := store.DrainHall(drainedHall); err != nil {
+		d.cluster.recorder.found("SOAK", err.Error())
+	}
+	clock.Wait(ctx, finalWait)
+	over := d.cluster.recorder.beginFault(allDaemons, StoreReturns, time.Now())
+	store.Play(standin.Down)
+	clock.Wait(ctx, minLongOutage+time.Duration(d.random.Int64N(int64(longOutageSpan))))
+	lost := store.Restore(copied)
+	store.Play(standin.None)
+	clock.Wait(ctx, time.Duration(d.random.Int64N(int64(longRewriteDelay))))
+	for _, l := range lost {
+		store.Replay(l)
+	}
+	over(time.Now())
+	d.cluster.checkAgreement(ctx, bound)
+}
+
 // wait waits for pause and reports whether the restorer is still running.
 func (d *restorer) wait(ctx context.Context, pause time.Duration) bool {
 	for end := time.Now().Add(pause); time.Now().Before(end) && !d.stopped.Load() && ctx.Err() == nil; {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -122,6 +122,9 @@
 		restorer.final(ctx)
 	}
 	clock.Wait(ctx, settleTime)
+	if o.StoreRestores {
+		restorer.agreement(ctx, agreeWithin(o))
+	}
 	callers.stop()
 	crasher.stop()
 	corrupter.stop()
