soak: a topic that no daemon has read equals an empty one

Cause: in a run without an order daemons never read the states of roll-outs, and the check of agreement reported six of them: they know nothing, and the store has no row. Change: a topic that a daemon does not know counts as empty.

--- a/soak/agreement.go
+++ b/soak/agreement.go
@@ -75,7 +75,7 @@
 			s.recorder.found("SOAK", err.Error())
 			return out
 		}
-		sums[topic] = fmt.Sprintf("%d rows, checksum %016x", len(page.Rows), gossip.Sum(page.Rows))
+		sums[topic] = rowsText(len(page.Rows), fmt.Sprintf("%016x", gossip.Sum(page.Rows)))
 	}
 	for _, d := range s.daemons {
 		topics, err := d.topics(ctx)
@@ -84,7 +84,12 @@
 			continue
 		}
 		for topic, want := range sums {
-			if got := topics[topic]; got != want {
+			got, known := topics[topic]
+			if !known {
+				// Daemons read the states of roll-outs once there is an order.
+				got = rowsText(0, fmt.Sprintf("%016x", 0))
+			}
+			if got != want {
 				out[difference{daemon: d.id, topic: topic}] = fmt.Sprintf("it has %s, the store %s", got, want)
 			}
 		}
@@ -115,7 +120,11 @@
 	}
 	out := map[gossip.Topic]string{}
 	for _, t := range dump.Topics {
-		out[t.Topic] = fmt.Sprintf("%d rows, checksum %s", t.Rows, t.Checksum)
+		out[t.Topic] = rowsText(t.Rows, t.Checksum)
 	}
 	return out, nil
 }
+
+func rowsText(rows int, checksum string) string {
+	return fmt.Sprintf("%d rows, checksum %s", rows, checksum)
+}
