quarantine: a request at a server's new process outlives the news of its restart

What callers saw: a stream was cut beside a planned stop of its daemon, which does not resume it elsewhere, although its server would have completed it (LOST). Otherwise such a request moved to another server, and its content counted as one that was there when a server crashed.

Cause: requests are recorded by the incarnation that is listed. Between the start of a server's new process and the news of it they count as sent to the earlier one, and the news cancels them. Once a refused connection has shown that the earlier process exited, its requests are no longer recorded: the news cancels only requests that were sent since, and these can only be at the new process.

Change: the tracker keeps when the process was found to have exited, and when the connection of a request was established. Requests on later connections are neither cancelled by the news nor suspects of the exit. A connection through another daemon may be older; it counts as before. Requests of the earlier process are still cancelled at once (TestServerRestartAbortsRequestsInFlight).

What stays: a daemon to which no connection was refused while the server was down cannot tell, and cancels as before.

Elsewhere: the front end of the chat API cancels nothing on such news.

--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -21,7 +21,9 @@
 type Run struct {
 	instance Instance
 	content  Fingerprint
-	cancel   func()
+	// connectedAt is when the request's connection was established, or zero if unknown.
+	connectedAt time.Time
+	cancel      func()
 }
 
 // Ending says how a request ended at a server.
@@ -51,6 +53,14 @@
 	aborted map[Fingerprint]time.Time
 	// probing reports whether a probe of the server is in progress.
 	probing bool
+	// exitedAt is when the process was last found to have exited, or zero. A connection that was
+	// established later leads to a process that has started since.
+	exitedAt time.Time
+}
+
+// isLater reports whether a request is at a process that has started after the exit.
+func (rs *runs) isLater(run *Run) bool {
+	return !rs.exitedAt.IsZero() && run.connectedAt.After(rs.exitedAt)
 }
 
 // NewTracker returns an empty tracker.
@@ -67,12 +77,13 @@
 	return rs
 }
 
-// Begin records a request that is sent to a server, and the function that cancels it there.
-func (t *Tracker) Begin(inst Instance, f Fingerprint, cancel func(), now time.Time) *Run {
+// Begin records a request that is sent to a server, when its connection was established (zero if
+// unknown), and the function that cancels it there.
+func (t *Tracker) Begin(inst Instance, f Fingerprint, cancel func(), connectedAt, now time.Time) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	run := &Run{instance: inst, content: f, cancel: cancel}
+	run := &Run{instance: inst, content: f, connectedAt: connectedAt, cancel: cancel}
 	t.runsAt(inst).open[run] = true
 	return run
 }
@@ -92,13 +103,16 @@
 	}
 }
 
-// CancelAll cancels the requests in flight at a server that no longer exists.
+// CancelAll cancels the requests in flight at a server that no longer exists, but not those that
+// are known to be at the process that has replaced it.
 func (t *Tracker) CancelAll(inst Instance) {
 	var cancels []func()
 	t.mu.Lock()
 	if rs := t.at[inst]; rs != nil {
 		for run := range rs.open {
-			cancels = append(cancels, run.cancel)
+			if !rs.isLater(run) {
+				cancels = append(cancels, run.cancel)
+			}
 		}
 	}
 	t.mu.Unlock()
@@ -107,17 +121,32 @@
 	}
 }
 
-// TakeSuspects returns the requests that were in flight at a crashed server, or were aborted there
-// shortly before. Each is returned once.
+// TakeSuspects returns the requests that were in flight at a server that is found to have exited,
+// or were aborted there shortly before. Each is returned once.
 func (t *Tracker) TakeSuspects(inst Instance, now time.Time) []Fingerprint {
+	return t.takeSuspects(inst, now, func(*runs, *Run) bool { return false })
+}
+
+// TakeSuspectsBeforeRestart does the same for a server that is known to have restarted. The
+// requests at the new process remain.
+func (t *Tracker) TakeSuspectsBeforeRestart(inst Instance, now time.Time) []Fingerprint {
+	return t.takeSuspects(inst, now, (*runs).isLater)
+}
+
+func (t *Tracker) takeSuspects(inst Instance, now time.Time, remains func(*runs, *Run) bool) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rs := t.at[inst]
-	if rs == nil {
-		return nil
-	}
+	rs := t.runsAt(inst)
 	found := map[Fingerprint]bool{}
+	// Requests still in flight there break off too, and must not be returned again.
+	next := newRuns()
+	next.probing, next.exitedAt = rs.probing, now
 	for run := range rs.open {
+		if remains(rs, run) {
+			next.open[run] = true
+			next.exitedAt = rs.exitedAt
+			continue
+		}
 		found[run.content] = true
 	}
 	for f, at := range rs.aborted {
@@ -125,9 +154,7 @@
 			found[f] = true
 		}
 	}
-	// Requests still in flight there break off too, and must not be returned again.
-	t.at[inst] = newRuns()
-	t.at[inst].probing = rs.probing
+	t.at[inst] = next
 	out := make([]Fingerprint, 0, len(found))
 	for f := range found {
 		out = append(out, f)
@@ -168,8 +195,12 @@
 	t.runsAt(inst).probing = false
 }
 
-// sweepInterval is the time between two sweeps.
-const sweepInterval = 10 * time.Second
+const (
+	// sweepInterval is the time between two sweeps.
+	sweepInterval = 10 * time.Second
+	// exitRetention is how long an exit is remembered: longer than a server takes to restart.
+	exitRetention = time.Minute
+)
 
 // sweep drops what is expired. The caller holds t.mu.
 func (t *Tracker) sweep(now time.Time) {
@@ -180,5 +211,7 @@
 	for _, rs := range t.at {
 		maps.DeleteFunc(rs.aborted, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= crashDelay })
 	}
-	maps.DeleteFunc(t.at, func(_ Instance, rs *runs) bool { return len(rs.open)+len(rs.aborted) == 0 && !rs.probing })
+	maps.DeleteFunc(t.at, func(_ Instance, rs *runs) bool {
+		return len(rs.open)+len(rs.aborted) == 0 && !rs.probing && now.Sub(rs.exitedAt) >= exitRetention
+	})
 }
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -14,9 +14,9 @@
 	var runs []*quarantine.Run
 	cancelled := 0
 	for f := range quarantine.Fingerprint(5) {
-		runs = append(runs, r.Begin(p, f, func() { cancelled++ }, start))
+		runs = append(runs, r.Begin(p, f, func() { cancelled++ }, time.Time{}, start))
 	}
-	r.Begin(other, 9, func() { cancelled++ }, start)
+	r.Begin(other, 9, func() { cancelled++ }, time.Time{}, start)
 	r.End(runs[1], quarantine.Completed, start)
 	r.End(runs[2], quarantine.Aborted, start)
 	r.End(runs[3], quarantine.Aborted, start.Add(3*time.Second))
@@ -49,3 +49,35 @@
 		t.Error("no second probe")
 	}
 }
+
+// Guards against requests that are cancelled, or suspected of a crash, at the process that has replaced
+// the one that exited: both were addressed in the same way until the restart was known.
+func TestRequestsAtTheNewProcessAreNotCancelled(t *testing.T) {
+	r := quarantine.NewTracker()
+	p := quarantine.Instance{Server: "a", Addr: "a:1"}
+	cancelled := map[quarantine.Fingerprint]bool{}
+	begin := func(f quarantine.Fingerprint, connectedAt, now time.Time) *quarantine.Run {
+		return r.Begin(p, f, func() { cancelled[f] = true }, connectedAt, now)
+	}
+	begin(1, start, start)
+	exit, restart := start.Add(time.Second), start.Add(3*time.Second)
+	if got := r.TakeSuspects(p, exit); !slices.Equal(got, []quarantine.Fingerprint{1}) {
+		t.Errorf("suspects of the exit: %v", got)
+	}
+	begin(2, start, restart)
+	begin(3, time.Time{}, restart)
+	later := begin(4, restart, restart)
+	if r.CancelAll(p); !cancelled[2] || !cancelled[3] || cancelled[4] {
+		t.Errorf("cancelled: %v; 2 and 3 may be at the earlier process", cancelled)
+	}
+	got := r.TakeSuspectsBeforeRestart(p, restart)
+	slices.Sort(got)
+	if !slices.Equal(got, []quarantine.Fingerprint{2, 3}) {
+		t.Errorf("suspects of the restart: %v", got)
+	}
+	// The request at the new process is still known there.
+	r.End(later, quarantine.Aborted, restart)
+	if got := r.AbortedAt(4, restart); !slices.Equal(got, []quarantine.Instance{p}) {
+		t.Errorf("the later request was aborted at %v", got)
+	}
+}
--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -28,6 +28,8 @@
 type persistentConn struct {
 	conn net.Conn
 	read *bufio.Reader
+	// openedAt is when the connection was established, or zero if unknown.
+	openedAt time.Time
 	// written counts the bytes sent to the server.
 	written atomic.Int64
 	// idleSince is when the last answer ended. keepAlive is how long the server
@@ -41,7 +43,7 @@
 }
 
 func newPersistentConn(conn net.Conn) *persistentConn {
-	return &persistentConn{conn: conn, read: bufio.NewReaderSize(conn, readBuffer), userTimeout: userTimeout}
+	return &persistentConn{conn: conn, read: bufio.NewReaderSize(conn, readBuffer), openedAt: time.Now(), userTimeout: userTimeout}
 }
 
 // Write counts the bytes that it writes; it implements io.Writer.
--- a/daemon/channel/path.go
+++ b/daemon/channel/path.go
@@ -43,6 +43,9 @@
 	// Reused reports whether the connection was open before. The answer then
 	// does not show that a new connection can be established.
 	Reused bool
+	// OpenedAt is when the connection was established, zero if it leads through
+	// another daemon, which may have had it open before.
+	OpenedAt time.Time
 	// Via is the daemon through which the connection leads, "" if it is direct.
 	Via string
 	// Reason says why the connection is not direct.
@@ -72,7 +75,7 @@
 // newRelayedConn returns a connection through another daemon with the reason for it.
 func newRelayedConn(conn RelayConn, reason string) *persistentConn {
 	c := newPersistentConn(conn)
-	c.reason = reason
+	c.reason, c.openedAt = reason, time.Time{}
 	return c
 }
 
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -281,6 +281,7 @@
 		}
 		path.Via, path.Reason = c.via(), c.reason
 	}
+	path.OpenedAt = c.openedAt
 	if x.BeforeSend != nil {
 		if err := x.BeforeSend(path); err != nil {
 			c.close()
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -79,7 +79,7 @@
 		}
 		// The function that aborts the run does nothing, as this platform does not report
 		// when a server started.
-		run = j.front.quarantineState.tracker.Begin(instance, j.fingerprint, func() {}, time.Now())
+		run = j.front.quarantineState.tracker.Begin(instance, j.fingerprint, func() {}, time.Time{}, time.Now())
 		return nil
 	}
 	x.OnRelease = func() {
--- a/daemon/proxy/engine_test.go
+++ b/daemon/proxy/engine_test.go
@@ -882,6 +882,33 @@
 	})
 }
 
+// Guards against streams that are cut although their server would complete them: a request that was
+// sent between the start of a server's new process and the news of it counted as lost with the old one.
+func TestStreamAtRestartedServerIsNotAborted(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		first := b.server("a", events(1, 1, true))
+		first.Born = 100
+		b.known.set(routemap.New(parts(1, "k")), first)
+		stream := proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Body: []byte("in"), Timeout: 4 * time.Second}
+		// The server exits, which a refused connection shows.
+		b.end(first.Addr)
+		b.send(t.Context(), proxy.Request{ID: "refused", Path: "/stream/x", Key: "k", Body: []byte("other"), Timeout: 100 * time.Millisecond})
+		time.Sleep(2 * time.Second)
+		again := b.server("a", paced(10, 100*time.Millisecond))
+		again.Born = 200
+		done := make(chan *response, 1)
+		go func() { done <- b.send(t.Context(), stream) }()
+		time.Sleep(42 * time.Millisecond)
+		b.known.set(routemap.New(parts(1, "k")), again)
+		b.engine.ServerRestarted(first)
+		got := <-done
+		if n := len(b.reports[len(b.reports)-1].Attempts); got.status != 200 || n != 1 || strings.Count(got.body.String(), "id: ") != 10 {
+			t.Errorf("status %d after %d attempts, outcome %#v, body %q", got.status, n, got.outcome, got.body.String())
+		}
+	})
+}
+
 // The time for which the VM was suspended counts against the deadline, since the caller was
 // waiting. A request past its deadline is sent to no further server.
 func TestSuspensionCountsAgainstTheDeadline(t *testing.T) {
--- a/daemon/proxy/server_exit.go
+++ b/daemon/proxy/server_exit.go
@@ -21,7 +21,7 @@
 
 // beginRun records that the request is about to reach the attempt's server.
 func (j *job) beginRun(a *attempt) {
-	a.run = j.engine.runs.Begin(instanceOf(a.server), j.content, a.cancel, time.Now())
+	a.run = j.engine.runs.Begin(instanceOf(a.server), j.content, a.cancel, a.path.OpenedAt, time.Now())
 }
 
 // endRun records that the request has left the server. The server is probed if the request was
@@ -79,14 +79,14 @@
 	}
 }
 
-// ServerRestarted aborts all requests in flight at a server that has restarted under the same
-// id, since the new process does not know them. They are counted as present at the exit, unless
-// the server was due to leave.
+// ServerRestarted aborts the requests in flight at a server that has restarted under the same id,
+// but for those that are known to be at the new process. They are counted as present at the exit,
+// unless the server was due to leave.
 func (e *Engine) ServerRestarted(was *fleet.Server) {
 	p := instanceOf(was)
 	e.Channels.CloseIdle(p.Addr)
 	e.runs.CancelAll(p)
-	if contents := e.runs.TakeSuspects(p, time.Now()); len(contents) > 0 && was.Usable() {
+	if contents := e.runs.TakeSuspectsBeforeRestart(p, time.Now()); len(contents) > 0 && was.Usable() {
 		e.StoreSync.RecordServerExit(p.Server, contents)
 	}
 }
