quarantine: a crash of a restarted server's new process is counted there

Cause: requests that are known to be at the new process stayed on the record of the earlier start. Once the restart is known that start is not listed, and the crash of a server that is not listed is not counted.

Change: the news of the restart moves these requests to the record of the new start, and what happens to them later is recorded there.

--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -103,16 +103,35 @@
 	}
 }
 
-// CancelAll cancels the requests in flight at a server that no longer exists, but not those that
-// are known to be at the process that has replaced it.
+// Restarted records that a server has restarted as another instance. Requests that are known to be
+// at the new process are in flight there from now on.
+func (t *Tracker) Restarted(was, is Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rs := t.runsAt(was)
+	for run := range rs.open {
+		if rs.isLater(run) {
+			delete(rs.open, run)
+			run.instance = is
+			t.runsAt(is).open[run] = true
+		}
+	}
+}
+
+// InstanceOf returns the instance at which a request is or was in flight.
+func (t *Tracker) InstanceOf(run *Run) Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return run.instance
+}
+
+// CancelAll cancels the requests in flight at a server that no longer exists.
 func (t *Tracker) CancelAll(inst Instance) {
 	var cancels []func()
 	t.mu.Lock()
 	if rs := t.at[inst]; rs != nil {
 		for run := range rs.open {
-			if !rs.isLater(run) {
-				cancels = append(cancels, run.cancel)
-			}
+			cancels = append(cancels, run.cancel)
 		}
 	}
 	t.mu.Unlock()
@@ -121,32 +140,14 @@
 	}
 }
 
-// TakeSuspects returns the requests that were in flight at a server that is found to have exited,
-// or were aborted there shortly before. Each is returned once.
+// TakeSuspects returns the requests that were in flight at a server that has exited, or were
+// aborted there shortly before. Each is returned once.
 func (t *Tracker) TakeSuspects(inst Instance, now time.Time) []Fingerprint {
-	return t.takeSuspects(inst, now, func(*runs, *Run) bool { return false })
-}
-
-// TakeSuspectsBeforeRestart does the same for a server that is known to have restarted. The
-// requests at the new process remain.
-func (t *Tracker) TakeSuspectsBeforeRestart(inst Instance, now time.Time) []Fingerprint {
-	return t.takeSuspects(inst, now, (*runs).isLater)
-}
-
-func (t *Tracker) takeSuspects(inst Instance, now time.Time, remains func(*runs, *Run) bool) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rs := t.runsAt(inst)
 	found := map[Fingerprint]bool{}
-	// Requests still in flight there break off too, and must not be returned again.
-	next := newRuns()
-	next.probing, next.exitedAt = rs.probing, now
 	for run := range rs.open {
-		if remains(rs, run) {
-			next.open[run] = true
-			next.exitedAt = rs.exitedAt
-			continue
-		}
 		found[run.content] = true
 	}
 	for f, at := range rs.aborted {
@@ -154,7 +155,9 @@
 			found[f] = true
 		}
 	}
-	t.at[inst] = next
+	// Requests still in flight there break off too, and must not be returned again.
+	t.at[inst] = newRuns()
+	t.at[inst].probing, t.at[inst].exitedAt = rs.probing, now
 	out := make([]Fingerprint, 0, len(found))
 	for f := range found {
 		out = append(out, f)
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -51,33 +51,35 @@
 }
 
 // Guards against requests that are cancelled, or suspected of a crash, at the process that has replaced
-// the one that exited: both were addressed in the same way until the restart was known.
+// the one that exited: both were addressed in the same way until the restart was known. The crash of the
+// new process must be counted there.
 func TestRequestsAtTheNewProcessAreNotCancelled(t *testing.T) {
 	r := quarantine.NewTracker()
-	p := quarantine.Instance{Server: "a", Addr: "a:1"}
+	was, is := quarantine.Instance{Server: "a 1", Addr: "a:1"}, quarantine.Instance{Server: "a 2", Addr: "a:1"}
 	cancelled := map[quarantine.Fingerprint]bool{}
 	begin := func(f quarantine.Fingerprint, connectedAt, now time.Time) *quarantine.Run {
-		return r.Begin(p, f, func() { cancelled[f] = true }, connectedAt, now)
+		return r.Begin(was, f, func() { cancelled[f] = true }, connectedAt, now)
 	}
 	begin(1, start, start)
 	exit, restart := start.Add(time.Second), start.Add(3*time.Second)
-	if got := r.TakeSuspects(p, exit); !slices.Equal(got, []quarantine.Fingerprint{1}) {
+	if got := r.TakeSuspects(was, exit); !slices.Equal(got, []quarantine.Fingerprint{1}) {
 		t.Errorf("suspects of the exit: %v", got)
 	}
 	begin(2, start, restart)
 	begin(3, time.Time{}, restart)
-	later := begin(4, restart, restart)
-	if r.CancelAll(p); !cancelled[2] || !cancelled[3] || cancelled[4] {
+	later, crashing := begin(4, restart, restart), begin(5, restart, restart)
+	r.Restarted(was, is)
+	if r.CancelAll(was); !cancelled[2] || !cancelled[3] || cancelled[4] || cancelled[5] {
 		t.Errorf("cancelled: %v; 2 and 3 may be at the earlier process", cancelled)
 	}
-	got := r.TakeSuspectsBeforeRestart(p, restart)
+	got := r.TakeSuspects(was, restart)
 	slices.Sort(got)
 	if !slices.Equal(got, []quarantine.Fingerprint{2, 3}) {
 		t.Errorf("suspects of the restart: %v", got)
 	}
-	// The request at the new process is still known there.
-	r.End(later, quarantine.Aborted, restart)
-	if got := r.AbortedAt(4, restart); !slices.Equal(got, []quarantine.Instance{p}) {
-		t.Errorf("the later request was aborted at %v", got)
+	r.End(later, quarantine.Completed, restart)
+	r.End(crashing, quarantine.Aborted, restart)
+	if got := r.TakeSuspects(r.InstanceOf(crashing), restart); r.InstanceOf(crashing) != is || !slices.Equal(got, []quarantine.Fingerprint{5}) {
+		t.Errorf("suspects of the crash of the new process: %v, at %v", got, r.InstanceOf(crashing))
 	}
 }
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -344,11 +344,11 @@
 	case fault.Is(err, channel.Unreachable):
 		a.server.State.Unreachable(now)
 		if channel.ConnectionRefused(err) {
-			j.engine.serverExited(instanceOf(a.server))
+			j.engine.serverExited(j.instance(a))
 		}
 	default:
 		a.server.State.NoResponse(now)
-		j.engine.probe(instanceOf(a.server))
+		j.engine.probe(j.instance(a))
 	}
 }
 
--- a/daemon/proxy/engine_test.go
+++ b/daemon/proxy/engine_test.go
@@ -874,7 +874,7 @@
 		again := b.server("a", whole(200, "x"))
 		again.Born = 200
 		b.known.set(routemap.New(parts(1, "k")), again)
-		b.engine.ServerRestarted(first)
+		b.engine.ServerRestarted(first, again)
 		got := <-done
 		if got.status != 200 || got.took > 110*time.Millisecond {
 			t.Errorf("status %d after %v, outcome %#v", got.status, got.took, got.outcome)
@@ -901,7 +901,7 @@
 		go func() { done <- b.send(t.Context(), stream) }()
 		time.Sleep(42 * time.Millisecond)
 		b.known.set(routemap.New(parts(1, "k")), again)
-		b.engine.ServerRestarted(first)
+		b.engine.ServerRestarted(first, again)
 		got := <-done
 		if n := len(b.reports[len(b.reports)-1].Attempts); got.status != 200 || n != 1 || strings.Count(got.body.String(), "id: ") != 10 {
 			t.Errorf("status %d after %d attempts, outcome %#v, body %q", got.status, n, got.outcome, got.body.String())
--- a/daemon/proxy/server_exit.go
+++ b/daemon/proxy/server_exit.go
@@ -19,6 +19,15 @@
 	return quarantine.Instance{Server: s.Incarnation().String(), Addr: s.Addr}
 }
 
+// instance returns the instance of the attempt's server. Once the request has been sent, it may be
+// at a later one than the listed one that was chosen.
+func (j *job) instance(a *attempt) quarantine.Instance {
+	if a.run != nil {
+		return j.engine.runs.InstanceOf(a.run)
+	}
+	return instanceOf(a.server)
+}
+
 // beginRun records that the request is about to reach the attempt's server.
 func (j *job) beginRun(a *attempt) {
 	a.run = j.engine.runs.Begin(instanceOf(a.server), j.content, a.cancel, a.path.OpenedAt, time.Now())
@@ -36,7 +45,7 @@
 	}
 	j.engine.runs.End(a.run, how, time.Now())
 	if how == quarantine.Aborted && j.view.Suspected(j.content) {
-		j.engine.probeLater(instanceOf(a.server))
+		j.engine.probeLater(j.instance(a))
 	}
 }
 
@@ -68,7 +77,7 @@
 // probeIfLate has the attempt's server probed if the head of the response is late.
 func (j *job) probeIfLate(a *attempt) {
 	if a.path.Reused && !j.route.MayRepeat() {
-		a.lateProbe = time.AfterFunc(lateHead, func() { j.engine.probe(instanceOf(a.server)) })
+		a.lateProbe = time.AfterFunc(lateHead, func() { j.engine.probe(j.instance(a)) })
 	}
 }
 
@@ -82,11 +91,12 @@
 // ServerRestarted aborts the requests in flight at a server that has restarted under the same id,
 // but for those that are known to be at the new process. They are counted as present at the exit,
 // unless the server was due to leave.
-func (e *Engine) ServerRestarted(was *fleet.Server) {
+func (e *Engine) ServerRestarted(was, is *fleet.Server) {
 	p := instanceOf(was)
 	e.Channels.CloseIdle(p.Addr)
+	e.runs.Restarted(p, instanceOf(is))
 	e.runs.CancelAll(p)
-	if contents := e.runs.TakeSuspectsBeforeRestart(p, time.Now()); len(contents) > 0 && was.Usable() {
+	if contents := e.runs.TakeSuspects(p, time.Now()); len(contents) > 0 && was.Usable() {
 		e.StoreSync.RecordServerExit(p.Server, contents)
 	}
 }
--- a/daemon/storesync/restarts.go
+++ b/daemon/storesync/restarts.go
@@ -64,5 +64,5 @@
 		return
 	}
 	sy.Log.Info().Str("server", is.ID).Int64("born", is.Born).Bool("was_leaving", was.Leaving).Msg("storesync: server restarted under the same ID")
-	sy.OnServerRestart(was)
+	sy.OnServerRestart(was, is)
 }
--- a/daemon/storesync/restarts_test.go
+++ b/daemon/storesync/restarts_test.go
@@ -31,7 +31,7 @@
 		s.store.set(gossip.Servers, "a", "v1#100")
 		d := s.startDaemon("d")
 		var restarted []fleet.Incarnation
-		d.OnServerRestart = func(was *fleet.Server) { restarted = append(restarted, was.Incarnation()) }
+		d.OnServerRestart = func(was, _ *fleet.Server) { restarted = append(restarted, was.Incarnation()) }
 		advance(2 * time.Second)
 		before := onlyServer(t, d)
 		before.State.Begin(3)
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -84,8 +84,8 @@
 	// Figures are the counters that daemons add up, by name. nil means none.
 	Figures map[string]Figures
 	// OnServerRestart, if set, is called when a server has restarted under the same ID, with
-	// the server as it was before.
-	OnServerRestart func(was *fleet.Server)
+	// the server as it was before and as it is now.
+	OnServerRestart func(was, is *fleet.Server)
 	// OnLimitChange, if set, is called when a limit of a server starts, changes or ends by the
 	// message of another daemon.
 	OnLimitChange func(s *fleet.Server, was, is notice.LimitState)
