--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -338,8 +338,8 @@
 }
 
 // isUpstream reports whether this daemon has its rows from the sender of an update: from its
-// reader, or without one from a daemon whose state is recent enough. Daemons ask only those
-// before them in the order of the readers, so that no two of them follow each other.
+// reader, or without one from a daemon whose state is recent enough. A reader precedes the
+// daemons that follow it, so two daemons with a reader never follow each other.
 func (sy *Syncer) isUpstream(from string, t *topicState, confirmed, now time.Time) bool {
 	if sy.storeServes(t, now) {
 		return false
