quarantine: log the prompt parts in flight at an exit, count refusals that nobody confirms

Change: the tracker keeps the parts of the prompt with each request, the line of an exit has them (32 at most), and so has the line of a request that is refused as quarantined; refusals_unconfirmed_total. No decision changes.

--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,7 +21,7 @@
 // Run is a request at a server.
 type Run struct {
 	instance Instance
-	content  Fingerprint
+	suspect  Suspect
 	// connectedAt is when the request's connection was established, or zero if unknown.
 	connectedAt time.Time
 	cancel      func()
@@ -48,9 +49,8 @@
 
 // runs holds the requests at one server.
 type runs struct {
-	open map[*Run]bool
-	// aborted holds the time at which requests were aborted.
-	aborted map[Fingerprint]time.Time
+	open    map[*Run]bool
+	aborted map[Fingerprint]abortedRun
 	// probing reports whether a probe of the server is in progress.
 	probing bool
 	// exitedAt is when the process was last found to have exited, or zero. A connection that was
@@ -58,6 +58,12 @@
 	exitedAt time.Time
 }
 
+// abortedRun is a request that was aborted at a server.
+type abortedRun struct {
+	suspect Suspect
+	at      time.Time
+}
+
 // isLater reports whether a request is at a process that has started after the exit.
 func (rs *runs) isLater(run *Run) bool {
 	return !rs.exitedAt.IsZero() && run.connectedAt.After(rs.exitedAt)
@@ -66,7 +72,7 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker { return &Tracker{at: map[Instance]*runs{}} }
 
-func newRuns() *runs { return &runs{open: map[*Run]bool{}, aborted: map[Fingerprint]time.Time{}} }
+func newRuns() *runs { return &runs{open: map[*Run]bool{}, aborted: map[Fingerprint]abortedRun{}} }
 
 func (t *Tracker) runsAt(inst Instance) *runs {
 	rs := t.at[inst]
@@ -79,11 +85,11 @@
 
 // Begin records a request that is sent to a server, when its connection was established (zero if
 // unknown), and the function that cancels it there.
-func (t *Tracker) Begin(inst Instance, f Fingerprint, cancel func(), connectedAt, now time.Time) *Run {
+func (t *Tracker) Begin(inst Instance, s Suspect, cancel func(), connectedAt, now time.Time) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	run := &Run{instance: inst, content: f, connectedAt: connectedAt, cancel: cancel}
+	run := &Run{instance: inst, suspect: s, connectedAt: connectedAt, cancel: cancel}
 	t.runsAt(inst).open[run] = true
 	return run
 }
@@ -99,7 +105,7 @@
 	}
 	delete(rs.open, run)
 	if ending == Aborted {
-		rs.aborted[run.content] = now
+		rs.aborted[run.suspect.Content] = abortedRun{suspect: run.suspect, at: now}
 	}
 }
 
@@ -142,27 +148,23 @@
 
 // TakeSuspects returns the requests that were in flight at a server that has exited, or were
 // aborted there shortly before. Each is returned once.
-func (t *Tracker) TakeSuspects(inst Instance, now time.Time) []Fingerprint {
+func (t *Tracker) TakeSuspects(inst Instance, now time.Time) []Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rs := t.runsAt(inst)
-	found := map[Fingerprint]bool{}
+	found := map[Fingerprint]Suspect{}
 	for run := range rs.open {
-		found[run.content] = true
+		found[run.suspect.Content] = run.suspect
 	}
-	for f, at := range rs.aborted {
-		if now.Sub(at) < crashDelay {
-			found[f] = true
+	for f, run := range rs.aborted {
+		if now.Sub(run.at) < crashDelay {
+			found[f] = run.suspect
 		}
 	}
 	// Requests still in flight there break off too, and must not be returned again.
 	t.at[inst] = newRuns()
 	t.at[inst].probing, t.at[inst].exitedAt = rs.probing, now
-	out := make([]Fingerprint, 0, len(found))
-	for f := range found {
-		out = append(out, f)
-	}
-	return out
+	return slices.Collect(maps.Values(found))
 }
 
 // AbortedAt returns the servers at which a request was aborted a moment ago.
@@ -171,7 +173,7 @@
 	defer t.mu.Unlock()
 	var out []Instance
 	for inst, rs := range t.at {
-		if at, ok := rs.aborted[f]; ok && now.Sub(at) < crashDelay {
+		if run, ok := rs.aborted[f]; ok && now.Sub(run.at) < crashDelay {
 			out = append(out, inst)
 		}
 	}
@@ -212,7 +214,7 @@
 	}
 	t.swept = now
 	for _, rs := range t.at {
-		maps.DeleteFunc(rs.aborted, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= crashDelay })
+		maps.DeleteFunc(rs.aborted, func(_ Fingerprint, run abortedRun) bool { return now.Sub(run.at) >= crashDelay })
 	}
 	maps.DeleteFunc(t.at, func(_ Instance, rs *runs) bool {
 		return len(rs.open)+len(rs.aborted) == 0 && !rs.probing && now.Sub(rs.exitedAt) >= exitRetention
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -14,9 +14,9 @@
 	var runs []*quarantine.Run
 	cancelled := 0
 	for f := range quarantine.Fingerprint(5) {
-		runs = append(runs, r.Begin(p, f, func() { cancelled++ }, time.Time{}, start))
+		runs = append(runs, r.Begin(p, quarantine.Suspect{Content: f}, func() { cancelled++ }, time.Time{}, start))
 	}
-	r.Begin(other, 9, func() { cancelled++ }, time.Time{}, start)
+	r.Begin(other, quarantine.Suspect{Content: 9}, func() { cancelled++ }, time.Time{}, start)
 	r.End(runs[1], quarantine.Completed, start)
 	r.End(runs[2], quarantine.Aborted, start)
 	r.End(runs[3], quarantine.Aborted, start.Add(3*time.Second))
@@ -27,13 +27,13 @@
 	if got := r.AbortedAt(3, now); !slices.Equal(got, []quarantine.Instance{p}) {
 		t.Errorf("the third request was aborted at %v", got)
 	}
-	got := r.TakeSuspects(p, now)
+	got := quarantine.Contents(r.TakeSuspects(p, now))
 	slices.Sort(got)
 	if !slices.Equal(got, []quarantine.Fingerprint{0, 3, 4}) {
 		t.Errorf("suspects of the crash: %v", got)
 	}
 	r.End(runs[0], quarantine.Aborted, now)
-	if got := r.TakeSuspects(p, now); len(got) > 0 {
+	if got := quarantine.Contents(r.TakeSuspects(p, now)); len(got) > 0 {
 		t.Errorf("returned twice: %v", got)
 	}
 }
@@ -58,11 +58,11 @@
 	was, is := quarantine.Instance{Server: "a 1", Addr: "a:1"}, quarantine.Instance{Server: "a 2", Addr: "a:1"}
 	cancelled := map[quarantine.Fingerprint]bool{}
 	begin := func(f quarantine.Fingerprint, connectedAt, now time.Time) *quarantine.Run {
-		return r.Begin(was, f, func() { cancelled[f] = true }, connectedAt, now)
+		return r.Begin(was, quarantine.Suspect{Content: f}, func() { cancelled[f] = true }, connectedAt, now)
 	}
 	begin(1, start, start)
 	exit, restart := start.Add(time.Second), start.Add(3*time.Second)
-	if got := r.TakeSuspects(was, exit); !slices.Equal(got, []quarantine.Fingerprint{1}) {
+	if got := quarantine.Contents(r.TakeSuspects(was, exit)); !slices.Equal(got, []quarantine.Fingerprint{1}) {
 		t.Errorf("suspects of the exit: %v", got)
 	}
 	begin(2, start, restart)
@@ -72,14 +72,14 @@
 	if r.CancelAll(was); !cancelled[2] || !cancelled[3] || cancelled[4] || cancelled[5] {
 		t.Errorf("cancelled: %v; 2 and 3 may be at the earlier process", cancelled)
 	}
-	got := r.TakeSuspects(was, restart)
+	got := quarantine.Contents(r.TakeSuspects(was, restart))
 	slices.Sort(got)
 	if !slices.Equal(got, []quarantine.Fingerprint{2, 3}) {
 		t.Errorf("suspects of the restart: %v", got)
 	}
 	r.End(later, quarantine.Completed, restart)
 	r.End(crashing, quarantine.Aborted, restart)
-	if got := r.TakeSuspects(r.InstanceOf(crashing), restart); r.InstanceOf(crashing) != is || !slices.Equal(got, []quarantine.Fingerprint{5}) {
+	if got := quarantine.Contents(r.TakeSuspects(r.InstanceOf(crashing), restart)); r.InstanceOf(crashing) != is || !slices.Equal(got, []quarantine.Fingerprint{5}) {
 		t.Errorf("suspects of the crash of the new process: %v, at %v", got, r.InstanceOf(crashing))
 	}
 }
--- a/daemon/channel/path.go
+++ b/daemon/channel/path.go
@@ -113,7 +113,7 @@
 		switch {
 		case plan.Unconfirmed:
 			c, err := p.openAndRecord(ctx, e.Addr)
-			return c, unconfirmed(err)
+			return c, p.unconfirmed(err)
 		case plan.NoRelay:
 			c, err := p.openDirect(ctx, e.Addr)
 			if err == nil {
@@ -140,8 +140,9 @@
 
 // unconfirmed hides that a connection was refused: on the way of this daemon
 // alone, that does not show that the server has exited.
-func unconfirmed(err error) error {
+func (p *Pool) unconfirmed(err error) error {
 	if err != nil && ConnectionRefused(err) {
+		p.Unconfirmed.Add(1)
 		return unreachable(errUnconfirmed)
 	}
 	return err
@@ -193,7 +194,7 @@
 	if ctx.Err() == nil {
 		p.recordAnswer(e, answer)
 	}
-	return nil, answerError(answer, errNoPath)
+	return nil, p.answerError(answer, errNoPath)
 }
 
 // recordAnswer records that no other daemon has connected to a server. That only some daemons may
@@ -209,11 +210,12 @@
 
 // answerError returns the error of a connection that another daemon has not
 // established either; err is that of the direct one.
-func answerError(answer reach.Answer, err error) error {
+func (p *Pool) answerError(answer reach.Answer, err error) error {
 	switch {
 	case answer == reach.ServerRefused:
 		return unreachable(syscall.ECONNREFUSED)
 	case ConnectionRefused(err):
+		p.Unconfirmed.Add(1)
 		return unreachable(errUnconfirmed)
 	}
 	return unreachable(err)
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -110,6 +110,9 @@
 	Opened  atomic.Int64
 	Reused  atomic.Int64
 	Surplus atomic.Int64
+	// Unconfirmed counts refused connections of which no other daemon could tell
+	// whether the server has exited.
+	Unconfirmed atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*persistentConn
--- a/daemon/channel/race.go
+++ b/daemon/channel/race.go
@@ -66,7 +66,7 @@
 		}
 		if r.directErr != nil && r.refusal != reach.Connected {
 			r.recordFailure()
-			return nil, answerError(r.refusal, r.directErr)
+			return nil, p.answerError(r.refusal, r.directErr)
 		}
 	}
 }
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -79,7 +79,7 @@
 		}
 		// The function that aborts the run does nothing, as this platform does not report
 		// when a server started.
-		run = j.front.quarantineState.tracker.Begin(instance, j.fingerprint, func() {}, time.Time{}, time.Now())
+		run = j.front.quarantineState.tracker.Begin(instance, quarantine.Suspect{Content: j.fingerprint}, func() {}, time.Time{}, time.Now())
 		return nil
 	}
 	x.OnRelease = func() {
@@ -116,10 +116,10 @@
 // that exited.
 func (f *Front) serverExited(p quarantine.Instance) {
 	now := time.Now()
-	contents := f.quarantineState.tracker.TakeSuspects(p, now)
-	if len(contents) == 0 {
+	suspects := f.quarantineState.tracker.TakeSuspects(p, now)
+	if len(suspects) == 0 {
 		return
 	}
-	f.quarantineState.registry.RecordServerExit(p.Server, contents, now)
-	f.Log.Warn().Str("server", p.Server).Int("requests", len(contents)).Msg("quarantine: server exited with requests in flight")
+	f.quarantineState.registry.RecordServerExit(p.Server, quarantine.Contents(suspects), now)
+	f.Log.Warn().Str("server", p.Server).Int("requests", len(suspects)).Msg("quarantine: server exited with requests in flight")
 }
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -13,6 +13,7 @@
 	"ladderridge.example/core/clock"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/notice"
+	"ladderridge.example/core/quarantine"
 	"ladderridge.example/daemon/proxy"
 )
 
@@ -190,6 +191,9 @@
 	if len(rep.Attempts) > 0 {
 		e = e.Str("tries", attemptsText(rep.Attempts))
 	}
+	if reason == string(proxy.Quarantined) {
+		e = e.Strs("parts", quarantine.PartNames(rep.Parts))
+	}
 	if refused, ok := rep.Outcome.(proxy.Refused); ok {
 		e = e.Int64("retry_after_ms", refused.RetryAfter.Milliseconds())
 	}
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -121,8 +121,7 @@
 		return Refused{Reason: NoRoute}
 	}
 	if !route.Serves(j.service) {
-		j.service = route.Pick(j.request.session())
-		j.report.Service = j.service
+		j.setService(route.Pick(j.request.session()))
 	}
 	j.route = route
 	if j.view.Map.Number == j.acceptedConfig {
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -33,7 +33,7 @@
 	// RecordSession records which version serves a session.
 	RecordSession(service string, session uint64, version string)
 	// RecordServerExit counts a server's exit against the requests that were in flight there.
-	RecordServerExit(server string, contents []quarantine.Fingerprint)
+	RecordServerExit(server string, suspects []quarantine.Suspect)
 	// Answered records that a server has answered a request with this content completely.
 	Answered(content quarantine.Fingerprint)
 }
@@ -139,6 +139,8 @@
 	// Content is the fingerprint of what the request asks for: equal for all attempts of a caller
 	// at the same thing. It is 0 if the request was refused before its caller was known.
 	Content quarantine.Fingerprint
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []quarantine.Part
 	// Config is the number of the configuration, ConfigAge its age.
 	Config    uint64
 	ConfigAge time.Duration
@@ -199,6 +201,9 @@
 	// content is the fingerprint of what the request asks for.
 	content quarantine.Fingerprint
 	service string
+	// parts are those of the prompt that other requests for the service may share.
+	parts     []quarantine.Part
+	partArray [usualParts]quarantine.Part
 	// deadline is when the request is given up, on the monotonic clock, zero for never.
 	// suspendedBefore is how long the VM had been suspended when the request arrived.
 	deadline        time.Time
@@ -312,8 +317,8 @@
 		}
 		j.step = cascade.Start(len(route.Cascade))
 	}
-	j.service = route.Pick(xxhash.Sum64String(j.request.ID))
-	j.report.Service, j.report.Session = j.service, j.request.session()
+	j.setService(route.Pick(xxhash.Sum64String(j.request.ID)))
+	j.report.Session = j.request.session()
 	j.deadline = j.computeDeadline()
 	if at := j.engine.shutdownBy.Load(); at != nil && (j.deadline.IsZero() || j.deadline.After(*at)) {
 		return Refused{Reason: ShuttingDown, RetryAfter: shutdownRetry}
@@ -321,6 +326,19 @@
 	return nil
 }
 
+// usualParts is how many parts of a prompt are kept without an allocation.
+const usualParts = 20
+
+// setService sets the service and the parts of the prompt.
+func (j *job) setService(service string) {
+	j.service, j.report.Service = service, service
+	j.parts = j.partArray[:0]
+	for _, p := range j.request.shared() {
+		j.parts = append(j.parts, quarantine.PartOf(service, p.ID))
+	}
+	j.report.Parts = j.parts
+}
+
 // refreshView takes the latest view.
 func (j *job) refreshView() { j.view = j.engine.StoreSync.View() }
 
--- a/daemon/proxy/engine_test.go
+++ b/daemon/proxy/engine_test.go
@@ -846,8 +846,8 @@
 		b.known.set(routemap.New(parts(1, "k")), b.server("a", b.crashing("deadly", 20*time.Millisecond, events(1, 1, false))))
 		r := proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Body: []byte("deadly"), Timeout: time.Second}
 		content := quarantine.Content{Method: http.MethodPost, Host: "h", Target: "/stream/x", Organisation: "org", Body: r.Body}.Fingerprint()
-		b.known.RecordServerExit("x", []quarantine.Fingerprint{content})
-		b.known.RecordServerExit("y", []quarantine.Fingerprint{content})
+		b.known.RecordServerExit("x", []quarantine.Suspect{{Content: content}})
+		b.known.RecordServerExit("y", []quarantine.Suspect{{Content: content}})
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer cancel()
 		b.send(ctx, r)
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -98,8 +98,8 @@
 
 func (k *fakeStore) RecordSession(string, uint64, string) {}
 
-func (k *fakeStore) RecordServerExit(server string, contents []quarantine.Fingerprint) {
-	k.registry.RecordServerExit(server, contents, time.Now())
+func (k *fakeStore) RecordServerExit(server string, suspects []quarantine.Suspect) {
+	k.registry.RecordServerExit(server, quarantine.Contents(suspects), time.Now())
 }
 
 func (k *fakeStore) Answered(f quarantine.Fingerprint) { k.registry.Answered(f, time.Now()) }
--- a/daemon/proxy/server_exit.go
+++ b/daemon/proxy/server_exit.go
@@ -30,7 +30,7 @@
 
 // beginRun records that the request is about to reach the attempt's server.
 func (j *job) beginRun(a *attempt) {
-	a.run = j.engine.runs.Begin(instanceOf(a.server), j.content, a.cancel, a.path.OpenedAt, time.Now())
+	a.run = j.engine.runs.Begin(instanceOf(a.server), quarantine.Suspect{Content: j.content, Parts: j.parts}, a.cancel, a.path.OpenedAt, time.Now())
 }
 
 // endRun records that the request has left the server. The server is probed if the request was
@@ -96,8 +96,8 @@
 	e.Channels.CloseIdle(p.Addr)
 	e.runs.Restarted(p, instanceOf(is))
 	e.runs.CancelAll(p)
-	if contents := e.runs.TakeSuspects(p, time.Now()); len(contents) > 0 && was.Usable() {
-		e.StoreSync.RecordServerExit(p.Server, contents)
+	if suspects := e.runs.TakeSuspects(p, time.Now()); len(suspects) > 0 && was.Usable() {
+		e.StoreSync.RecordServerExit(p.Server, suspects)
 	}
 }
 
@@ -105,13 +105,13 @@
 // Nothing is counted for a server that was due to leave or is no longer listed.
 func (e *Engine) serverExited(p quarantine.Instance) {
 	now := time.Now()
-	contents := e.runs.TakeSuspects(p, now)
-	if len(contents) == 0 || !e.StoreSync.View().Serves(p.Server) {
+	suspects := e.runs.TakeSuspects(p, now)
+	if len(suspects) == 0 || !e.StoreSync.View().Serves(p.Server) {
 		return
 	}
-	e.StoreSync.RecordServerExit(p.Server, contents)
-	for _, f := range contents {
-		for _, other := range e.runs.AbortedAt(f, now) {
+	e.StoreSync.RecordServerExit(p.Server, suspects)
+	for _, s := range suspects {
+		for _, other := range e.runs.AbortedAt(s.Content, now) {
 			e.probeLater(other)
 		}
 	}
--- a/daemon/storesync/quarantine.go
+++ b/daemon/storesync/quarantine.go
@@ -68,15 +68,24 @@
 
 // RecordServerExit counts the exit of a server against the requests in flight there, and
 // notifies the other daemons.
-func (sy *Syncer) RecordServerExit(server string, contents []quarantine.Fingerprint) {
-	e := crashesObserved{crashes: sy.registry.RecordServerExit(server, contents, time.Now())}
+func (sy *Syncer) RecordServerExit(server string, suspects []quarantine.Suspect) {
+	e := crashesObserved{crashes: sy.registry.RecordServerExit(server, quarantine.Contents(suspects), time.Now())}
 	sy.ServerExits.Add(1)
-	sy.Log.Warn().Str("server", server).Int("requests", len(contents)).Int("counted", len(e.crashes)).Msg("quarantine: server exited with requests in flight")
+	sy.Log.Warn().Str("server", server).Int("requests", len(suspects)).Int("counted", len(e.crashes)).Strs("parts", loggedParts(suspects)).Msg("quarantine: server exited with requests in flight")
 	if len(e.crashes) > 0 {
 		sy.enqueue(e)
 	}
 }
 
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 32
+
+// loggedParts returns the parts of the requests that were in flight at an exit, for its log line.
+func loggedParts(suspects []quarantine.Suspect) []string {
+	parts := quarantine.Parts(suspects)
+	return quarantine.PartNames(parts[:min(len(parts), maxLoggedParts)])
+}
+
 // Answered records a content that a server has answered completely.
 func (sy *Syncer) Answered(content quarantine.Fingerprint) { sy.registry.Answered(content, time.Now()) }
 
--- a/daemon/storesync/quarantine_test.go
+++ b/daemon/storesync/quarantine_test.go
@@ -46,7 +46,7 @@
 			if got := quarantineCount(daemons...); got > 0 {
 				t.Fatalf("%d daemons quarantine the request after %d server crashes", got, n)
 			}
-			daemons[d].RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Fingerprint{crashingRequest})
+			daemons[d].RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Suspect{{Content: crashingRequest}})
 			advance(300 * time.Millisecond)
 		}
 		advance(700 * time.Millisecond)
@@ -64,7 +64,7 @@
 		daemons := startTwoHalls(s, 1)
 		advance(3 * time.Second)
 		for _, d := range daemons {
-			d.RecordServerExit("i-1", []quarantine.Fingerprint{crashingRequest})
+			d.RecordServerExit("i-1", []quarantine.Suspect{{Content: crashingRequest}})
 		}
 		advance(2 * time.Second)
 		if got := quarantineCount(daemons...); got > 0 {
@@ -82,7 +82,7 @@
 		before := startTwoHalls(s, 1)
 		advance(3 * time.Second)
 		for n := range 3 {
-			before[n].RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Fingerprint{crashingRequest})
+			before[n].RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Suspect{{Content: crashingRequest}})
 		}
 		advance(time.Second)
 		s.stopAll()
@@ -108,7 +108,7 @@
 		advance(3 * time.Second)
 		s.network.dropOutgoing(daemons[0].Self.ID)
 		for n := range 3 {
-			daemons[0].RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Fingerprint{crashingRequest})
+			daemons[0].RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Suspect{{Content: crashingRequest}})
 		}
 		advance(2 * time.Second)
 		if got := quarantineCount(daemons...); got != len(daemons) {
@@ -138,7 +138,7 @@
 			}
 		}
 		for n, d := range remaining[:3] {
-			d.RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Fingerprint{crashingRequest})
+			d.RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Suspect{{Content: crashingRequest}})
 		}
 		advance(3 * time.Second)
 		if got := quarantineCount(remaining...); got != len(remaining) {
