reach: an exit is recognised while other servers are down, too

Cause: a refused connection counts as an exit only if another daemon confirms it, and one for which any other server fails, or whose random references are down, says that it is cut off itself. With two servers down at once no daemon confirmed an exit to another. Change: a server that closes a direct connection in the middle of an answer has told so over the path itself: if it refuses the next connection within two seconds, it has exited, without anybody's word. Other daemons learn of the exit with the crash. A refusal alone is confirmed as before: on a cut path kept connections live on, so a connection that ends before any answer proves nothing if it was kept.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -67,6 +67,12 @@
 	// downTTL is how long no other daemon is asked for a server to which one with an intact path
 	// could not connect.
 	downTTL = time.Second
+	// closedTTL is how long after a server closed a connection in the middle of an answer a refused
+	// connection shows that it has exited.
+	closedTTL = 2 * time.Second
+	// exitTTL is how long a server that has exited counts as down. It takes seconds to restart, and
+	// those that do not are no longer listed by then.
+	exitTTL = 4 * time.Second
 	// noHelperTTL is how long other daemons are not asked for a server after none could help.
 	noHelperTTL = 500 * time.Millisecond
 )
@@ -98,7 +104,11 @@
 	checked time.Time
 	// downUntil is until when the server counts as down, noHelperUntil until when other daemons
 	// are not asked for it; it is zero once one of them has connected.
-	downUntil     time.Time
+	downUntil time.Time
+	// closed is when the server last closed a connection in the middle of an answer, exitedUntil until
+	// when it counts as exited.
+	closed        time.Time
+	exitedUntil   time.Time
 	noHelperUntil time.Time
 }
 
@@ -111,6 +121,8 @@
 	switch {
 	case s != nil && now.Before(s.downUntil):
 		return Direct{NoRelay: true}
+	case s != nil && now.Sub(s.closed) < closedTTL:
+		return Direct{RelayAfter: relayDelay}
 	case s != nil && p.failing(s, now):
 		return p.planFailing(s, now)
 	case p.isolated(now):
@@ -216,10 +228,54 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.server(addr)
-	*s = server{downUntil: now.Add(downTTL)}
+	*s = server{downUntil: now.Add(downTTL), closed: s.closed}
 	return p.change(now)
 }
 
+// Closed records that a server closed a direct connection in the middle of an answer. That end came
+// over the path, so if a connection is refused next, the server has exited.
+func (p *Paths) Closed(addr string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server(addr).closed = now
+}
+
+// Refused records that a direct connection to a server was refused, and reports whether it is known to
+// have exited. Other daemons need not confirm that, and the refusal says nothing about the path.
+func (p *Paths) Refused(addr string, now time.Time) (exited bool, c Change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[addr]
+	if s == nil {
+		return false, Unchanged
+	}
+	if now.Sub(s.closed) < closedTTL {
+		p.exit(s, now)
+	}
+	return now.Before(s.exitedUntil), p.change(now)
+}
+
+// Exited records that another daemon has found a server to have exited.
+func (p *Paths) Exited(addr string, now time.Time) Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.exit(p.server(addr), now)
+	return p.change(now)
+}
+
+// exit marks a server as exited. The caller holds p.mu.
+func (p *Paths) exit(s *server, now time.Time) {
+	*s = server{downUntil: now.Add(exitTTL), exitedUntil: now.Add(exitTTL)}
+}
+
+// HasExited reports whether a server is known to have exited.
+func (p *Paths) HasExited(addr string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[addr]
+	return s != nil && now.Before(s.exitedUntil)
+}
+
 // NoHelper records that no other daemon could connect to a server, and that none of them knows
 // whether the server is at fault.
 func (p *Paths) NoHelper(addr string, now time.Time) {
@@ -313,7 +369,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, s := range p.servers {
-		if !listed(addr) || (!p.failing(s, now) && !now.Before(s.downUntil) && !now.Before(s.noHelperUntil) && now.Sub(s.relayed) > checkInterval) {
+		if !listed(addr) || (!p.failing(s, now) && !now.Before(s.downUntil) && now.Sub(s.closed) > closedTTL && !now.Before(s.noHelperUntil) && now.Sub(s.relayed) > checkInterval) {
 			delete(p.servers, addr)
 		}
 	}
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -226,3 +226,37 @@
 		t.Errorf("after pruning: %+v", got)
 	}
 }
+
+// Guards against exits that wait for the word of another daemon, and against refusals on the daemon's
+// own path that count as exits.
+func TestRefusalAfterAClosedAnswerIsAnExit(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var p reach.Paths
+	p.Failed("other", false, now)
+	p.Failed("another", false, now)
+	if exited, _ := p.Refused("a", now); exited {
+		t.Error("a refusal alone is an exit")
+	}
+	p.Closed("a", now)
+	if plan, ok := p.Plan("a", now.Add(100*time.Millisecond)).(reach.Direct); !ok || plan.Unconfirmed || plan.NoRelay {
+		t.Errorf("the server is not tried directly: %+v", plan)
+	}
+	p.Closed("b", now)
+	if exited, _ := p.Refused("b", now.Add(3*time.Second)); exited {
+		t.Error("a refusal long after the end of an answer is an exit")
+	}
+	if exited, _ := p.Refused("a", now.Add(time.Second)); !exited || !p.HasExited("a", now.Add(time.Second)) {
+		t.Error("a refusal after a closed answer is no exit")
+	}
+	if p.OthersFailing("none", now.Add(time.Second)) != p.OthersFailing("a", now.Add(time.Second)) {
+		t.Error("an exit counts against the path")
+	}
+	if p.HasExited("a", now.Add(6*time.Second)) {
+		t.Error("the exit does not expire")
+	}
+	p.Exited("c", now)
+	p.Reached("c", now)
+	if p.HasExited("c", now) {
+		t.Error("a server that was reached counts as exited")
+	}
+}
--- a/daemon/channel/path.go
+++ b/daemon/channel/path.go
@@ -180,6 +180,17 @@
 	}
 }
 
+// refusedByExit reports whether a connection was refused because the server has exited, which needs
+// no confirmation by another daemon.
+func (p *Pool) refusedByExit(addr string, err error) bool {
+	if !ConnectionRefused(err) {
+		return false
+	}
+	exited, change := p.Paths.Refused(addr, time.Now())
+	p.changed(change)
+	return exited
+}
+
 // openRelayed opens a connection through another daemon.
 func (p *Pool) openRelayed(ctx context.Context, e Endpoint, plan reach.Relayed) (*persistentConn, error) {
 	conn, answer := p.Relay.Dial(ctx, e)
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -303,6 +304,9 @@
 	}
 	if err := r.head(x); err != nil {
 		r.Close()
+		if !path.Reused {
+			r.recordClose(err)
+		}
 		if c.written.Load() == before {
 			// Close has ended the write, so nothing more can be sent.
 			return nil, &Error{Op: opExchange, Kind: Unsent, Err: merry.Wrap(err)}
@@ -369,11 +373,21 @@
 		r.complete = true
 		return n, io.EOF
 	case err != nil:
+		r.recordClose(err)
 		return n, &Error{Op: "read answer", Kind: Interrupted, Err: merry.Wrap(err)}
 	}
 	return n, nil
 }
 
+// recordClose records that the server closed a direct connection before its
+// answer was complete. On a kept connection that has answered nothing yet the
+// server may have closed it for having been idle.
+func (r *Reply) recordClose(err error) {
+	if r.conn.via() == "" && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
+		r.pool.Paths.Closed(r.addr, time.Now())
+	}
+}
+
 // Close ends the exchange. The connection is kept if the answer is complete and
 // no bytes followed it; otherwise it is closed, so that the server aborts the
 // request.
--- a/daemon/channel/race.go
+++ b/daemon/channel/race.go
@@ -50,6 +50,10 @@
 				return d.conn, nil
 			}
 			r.directErr = d.err
+			if p.refusedByExit(e.Addr, d.err) {
+				go r.discardRelayed()
+				return nil, d.err
+			}
 			r.startRelayed()
 		case v := <-r.relayed:
 			if v.answer == reach.Connected {
@@ -103,7 +107,7 @@
 }
 
 // discardRelayed ends the attempt through another daemon after the direct one
-// has connected.
+// has decided.
 func (r *dialRace) discardRelayed() {
 	if !r.started || r.refusal != reach.Connected {
 		return
--- a/daemon/channel/serve.go
+++ b/daemon/channel/serve.go
@@ -58,6 +58,9 @@
 		p.changed(p.Paths.Reached(addr, time.Now()))
 		return p.serverConn(addr, c), reach.Connected
 	}
+	if p.refusedByExit(addr, err) {
+		return nil, reach.ServerRefused
+	}
 	if p.Paths.OthersFailing(addr, time.Now()) || !p.provePath(addr) {
 		p.changed(p.Paths.Failed(addr, TimedOut(err), time.Now()))
 		return nil, reach.CutOff
--- a/daemon/gateway/relay.go
+++ b/daemon/gateway/relay.go
@@ -19,6 +19,7 @@
 	g.relayServer = &relay.Server{Pool: g.channels, Listed: g.listedAt, OnServed: g.reporter.reportServed}
 	g.peers.Relay = g.relayServer.Serve
 	g.syncer.Unreachable = g.unreachable
+	g.syncer.OnServerExit = func(addr string) { g.onPathChange(g.channels.Paths.Exited(addr, time.Now())) }
 	g.channels.Relay, g.channels.References, g.channels.OnPathChange = g.relay, g.referenceServers, g.onPathChange
 }
 
@@ -52,7 +53,7 @@
 
 // referenceServers returns the addresses of other servers than the given one: of its service and
 // hall, else of its service, else any. Servers in back-off are not left out: the one server that this
-// daemon happens to reach would say nothing of the others.
+// daemon happens to reach would say nothing of the others. Those that are known to have exited are.
 func (g *Gateway) referenceServers(addr string) []string {
 	v := g.syncer.View()
 	if v.Servers == nil {
@@ -66,7 +67,7 @@
 	others := func(servers []*fleet.Server, suits func(*fleet.Server) bool) []string {
 		var out []string
 		for _, i := range rand.Perm(len(servers)) {
-			if s := servers[i]; s.Addr != addr && s.Open(now) && suits(s) && len(out) < maxReferences {
+			if s := servers[i]; s.Addr != addr && s.Open(now) && !g.channels.Paths.HasExited(s.Addr, now) && suits(s) && len(out) < maxReferences {
 				out = append(out, s.Addr)
 			}
 		}
@@ -85,7 +86,7 @@
 // onPathChange logs that the servers are out of this daemon's reach, or reached again. A daemon that
 // reaches a few of them changes between the two.
 func (g *Gateway) onPathChange(c reach.Change) {
-	if !g.reporter.pathLines.take(int64(time.Since(startedAt) / time.Second)) {
+	if c == reach.Unchanged || !g.reporter.pathLines.take(int64(time.Since(startedAt)/time.Second)) {
 		return
 	}
 	status := g.channels.Paths.Status(time.Now())
--- a/daemon/storesync/harness_test.go
+++ b/daemon/storesync/harness_test.go
@@ -383,11 +383,13 @@
 // cluster is a store with daemons that follow it.
 type cluster struct {
 	// unreachable reports whether daemons reach no servers; nil means never.
-	unreachable func(now time.Time) bool
-	t           *testing.T
-	store       *fakeStore
-	network     *network
-	links       map[string]*link
+	// onServerExit is called when a daemon learns of an exit from another one.
+	onServerExit func(addr string)
+	unreachable  func(now time.Time) bool
+	t            *testing.T
+	store        *fakeStore
+	network      *network
+	links        map[string]*link
 	// firstStart is passed to the daemons: all of them start for the first time.
 	firstStart bool
 	// figures are the figures of a daemon, by its ID.
@@ -446,7 +448,7 @@
 	d.Self = storesync.Member{ID: id, Hall: hall, Addr: id, Public: make([]byte, 32), Start: 1}
 	d.Log = log.Logger{Level: log.PanicLevel}
 	d.ColdOverage, d.ColdSlack = 1.5, 5
-	d.Figures, d.Unreachable = s.figures[id], s.unreachable
+	d.Figures, d.Unreachable, d.OnServerExit = s.figures[id], s.unreachable, s.onServerExit
 	d.FirstStart, d.Seed = s.firstStart, xxhash.Sum64String(id)
 	s.network.mu.Lock()
 	s.network.syncers[id] = d
--- a/daemon/storesync/quarantine.go
+++ b/daemon/storesync/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -92,6 +93,7 @@
 // handleCrashes handles servers that exited under requests of this daemon.
 func (sy *Syncer) handleCrashes(e crashesObserved, now time.Time) {
 	for _, c := range e.crashes {
+		sy.reportedExits[c.Server] = c.At
 		sy.queueCrash(crashReport{crash: c, otherHalls: true, left: crashSendCount})
 		sy.trackQuarantine(c.Content, now, quarantineRow{due: now, own: true})
 	}
@@ -121,6 +123,7 @@
 	m, known := (*sy.members.Load())[from]
 	for _, received := range crashes {
 		c := quarantine.Crash{Content: quarantine.Fingerprint(received.Content), Server: received.Server, At: now.Add(-time.Duration(received.AgeMS) * time.Millisecond)}
+		sy.reportExit(c.Server, c.At, now)
 		if !sy.registry.RecordCrash(c) {
 			continue
 		}
@@ -131,6 +134,23 @@
 	}
 }
 
+// recentExit is how old an exit may be for other daemons to take the server for down: it restarts
+// within seconds.
+const recentExit = 2 * time.Second
+
+// reportExit reports the exit of a server that another daemon has found, once.
+func (sy *Syncer) reportExit(server uint64, at, now time.Time) {
+	maps.DeleteFunc(sy.reportedExits, func(_ uint64, at time.Time) bool { return now.Sub(at) > crashResendWindow })
+	_, known := sy.reportedExits[server]
+	if known || sy.OnServerExit == nil || now.Sub(at) > recentExit {
+		return
+	}
+	sy.reportedExits[server] = at
+	if addr, ok := sy.View().addressOf(server); ok {
+		sy.OnServerExit(addr)
+	}
+}
+
 // queueCrash queues a crash for sending if the backlog is not full.
 func (sy *Syncer) queueCrash(n crashReport) {
 	if len(sy.pendingCrashes) < crashBacklog {
--- a/daemon/storesync/quarantine_test.go
+++ b/daemon/storesync/quarantine_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"ladderridge.example/core/gossip"
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/daemon/storesync"
 )
@@ -146,3 +148,22 @@
 		}
 	})
 }
+
+// Guards against daemons that doubt their own path when a server refuses them, though others know that
+// it has exited.
+func TestExitIsKnownToDaemonsWithoutARequestThere(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCluster(t)
+		s.writeConfig(1, "k")
+		s.store.set(gossip.Servers, "i-1", "v1")
+		var told atomic.Int64
+		s.onServerExit = func(string) { told.Add(1) }
+		daemons := startTwoHalls(s, 1)
+		advance(3 * time.Second)
+		daemons[1].RecordServerExit(daemons[1].View().Servers.All()[0].Incarnation().String(), []quarantine.Suspect{{Content: crashingRequest}})
+		advance(2 * time.Second)
+		if n := told.Load(); n != int64(len(daemons))-1 {
+			t.Errorf("%d of %d other daemons know of the exit", n, len(daemons)-1)
+		}
+	})
+}
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -86,6 +86,9 @@
 	// OnServerRestart, if set, is called when a server has restarted under the same ID, with
 	// the server as it was before and as it is now.
 	OnServerRestart func(was, is *fleet.Server)
+	// OnServerExit, if set, is called with the address of a listed server when another daemon has
+	// found that it exited.
+	OnServerExit func(addr string)
 	// OnLimitChange, if set, is called when a limit of a server starts, changes or ends by the
 	// message of another daemon.
 	OnLimitChange func(s *fleet.Server, was, is notice.LimitState)
@@ -216,6 +219,8 @@
 	pendingCrashes []crashReport
 	ownCrashes     []quarantine.Crash
 	crashReader    string
+	// reportedExits has when the exits of servers were last reported, by the hash of the server.
+	reportedExits  map[uint64]time.Time
 	quarantineRows map[quarantine.Fingerprint]quarantineRow
 	// malformedSums has the checksums of rows that could not be decoded, by key, so that each
 	// is logged once.
@@ -264,7 +269,7 @@
 		drained: map[string]time.Time{}, undrainedAt: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]revision.Revision{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, pendingRequests: map[uint64]time.Time{}, subscribers: map[string]time.Time{}, announcedSums: map[gossip.Topic]uint64{}, readers: newReaders(),
 		malformedSums: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), serverLoad: serverload.NewTracker(), limits: newLimits(),
-		entries: map[string]serverEntry{}, starts: map[string]int64{}, registry: quarantine.NewRegistry(), quarantineRows: map[quarantine.Fingerprint]quarantineRow{},
+		entries: map[string]serverEntry{}, starts: map[string]int64{}, registry: quarantine.NewRegistry(), quarantineRows: map[quarantine.Fingerprint]quarantineRow{}, reportedExits: map[uint64]time.Time{},
 	}
 	for _, t := range []gossip.Topic{gossip.Operator, gossip.Servers, gossip.Progress, gossip.Members} {
 		sy.topics[t] = newTopicState()
--- a/daemon/storesync/view.go
+++ b/daemon/storesync/view.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/gossip"
@@ -110,6 +112,19 @@
 	return slices.ContainsFunc(v.Servers.All(), func(s *fleet.Server) bool { return s.Incarnation().String() == incarnation && s.Usable() })
 }
 
+// addressOf returns the address of the listed incarnation whose name has this hash.
+func (v *View) addressOf(hash uint64) (addr string, ok bool) {
+	if v.Servers == nil {
+		return "", false
+	}
+	for _, s := range v.Servers.All() {
+		if xxhash.Sum64String(s.Incarnation().String()) == hash {
+			return s.Addr, true
+		}
+	}
+	return "", false
+}
+
 // Rollout returns the order in force for a service.
 func (v *View) Rollout(service string) (canary.Rollout, bool) {
 	r, ok := v.rollouts[service]
