quarantine: requests that share a part which crashes servers are stopped

Cause: a crash counted for the whole content of a request. Requests that are not alike have no count in common, so each crashed servers as if it were the first. Change: the parts of the prompt that others may share go with the requests in flight, and the crashes count for them (core/quarantine.PartRegistry), at all daemons: by way of the readers, three times, in an update of a topic of its own that older daemons ignore; again each second while the last crash is recent, for daemons that start or were cut off; and as a row in the store for daemons that start together. A request with a confined part is refused at once, also before a repeat and behind a slow dial; Retry-After is the next trial. A trial is sent to one server. An answer that ends with its connection counts as complete only if its server is running afterwards, an error not at all. Why this works: the crashing part is in all crashes and in no complete answer since. Its neighbours are answered, in other requests, and word of that ends their count everywhere.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -30,6 +30,9 @@
 	// Figures are not rows of the store, but counters that daemons add up, by name. A digest of
 	// this topic in a request asks for the totals. Daemons that do not know the topic ignore it.
 	Figures Topic = "figures"
+	// Parts are not rows of the store, but crashes and answers of parts of requests, in a single row
+	// without a key that holds a PartReport. Daemons that do not know the topic ignore it.
+	Parts Topic = "parts"
 )
 
 // Row is one row of the store.
@@ -173,6 +176,32 @@
 	AgeMS uint64
 }
 
+// PartReport has crashes of servers with the parts of the requests that were in flight there, and
+// complete answers to requests with parts that were in flight at crashes.
+type PartReport struct {
+	_       struct{} `cbor:",toarray"`
+	Crashes []PartCrash
+	Answers []PartAnswer
+}
+
+// PartCrash reports that a server ended with requests in flight that have some parts.
+type PartCrash struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's id.
+	Server uint64
+	// AgeMS is the time since the crash was detected, in milliseconds.
+	AgeMS uint64
+	Parts []uint64
+}
+
+// PartAnswer reports a complete answer to a request with a part.
+type PartAnswer struct {
+	_    struct{} `cbor:",toarray"`
+	Part uint64
+	// AgeMS is the time since the answer, in milliseconds.
+	AgeMS uint64
+}
+
 // Count holds the counts of one daemon for a version's answers on one route since the roll-out
 // was ordered.
 type Count struct {
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -80,6 +80,8 @@
 	announcedAt time.Time
 	// until is the end of a confinement that was read from the store, or zero.
 	until time.Time
+	// endedStored is set if an answer here has ended such a confinement, and other daemons do not know.
+	endedStored bool
 	// trialAt is when a trial was last let pass, in Unix nanoseconds.
 	trialAt *atomic.Int64
 }
@@ -202,6 +204,7 @@
 	if reg.clear(a.Part, a.At, now) {
 		reg.update(now)
 	}
+	r.endedStored = false
 	return true
 }
 
@@ -215,7 +218,7 @@
 	counted := len(r.counted(now)) >= PartCrashThreshold
 	r.answeredAt = at
 	if r.until.Add(-Duration).Before(at) && !r.until.IsZero() {
-		r.until, counted = time.Time{}, true
+		r.until, r.endedStored, counted = time.Time{}, true, true
 	}
 	return counted
 }
@@ -227,7 +230,7 @@
 	defer reg.mu.Unlock()
 	var out []PartAnswer
 	for p, r := range reg.records {
-		if !r.answeredAt.After(r.announcedAt) || now.Sub(r.last()) > evidenceWindow {
+		if !r.answeredAt.After(r.announcedAt) || now.Sub(r.last()) > evidenceWindow && !r.endedStored {
 			continue
 		}
 		since := 0
@@ -236,8 +239,8 @@
 				since++
 			}
 		}
-		if since >= announceThreshold {
-			r.announcedAt = r.answeredAt
+		if since >= announceThreshold || r.endedStored {
+			r.announcedAt, r.endedStored = r.answeredAt, false
 			out = append(out, PartAnswer{p, r.answeredAt})
 		}
 	}
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -383,7 +383,15 @@
 // answer was complete. On a kept connection that has answered nothing yet the
 // server may have closed it for having been idle.
 func (r *Reply) recordClose(err error) {
-	if r.conn.via() == "" && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		r.Truncated()
+	}
+}
+
+// Truncated records that an answer that ends with its connection has ended before
+// it was complete.
+func (r *Reply) Truncated() {
+	if r.conn.via() == "" {
 		r.pool.Paths.Closed(r.addr, time.Now())
 	}
 }
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -109,7 +109,7 @@
 
 // probe checks whether a server that interrupted an answer is still running.
 func (f *Front) probe(p quarantine.Instance) {
-	f.Backend.Pool.Probe(f.quarantineState.tracker, p, f.serverExited)
+	f.Backend.Pool.Probe(f.quarantineState.tracker, p, f.serverExited, nil)
 }
 
 // serverExited records a crash for each request that was in progress at a server
--- a/daemon/gateway/dump.go
+++ b/daemon/gateway/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ladderridge.example/core/fleet"
+	"ladderridge.example/core/quarantine"
 	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/peer"
 )
@@ -31,7 +32,9 @@
 	// Quarantine lists the requests that are sent to no server, because servers crashed while
 	// running them.
 	Quarantine []QuarantineDump `json:"quarantine"`
-	Servers    []ServerDump     `json:"servers"`
+	// Confined lists the parts of prompts whose requests are sent to no server, for the same reason.
+	Confined []ConfinementDump `json:"confined_parts,omitempty"`
+	Servers  []ServerDump      `json:"servers"`
 	// Repeats lists the retry budget of each service.
 	Repeats []RepeatDump `json:"repeats"`
 	// Congestion lists the services whose model servers have few slots, Permits the small pools.
@@ -66,6 +69,17 @@
 	LeftMS  int64 `json:"left_ms"`
 }
 
+// ConfinementDump is a confinement of the requests that have all of some parts.
+type ConfinementDump struct {
+	// Parts are the same hashes as in the log lines.
+	Parts   []string `json:"parts"`
+	Crashes int      `json:"crashes"`
+	SinceMS int64    `json:"since_ms"`
+	LeftMS  int64    `json:"left_ms"`
+	// TrialInMS is the time until this daemon lets a request pass as a trial.
+	TrialInMS int64 `json:"trial_in_ms"`
+}
+
 // RepeatDump is the retry budget of one service, with counts since the start of the process.
 type RepeatDump struct {
 	Service  string  `json:"service"`
@@ -158,6 +172,12 @@
 	for _, c := range v.Quarantine.Entries(now) {
 		d.Quarantine = append(d.Quarantine, QuarantineDump{Content: c.Content.String(), Crashes: c.Crashes, LeftMS: c.Until.Sub(now).Milliseconds()})
 	}
+	for _, c := range v.Parts.Confinements(now) {
+		d.Confined = append(d.Confined, ConfinementDump{
+			Parts: quarantine.PartNames(c.Parts), Crashes: c.Crashes, SinceMS: now.Sub(c.Since).Milliseconds(),
+			LeftMS: c.Until.Sub(now).Milliseconds(), TrialInMS: max(0, c.TrialFrom.Sub(now).Milliseconds()),
+		})
+	}
 	for _, u := range g.engine.Repeats() {
 		d.Repeats = append(d.Repeats, RepeatDump(u))
 	}
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -54,6 +54,7 @@
 	gauge("held_body_bytes", "Bytes of request bodies that are held or reserved.", func() float64 { return float64(g.bodies.Budget.Held()) })
 	gauge("held_answer_bytes", "Bytes of whole answers that are held for callers.", func() float64 { return float64(g.engine.BufferedBytes()) })
 	gauge("requests_quarantined", "Requests that get no server, since servers ended under them.", func() float64 { return float64(len(g.syncer.View().Quarantine.Entries(time.Now()))) })
+	gauge("parts_confined", "Sets of prompt parts whose requests get no server, since servers ended under them.", func() float64 { return float64(len(g.syncer.View().Parts.Confinements(time.Now()))) })
 	gauge("halls_emptied", "Data halls whose servers get nothing.", func() float64 { return float64(len(g.syncer.View().Drained)) })
 	gauge("requests_open", "Requests under way.", func() float64 { return float64(g.engine.InFlight.Load()) })
 	gauge("config_age_seconds", "How long ago the configuration was confirmed.", func() float64 { return g.syncer.View().ConfigAge(time.Now()).Seconds() })
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -290,6 +290,9 @@
 // errRetryExpired stops a retry that would arrive long after it was taken from the budget.
 var errRetryExpired = errors.New("retry was sent too late and the retry budget is used up")
 
+// errQuarantined stops a request that was quarantined while it waited for its connection.
+var errQuarantined = errors.New("request is quarantined")
+
 // errNotOpen stops a request to a server that has meanwhile reported that it takes no more.
 var errNotOpen = errors.New("server takes no new requests")
 
@@ -304,6 +307,9 @@
 	if !j.payIfLate(now) {
 		return errRetryExpired
 	}
+	if _, ok := j.quarantined(now); ok {
+		return errQuarantined
+	}
 	j.beginRun(a)
 	j.probeIfLate(a)
 	return nil
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -69,7 +70,7 @@
 		return j.forwardUnbuffered(a, body)
 	}
 	took := time.Since(a.sent)
-	a.complete = true
+	a.complete = a.reply.SelfDelimited
 	w := &bufferedResponse{status: a.reply.Status, header: a.reply.Header, body: body}
 	if w.status >= http.StatusInternalServerError {
 		a.server.State.Failed()
@@ -95,6 +96,9 @@
 	if fault.Is(err, relay.HelperLost) {
 		return nil, Failed
 	}
+	if errors.Is(err, errEventTruncated) {
+		a.reply.Truncated()
+	}
 	j.avoid = append(j.avoid, a.server.Incarnation())
 	if j.live() {
 		j.recordFailure(a, err, time.Now())
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -34,8 +34,8 @@
 	RecordSession(service string, session uint64, version string)
 	// RecordServerExit counts a server's exit against the requests that were in flight there.
 	RecordServerExit(server string, suspects []quarantine.Suspect)
-	// Answered records that a server has answered a request with this content completely.
-	Answered(content quarantine.Fingerprint)
+	// Answered records that a server has answered a request completely.
+	Answered(s quarantine.Suspect)
 }
 
 // Engine proxies requests. Set the exported fields, then Serve.
@@ -204,6 +204,8 @@
 	// parts are those of the prompt that other requests for the service may share.
 	parts     []quarantine.Part
 	partArray [usualParts]quarantine.Part
+	// trial is set if the request is confined and may be sent to one server.
+	trial bool
 	// deadline is when the request is given up, on the monotonic clock, zero for never.
 	// suspendedBefore is how long the VM had been suspended when the request arrived.
 	deadline        time.Time
@@ -306,8 +308,11 @@
 	}
 	j.content = j.request.fingerprint(j.report.Organisation)
 	j.report.Content = j.content
+	j.setService(route.Pick(xxhash.Sum64String(j.request.ID)))
+	j.report.Session = j.request.session()
 	// A request that crashes each server that runs it would crash one after the other, along with
 	// the other requests there.
+	j.trial = j.view.TakeTrial(j.parts, now)
 	if left, ok := j.quarantined(now); ok {
 		return Refused{Reason: Quarantined, RetryAfter: left}
 	}
@@ -317,8 +322,6 @@
 		}
 		j.step = cascade.Start(len(route.Cascade))
 	}
-	j.setService(route.Pick(xxhash.Sum64String(j.request.ID)))
-	j.report.Session = j.request.session()
 	j.deadline = j.computeDeadline()
 	if at := j.engine.shutdownBy.Load(); at != nil && (j.deadline.IsZero() || j.deadline.After(*at)) {
 		return Refused{Reason: ShuttingDown, RetryAfter: shutdownRetry}
@@ -331,12 +334,19 @@
 
 // setService sets the service and the parts of the prompt.
 func (j *job) setService(service string) {
+	if j.service == service {
+		return
+	}
+	// Requests at servers refer to the parts for the earlier service.
+	parts := make([]quarantine.Part, 0, len(j.request.Prompt))
+	if j.service == "" {
+		parts = j.partArray[:0]
+	}
 	j.service, j.report.Service = service, service
-	j.parts = j.partArray[:0]
 	for _, p := range j.request.shared() {
-		j.parts = append(j.parts, quarantine.PartOf(service, p.ID))
+		parts = append(parts, quarantine.PartOf(service, p.ID))
 	}
-	j.report.Parts = j.parts
+	j.parts, j.report.Parts = parts, parts
 }
 
 // refreshView takes the latest view.
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -17,6 +17,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/notice"
 	"ladderridge.example/core/quarantine"
@@ -64,6 +66,7 @@
 	recorded []storesync.Observation
 	// registry has the crash counts of requests.
 	registry *quarantine.Registry
+	parts    *quarantine.PartRegistry
 }
 
 func (k *fakeStore) View() *storesync.View {
@@ -99,17 +102,22 @@
 func (k *fakeStore) RecordSession(string, uint64, string) {}
 
 func (k *fakeStore) RecordServerExit(server string, suspects []quarantine.Suspect) {
-	k.registry.RecordServerExit(server, quarantine.Contents(suspects), time.Now())
+	now := time.Now()
+	k.registry.RecordServerExit(server, quarantine.Contents(suspects), now)
+	k.parts.RecordCrash(quarantine.PartCrash{Parts: quarantine.Parts(suspects), Server: xxhash.Sum64String(server), At: now}, now)
 }
 
-func (k *fakeStore) Answered(f quarantine.Fingerprint) { k.registry.Answered(f, time.Now()) }
+func (k *fakeStore) Answered(s quarantine.Suspect) {
+	k.registry.Answered(s.Content, time.Now())
+	k.parts.Answered(s.Parts, time.Now())
+}
 
 // set replaces the configuration by one that is confirmed now.
 func (k *fakeStore) set(m *routemap.Map, servers ...*fleet.Server) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	k.view = &storesync.View{Map: m, Servers: fleet.NewList(servers), ConfigAt: now, ServersAt: now, Daemons: 1, Quarantine: k.registry}
+	k.view = &storesync.View{Map: m, Servers: fleet.NewList(servers), ConfigAt: now, ServersAt: now, Daemons: 1, Quarantine: k.registry, Parts: k.parts}
 	k.view.Sharers = quota.Daemons{Self: "d", ByHall: map[string][]string{"h": {"d"}}}
 }
 
@@ -142,7 +150,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	b := &fixture{t: t, known: &fakeStore{view: &storesync.View{}, registry: quarantine.NewRegistry()}, scripts: map[string]script{}, conns: map[string][]net.Conn{}}
+	b := &fixture{t: t, known: &fakeStore{view: &storesync.View{}, registry: quarantine.NewRegistry(), parts: quarantine.NewPartRegistry()}, scripts: map[string]script{}, conns: map[string][]net.Conn{}}
 	pool := channel.NewPool()
 	pool.Dial = b.dial
 	t.Cleanup(func() {
--- a/daemon/proxy/server_exit.go
+++ b/daemon/proxy/server_exit.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"time"
 
 	"ladderridge.example/core/fleet"
@@ -28,9 +29,14 @@
 	return instanceOf(a.server)
 }
 
+// suspect returns what identifies the request if its server crashes.
+func (j *job) suspect() quarantine.Suspect {
+	return quarantine.Suspect{Content: j.content, Parts: j.parts}
+}
+
 // beginRun records that the request is about to reach the attempt's server.
 func (j *job) beginRun(a *attempt) {
-	a.run = j.engine.runs.Begin(instanceOf(a.server), quarantine.Suspect{Content: j.content, Parts: j.parts}, a.cancel, a.path.OpenedAt, time.Now())
+	a.run = j.engine.runs.Begin(instanceOf(a.server), j.suspect(), a.cancel, a.path.OpenedAt, time.Now())
 }
 
 // endRun records that the request has left the server. The server is probed if the request was
@@ -44,28 +50,42 @@
 		how = quarantine.Completed
 	}
 	j.engine.runs.End(a.run, how, time.Now())
-	if how == quarantine.Aborted && j.view.Suspected(j.content) {
+	if how == quarantine.Aborted && j.view.Suspected(j.suspect(), time.Now()) {
 		j.engine.probeLater(j.instance(a))
 	}
 }
 
-// recordComplete records a complete response. A response without framing (no length, not
-// chunked) proves nothing: it ends in the same way when its server exits.
+// recordComplete records a complete response. One without framing (no length, not chunked) ends in the
+// same way when its server exits: it proves something only if the server is running afterwards. So does
+// an error, which the server may send before it runs the request.
 func (j *job) recordComplete(a *attempt) {
-	a.complete = true
-	if a.reply.SelfDelimited {
-		j.engine.StoreSync.Answered(j.content)
+	a.complete = a.reply.SelfDelimited
+	if a.reply.Status >= http.StatusMultipleChoices {
+		return
+	}
+	s := j.suspect()
+	answered := func() { j.engine.StoreSync.Answered(s) }
+	switch {
+	case a.complete:
+		answered()
+	case j.view.Suspected(s, time.Now()):
+		e := j.engine
+		e.Channels.Probe(e.runs, j.instance(a), e.serverExited, answered)
 	}
 }
 
-// quarantined returns how much longer the request is quarantined.
+// quarantined returns how much longer the request is quarantined, or how long it takes until a request
+// with its parts may pass as a trial. A trial is sent to one server.
 func (j *job) quarantined(now time.Time) (left time.Duration, ok bool) {
 	until, ok := j.view.Quarantined(j.content, now)
+	if !ok && (!j.trial || j.history.Ran > 0) {
+		until, ok = j.view.Confined(j.parts, now)
+	}
 	return until.Sub(now), ok
 }
 
 // probe checks whether a server that closed a connection early is still running.
-func (e *Engine) probe(p quarantine.Instance) { e.Channels.Probe(e.runs, p, e.serverExited) }
+func (e *Engine) probe(p quarantine.Instance) { e.Channels.Probe(e.runs, p, e.serverExited, nil) }
 
 func (e *Engine) probeLater(p quarantine.Instance) { time.AfterFunc(probeDelay, func() { e.probe(p) }) }
 
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -74,7 +74,7 @@
 // mayEscalate reports whether a response is dropped for a larger model's, and the load on which
 // the decision is based.
 func (j *job) mayEscalate(ctx context.Context, a *attempt) (cascade.Step, cascade.Load, bool) {
-	if j.responseStarted || len(j.route.Cascade) == 0 || j.history.Ran >= j.route.Attempts || ctx.Err() != nil {
+	if j.responseStarted || j.trial || len(j.route.Cascade) == 0 || j.history.Ran >= j.route.Attempts || ctx.Err() != nil {
 		return j.step, cascade.Load{}, false
 	}
 	now := time.Now()
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -281,6 +281,8 @@
 		confirmed = sentAt.Add(-time.Duration(update.AgeMS) * time.Millisecond)
 	}
 	switch {
+	case update.Topic == gossip.Parts:
+		sy.mergeParts(from, update, now)
 	case update.Topic == gossip.Figures:
 		sy.handleFigures(from, nonce, update, now)
 	case sy.topics[update.Topic] != nil:
--- a/daemon/storesync/quarantine.go
+++ b/daemon/storesync/quarantine.go
@@ -71,6 +71,7 @@
 // notifies the other daemons.
 func (sy *Syncer) RecordServerExit(server string, suspects []quarantine.Suspect) {
 	e := crashesObserved{crashes: sy.registry.RecordServerExit(server, quarantine.Contents(suspects), time.Now())}
+	sy.recordPartCrash(server, suspects, time.Now())
 	sy.ServerExits.Add(1)
 	sy.Log.Warn().Str("server", server).Int("requests", len(suspects)).Int("counted", len(e.crashes)).Strs("parts", loggedParts(suspects)).Msg("quarantine: server exited with requests in flight")
 	if len(e.crashes) > 0 {
@@ -87,8 +88,12 @@
 	return quarantine.PartNames(parts[:min(len(parts), maxLoggedParts)])
 }
 
-// Answered records a content that a server has answered completely.
-func (sy *Syncer) Answered(content quarantine.Fingerprint) { sy.registry.Answered(content, time.Now()) }
+// Answered records a request that a server has answered completely.
+func (sy *Syncer) Answered(s quarantine.Suspect) {
+	now := time.Now()
+	sy.registry.Answered(s.Content, now)
+	sy.parts.Answered(s.Parts, now)
+}
 
 // handleCrashes handles servers that exited under requests of this daemon.
 func (sy *Syncer) handleCrashes(e crashesObserved, now time.Time) {
@@ -222,21 +227,32 @@
 			continue
 		}
 		key := quarantinePrefix + f.String()
-		_, lost := sy.topics[gossip.Members].held[key]
-		if row, ok := sy.topics[gossip.Members].rows[key]; ok && !lost && sy.quarantineActive(row, now) || now.Before(c.due) || !c.own && !sy.reading.Load() {
+		if sy.rowActive(key, now) || now.Before(c.due) || !c.own && !sy.reading.Load() {
 			continue
 		}
 		// Retry if the row does not arrive from the store.
 		sy.quarantineRows[f] = quarantineRow{due: now.Add(nonReaderWriteDelay), own: c.own}
-		data, err := cbor.Marshal(confinement{UntilMS: until.UnixMilli()})
-		if err != nil {
-			sy.Log.Error().Err(err).Msg("quarantine: cannot encode a row")
-			continue
-		}
-		go sy.putQuarantine(ctx, key, data)
+		sy.writeConfinement(ctx, key, until)
 	}
 }
 
+// rowActive reports whether the store has a row of a quarantine that has not ended.
+func (sy *Syncer) rowActive(key string, now time.Time) bool {
+	_, lost := sy.topics[gossip.Members].held[key]
+	row, ok := sy.topics[gossip.Members].rows[key]
+	return ok && !lost && sy.quarantineActive(row, now)
+}
+
+// writeConfinement writes the row of a quarantine in the background.
+func (sy *Syncer) writeConfinement(ctx context.Context, key string, until time.Time) {
+	data, err := cbor.Marshal(confinement{UntilMS: until.UnixMilli()})
+	if err != nil {
+		sy.Log.Error().Err(err).Msg("quarantine: cannot encode a row")
+		return
+	}
+	go sy.putQuarantine(ctx, key, data)
+}
+
 // putQuarantine writes a row, whichever daemon has written it before and with whatever content.
 func (sy *Syncer) putQuarantine(ctx context.Context, key string, data []byte) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -255,15 +271,22 @@
 
 // readQuarantine reads the row of a request in quarantine.
 func (sy *Syncer) readQuarantine(row gossip.Row, now time.Time) {
-	f, err := strconv.ParseUint(strings.TrimPrefix(row.Key, quarantinePrefix), 16, 64)
+	digits := strings.TrimPrefix(row.Key, quarantinePrefix)
+	f, err := strconv.ParseUint(digits, 16, 64)
 	var c confinement
 	if err == nil {
 		err = cbor.Unmarshal(row.Data, &c)
 	}
+	if err == nil && len(digits) == partKeyDigits {
+		err = sy.readPart(digits, time.UnixMilli(c.UntilMS), now)
+	}
 	if err != nil {
 		sy.malformed(gossip.Members, row, err)
 		return
 	}
+	if len(digits) == partKeyDigits {
+		return
+	}
 	content := quarantine.Fingerprint(f)
 	if sy.registry.Quarantine(content, time.UnixMilli(c.UntilMS), now) {
 		sy.trackQuarantine(content, now, quarantineRow{due: now.Add(nonReaderWriteDelay)})
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -222,6 +222,17 @@
 	// reportedExits has when the exits of servers were last reported, by the hash of the server.
 	reportedExits  map[uint64]time.Time
 	quarantineRows map[quarantine.Fingerprint]quarantineRow
+	// parts has the crash counts of parts of requests. pendingParts are the reports to send,
+	// ownPartCrashes the crashes that this daemon has seen recently, partReader the daemon that they were
+	// last sent to. partRows are the parts that are confined alone, confined the first parts of all
+	// confinements.
+	parts          *quarantine.PartRegistry
+	pendingParts   []partReport
+	ownPartCrashes []quarantine.PartCrash
+	partReader     string
+	evidenceSentAt time.Time
+	partRows       map[quarantine.Part]quarantineRow
+	confined       map[quarantine.Part]bool
 	// malformedSums has the checksums of rows that could not be decoded, by key, so that each
 	// is logged once.
 	malformedSums map[string]uint64
@@ -270,12 +281,14 @@
 		firstSeen: map[string]time.Time{}, pendingRequests: map[uint64]time.Time{}, subscribers: map[string]time.Time{}, announcedSums: map[gossip.Topic]uint64{}, readers: newReaders(),
 		malformedSums: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), serverLoad: serverload.NewTracker(), limits: newLimits(),
 		entries: map[string]serverEntry{}, starts: map[string]int64{}, registry: quarantine.NewRegistry(), quarantineRows: map[quarantine.Fingerprint]quarantineRow{}, reportedExits: map[uint64]time.Time{},
+		parts: quarantine.NewPartRegistry(), partRows: map[quarantine.Part]quarantineRow{}, confined: map[quarantine.Part]bool{},
 	}
 	for _, t := range []gossip.Topic{gossip.Operator, gossip.Servers, gossip.Progress, gossip.Members} {
 		sy.topics[t] = newTopicState()
 	}
 	sy.topics[gossip.Servers].takeDirty()
-	sy.view.Store(&View{sessions: sy.sessions, Quarantine: sy.registry})
+	sy.parts.TrialDelay = sy.trialDelay
+	sy.view.Store(&View{sessions: sy.sessions, Quarantine: sy.registry, Parts: sy.parts})
 	sy.members.Store(&map[string]Member{})
 	sy.reading.Store(true)
 	// The first follower is for the configuration. Run sets its hold time.
@@ -367,6 +380,8 @@
 		sy.handleWriteDone(e)
 	case crashesObserved:
 		sy.handleCrashes(e, time.Now())
+	case partsCrashed:
+		sy.handlePartCrash(e)
 	case limitObserved:
 		sy.handleLimitObserved(e)
 	}
@@ -515,8 +530,10 @@
 	sy.sendUpdates(now)
 	sy.sendSessions(now)
 	sy.sendCrashes(now)
+	sy.sendParts(now)
 	sy.sendLimits(now)
 	sy.writeQuarantines(ctx, now)
+	sy.writePartRows(ctx, now)
 	sy.sendLoad(now)
 	sy.sendFigures(now)
 	sy.sendUsage(now)
--- a/daemon/storesync/view.go
+++ b/daemon/storesync/view.go
@@ -43,6 +43,8 @@
 	Topics []TopicStatus
 	// Quarantine has the crash counts of requests. nil means that there are none.
 	Quarantine *quarantine.Registry
+	// Parts has the crash counts of parts of requests. nil means that there are none.
+	Parts *quarantine.PartRegistry
 
 	// SuspendClock returns how long the VM has been suspended in all. SuspendedTotal is its
 	// value when the view was created, ResumedAt when the VM last resumed.
@@ -99,9 +101,22 @@
 	return v.Quarantine.Quarantined(content, now)
 }
 
-// Suspected reports whether a server has exited under a request.
-func (v *View) Suspected(content quarantine.Fingerprint) bool {
-	return v.Quarantine != nil && v.Quarantine.Suspected(content)
+// Confined returns when a request may next pass, if it has parts that crash servers.
+func (v *View) Confined(parts []quarantine.Part, now time.Time) (retryAt time.Time, ok bool) {
+	if v.Parts == nil {
+		return time.Time{}, false
+	}
+	return v.Parts.Confined(parts, now)
+}
+
+// TakeTrial reports whether a request that is confined for its parts may be sent to one server.
+func (v *View) TakeTrial(parts []quarantine.Part, now time.Time) bool {
+	return v.Parts != nil && v.Parts.TakeTrial(parts, now)
+}
+
+// Suspected reports whether a server has exited under a request, or under others with one of its parts.
+func (v *View) Suspected(s quarantine.Suspect, now time.Time) bool {
+	return v.Quarantine != nil && v.Quarantine.Suspected(s.Content) || v.Parts != nil && v.Parts.Suspected(s.Parts, now)
 }
 
 // Serves reports whether an incarnation of a server, given by its name, is listed and usable.
