soak: different requests with one crashing part of their prompts

Change: by even seeds the crashing requests differ in everything but one part of their prompts; they and all streams share another one. Servers that they crash close their connections in order. Checks: BUDGET after the fifth crash, LOST for the streams beside it, each noticed in TestEachRuleFindsItsViolation.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -89,8 +89,8 @@
 	}
 	r.OnRun = func(run standin.Run) {
 		b.cluster.recorder.ran(Execution{Run: run, Server: r.ID, Service: b.service, Version: b.version, Start: start, At: time.Now()})
-		if run.Body == crashingBody {
-			go b.crashByRequest()
+		if crashes(run) {
+			go b.crashByRequest(hasCrashingPart(run))
 		}
 	}
 	r.OnArrival = func(id string, w standin.Announcement) {
--- a/soak/brittle.go
+++ b/soak/brittle.go
@@ -107,5 +107,5 @@
 		return
 	}
 	b.falls.Add(1)
-	b.crashByRequest()
+	b.crashByRequest(false)
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -110,7 +110,8 @@
 	a := w.nextRequest()
 	call := standin.Call{ID: a.ID, Method: a.Method, Host: host, Target: a.Target, Key: a.Key, Body: a.Body, Wait: a.Limit + callerGrace}
 	if a.Kind == standin.Streaming {
-		call.Model, call.Session = "*", fmt.Sprintf("session-%d", w.random.IntN(sessions))
+		session := fmt.Sprintf("session-%d", w.random.IntN(sessions))
+		call.Model, call.Session, call.Prompt = "*", session, promptOf(commonPart, session)
 	}
 	a.Daemon, a.Process, a.Sent = w.daemon.number, w.daemon.processNumber(), time.Now()
 	a.Reply = call.Send(ctx, w.client, w.daemon.callers.Addr())
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -44,6 +44,44 @@
 	}
 }
 
+// crashingPart adds different requests with a part that crashes servers: five at first, and then, when all
+// daemons must have stopped them, as many as late, with sound streams that share their other parts. Of
+// these answered are answered.
+func crashingPart(s *soak.Observations, late, answered int) {
+	stream := func(id, prompt string, crashing bool, seconds float64, status int) {
+		a := soak.Request{
+			ID: id, Kind: standin.Streaming, Service: "llm", Method: http.MethodPost, Target: "/chat/" + id, Key: "key-0", Body: id, CrashingPart: crashing,
+			Limit: 2 * time.Second, Process: 1, ProcessAfter: 1, Sent: after(seconds), Ended: after(seconds + 0.1), Reply: standin.Reply{Status: status, Complete: true},
+		}
+		if status == http.StatusOK {
+			a.Reply.Server = "m" + id
+			for n := range 6 {
+				a.Reply.Body += fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, id)
+			}
+		}
+		s.Requests = append(s.Requests, a)
+		if status != http.StatusServiceUnavailable {
+			r := soak.Execution{Run: standin.Run{ID: id, Method: a.Method, Target: a.Target, Tenant: "org", Body: id, Prompt: prompt}, Server: "m" + id, Service: "llm", At: after(seconds)}
+			s.Runs = append(s.Runs, r)
+		}
+	}
+	for n := range 20 {
+		stream(fmt.Sprintf("early%d", n), "c0c0:10", false, 1, http.StatusOK)
+		status := http.StatusOK
+		if n >= answered {
+			status = http.StatusServiceUnavailable
+		}
+		stream(fmt.Sprintf("sound%d", n), "c0c0:10", false, 26, status)
+	}
+	for n := range 5 {
+		stream(fmt.Sprintf("p%d", n), "c0c0:10,deadbeef:10", true, 11+0.1*float64(n), http.StatusBadGateway)
+	}
+	for n := range late {
+		stream(fmt.Sprintf("late%d", n), "c0c0:10,deadbeef:10", true, 25, http.StatusBadGateway)
+	}
+	stream("last", "c0c0:10,deadbeef:10", true, 28, http.StatusServiceUnavailable)
+}
+
 // addRequest adds one more request like that of good, which reaches the same server.
 func addRequest(s *soak.Observations, id string, seconds float64, w standin.Announcement) {
 	a, r := good()
@@ -94,6 +132,9 @@
 		{"", func(*soak.Observations) {}},
 		{"", func(s *soak.Observations) { crashing(s, 6) }},
 		{"BUDGET", func(s *soak.Observations) { crashing(s, 7) }},
+		{"", func(s *soak.Observations) { crashingPart(s, 3, 20) }},
+		{"BUDGET", func(s *soak.Observations) { crashingPart(s, 4, 20) }},
+		{"LOST", func(s *soak.Observations) { crashingPart(s, 3, 9) }},
 		{"TWICE", func(s *soak.Observations) { s.Runs = append(s.Runs, s.Runs[0]) }},
 		{"REFUSED", func(s *soak.Observations) { s.Requests[0].Reply = refused }},
 		{"UNASKED", func(s *soak.Observations) { s.Runs[0].Run.ID = "b"; s.Requests[0].Reply = refused }},
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,10 +14,27 @@
 	"ladderridge.example/platform/standin"
 )
 
-// crashingBody is the body of a request that crashes each server that begins to run it.
-const crashingBody = "deadly"
+const (
+	// crashingBody is the body of a request that crashes each server that begins to run it.
+	crashingBody = "deadly"
+	// crashingPart is a part of prompts that does the same whatever else the request holds, commonPart one
+	// that all prompts share.
+	crashingPart = "deadbeef"
+	commonPart   = "c0c0"
+)
+
+// promptOf returns the parts of a prompt as they are sent.
+func promptOf(parts ...string) string {
+	return strings.Join(parts, ":10,") + ":10"
+}
+
+// crashes reports whether a run crashes its server.
+func crashes(r standin.Run) bool { return r.Body == crashingBody || hasCrashingPart(r) }
 
-// crasher is a caller that repeatedly sends a request that crashes servers, to any daemon.
+func hasCrashingPart(r standin.Run) bool { return strings.Contains(r.Prompt, crashingPart) }
+
+// crasher is a caller that repeatedly sends requests that crash servers, to any daemon: by odd seeds the
+// same one, by even seeds different ones that share one part of their prompts.
 type crasher struct {
 	cluster *cluster
 	seed    uint64
@@ -58,14 +76,22 @@
 		ID: fmt.Sprintf("deadly%d-%d", d.seed, n), Kind: standin.Streaming, Service: modelStream, Method: http.MethodPost,
 		Target: streamRoute + "deadly", Key: keyName(0), Body: crashingBody, Limit: streamLimit, Daemon: to.number, Process: to.processNumber(), Sent: time.Now(),
 	}
-	call := standin.Call{ID: a.ID, Method: a.Method, Host: host, Target: a.Target, Key: a.Key, Body: a.Body, Wait: a.Limit + callerGrace, Model: "*"}
+	prompt := ""
+	if d.seed%2 == 0 {
+		parts := []string{commonPart, crashingPart}
+		d.random.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		a.Target, a.Body, a.Key, a.CrashingPart = streamRoute+a.ID, "prompt of "+a.ID, keyName(d.random.IntN(keys)), true
+		prompt = promptOf(append(parts, "own-"+a.ID)...)
+	}
+	call := standin.Call{ID: a.ID, Method: a.Method, Host: host, Target: a.Target, Key: a.Key, Body: a.Body, Wait: a.Limit + callerGrace, Model: "*", Prompt: prompt}
 	a.Reply = call.Send(ctx, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, to.callers.Addr())
 	a.Ended, a.ProcessAfter = time.Now(), to.processNumber()
 	d.cluster.recorder.answered(a)
 }
 
-// crashByRequest crashes the server as a crashing request does, and restarts it later.
-func (b *backend) crashByRequest() {
+// crashByRequest crashes the server as a crashing request does, and restarts it later. Its connections are
+// reset, or with orderly closed as by a system whose process has received all that was sent.
+func (b *backend) crashByRequest(orderly bool) {
 	b.mu.Lock()
 	if !b.present || b.retired {
 		b.mu.Unlock()
@@ -77,7 +103,11 @@
 	if err := b.link.SetDown(true); err != nil {
 		b.cluster.recorder.found("SOAK", err.Error())
 	}
-	b.link.Reset()
+	if orderly {
+		b.link.CloseConnections()
+	} else {
+		b.link.Reset()
+	}
 	random := newRand(b.cluster.seed, crashStream+b.crashes.Add(1))
 	after, sameID := restartFloor+time.Duration(random.Int64N(int64(restartSpan))), random.IntN(2) == 0
 	time.AfterFunc(after, func() {
@@ -110,6 +140,8 @@
 	// crashThreshold is the number of servers that may crash before daemons must quarantine the
 	// request, maxLateAttempts how often it may reach servers after quarantineBound.
 	crashThreshold, maxLateAttempts = 3, 3
+	// partCrashThreshold is the number of servers that may crash under one part of prompts.
+	partCrashThreshold = 5
 )
 
 // quarantined checks that undisturbed daemons stop sending a request that has crashed servers.
@@ -121,17 +153,70 @@
 	ended := map[start]bool{}
 	for _, r := range c.seen.Runs {
 		of := start{r.Server, r.Start}
-		if r.Run.Body != crashingBody || ended[of] {
+		if !crashes(r.Run) || ended[of] {
 			continue
 		}
 		ended[of] = true
-		if len(ended) == crashThreshold {
+		switch {
+		case hasCrashingPart(r.Run) && len(ended) == partCrashThreshold:
+			c.afterFifth(r.At)
+			return
+		case !hasCrashingPart(r.Run) && len(ended) == crashThreshold:
 			c.afterThird(r.At)
 			return
 		}
 	}
 }
 
+// afterFifth checks the requests behind the fifth crash under one part of their prompts: daemons stop
+// those with the part, and serve those that share the other parts as before.
+func (c *checker) afterFifth(fifth time.Time) {
+	var late []string
+	var last time.Time
+	for _, a := range c.seen.Requests {
+		if !a.CrashingPart {
+			continue
+		}
+		if a.Sent.After(last) {
+			last = a.Sent
+		}
+		if a.Sent.Sub(fifth) > quarantineBound && c.undisturbed(a.Daemon, a.Sent, a.Ended, harmless...) {
+			for _, r := range c.runs[a.ID] {
+				late = append(late, fmt.Sprintf("%s by daemon %d to %s", a.ID, a.Daemon, r.Server))
+			}
+		}
+	}
+	if len(late) > maxLateAttempts {
+		c.found("BUDGET", "requests with a part under which servers had ended were sent to %d more: %v", len(late), late)
+	}
+	before, after := c.streams(time.Time{}, fifth.Add(-quietPeriod)), c.streams(fifth.Add(2*quarantineBound), last)
+	if after.sent >= minStreams && before.sent >= minStreams && 2*after.fraction() < before.fraction() {
+		c.found("LOST", "%d of %d streams that share parts with crashing requests were answered, %d of %d before", after.answered, after.sent, before.answered, before.sent)
+	}
+}
+
+// minStreams is how many streams a comparison takes.
+const minStreams = 20
+
+// share counts requests and how many of them were answered.
+type share struct{ sent, answered int }
+
+func (s share) fraction() float64 { return float64(s.answered) / float64(s.sent) }
+
+// streams counts the streams that undisturbed daemons were sent between two times, without crashing ones.
+func (c *checker) streams(from, to time.Time) (out share) {
+	for _, a := range c.seen.Requests {
+		if a.Kind != standin.Streaming || a.CrashingPart || a.Body == crashingBody || a.Sent.Before(from) || a.Sent.After(to) || !c.undisturbed(a.Daemon, a.Sent, a.Ended, harmless...) {
+			continue
+		}
+		out.sent++
+		if a.Reply.Status == http.StatusOK {
+			out.answered++
+		}
+	}
+	return out
+}
+
 func (c *checker) afterThird(third time.Time) {
 	var late []string
 	for _, a := range c.seen.Requests {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -20,6 +20,8 @@
 	Target  string
 	Key     string
 	Body    string
+	// CrashingPart is set if the prompt has a part that crashes servers.
+	CrashingPart bool
 	// Added is the number of the configuration that added the route; 0 for a route of the
 	// initial one.
 	Added uint64
--- a/soak/tcpproxy.go
+++ b/soak/tcpproxy.go
@@ -129,6 +129,16 @@
 	clear(l.conns)
 }
 
+// CloseConnections closes all connections.
+func (l *TCPProxy) CloseConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.Close()
+	}
+	clear(l.conns)
+}
+
 // abort closes a connection with a TCP reset.
 func abort(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
