front: chat requests that share a message which crashes servers are stopped

A document or a system prompt that crashes model servers crashed one at each attempt of each chat request that has it, since a crash counted for the whole content. Change: all messages but the last are parts of the request, counted by core/quarantine.PartRegistry, at each daemon for itself: the sums over all daemons hold crash counts, not which crashes and answers they are of, and would confine the other messages, too. Evidence: scenario.TestChatsWithACrashingMessageAreStopped fails without the change to daemon/front and passes with 5 to 8 of 28 servers crashed, all requests with the same system prompt answered. Open: with N daemons up to N times as many crashes.

--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -41,6 +41,10 @@
 		return out
 	}
 	j.rec.Model = req.Model
+	j.setParts(req)
+	if out := j.checkQuarantine(); out != nil {
+		return out
+	}
 	c := &chatJob{job: j, req: req, prefixHash: hashPrefix(req), start: time.Now()}
 	j.atMostOnce = j.r.Header.Get(wire.HeaderRepeat) == wire.RepeatNo
 	if c.session, out = j.findSession(req.Model); out != nil {
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -157,7 +157,14 @@
 	body   []byte
 	// fingerprint identifies the request's content, for the quarantine.
 	fingerprint quarantine.Fingerprint
-	tokens      int
+	// parts are those of the content that other requests may share.
+	parts []quarantine.Part
+	// trial is set if the request is confined for its parts and may be sent to one
+	// server.
+	trial bool
+	// failed is set if the last answer had an error status.
+	failed bool
+	tokens int
 	// attempts counts the attempts so far, without those that a full server
 	// declined.
 	attempts int
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ladderridge.example/core/aggregation"
 	"ladderridge.example/core/attempt"
 	"ladderridge.example/core/fault"
@@ -13,18 +15,21 @@
 	"ladderridge.example/core/route"
 	"ladderridge.example/daemon/backend"
 	"ladderridge.example/daemon/channel"
+	"ladderridge.example/daemon/wire"
 )
 
 // quarantineState detects requests that crash backend servers. The crash counts
 // of all daemons are aggregated; otherwise one request could crash as many servers
-// as the crash threshold allows (three) at each daemon that it is sent to.
+// as the crash threshold allows (three) at each daemon that it is sent to. The
+// crashes of parts of requests are counted by each daemon for itself.
 type quarantineState struct {
 	registry *quarantine.Registry
+	parts    *quarantine.PartRegistry
 	tracker  *quarantine.Tracker
 }
 
 func newQuarantineState() *quarantineState {
-	return &quarantineState{registry: quarantine.NewRegistry(), tracker: quarantine.NewTracker()}
+	return &quarantineState{registry: quarantine.NewRegistry(), parts: quarantine.NewPartRegistry(), tracker: quarantine.NewTracker()}
 }
 
 // crashKey is the key of a request's crash count in the aggregation.
@@ -43,6 +48,9 @@
 	return out
 }
 
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 32
+
 func instanceOf(s *route.Server) quarantine.Instance {
 	return quarantine.Instance{Server: s.ID, Addr: s.Addr}
 }
@@ -53,10 +61,40 @@
 	j.fingerprint = c.Fingerprint()
 }
 
+// setParts sets the parts of a chat request that other requests may share: all
+// messages but the last, such as a system prompt or a document.
+func (j *job) setParts(req wire.ChatRequest) {
+	for _, m := range req.Messages[:max(0, len(req.Messages)-1)] {
+		j.parts = append(j.parts, quarantine.PartOf(req.Model, m.Role+"\x00"+string(m.Content)))
+	}
+	j.trial = j.front.quarantineState.parts.TakeTrial(j.parts, time.Now())
+}
+
+// suspect returns what identifies the request if its server crashes.
+func (j *job) suspect() quarantine.Suspect {
+	return quarantine.Suspect{Content: j.fingerprint, Parts: j.parts}
+}
+
+// checkParts refuses a request with parts that crash servers. A trial is sent to
+// one server.
+func (j *job) checkParts(now time.Time) *refusal {
+	if j.trial && !j.history.MayHaveRun() {
+		return nil
+	}
+	retryAt, ok := j.front.quarantineState.parts.Confined(j.parts, now)
+	if !ok {
+		return nil
+	}
+	return refuse(http.StatusServiceUnavailable, Quarantined, "backend servers have ended under requests with a part of this one: they get no more of them for now").withRetryAfter(retryAt.Sub(now))
+}
+
 // checkQuarantine refuses a request that is quarantined here, or whose crashes
 // over all daemons have reached the threshold.
 func (j *job) checkQuarantine() *refusal {
 	now := time.Now()
+	if out := j.checkParts(now); out != nil {
+		return out
+	}
 	end, quarantined := j.front.quarantineState.registry.Quarantined(j.fingerprint, now)
 	left := end.Sub(now)
 	if !quarantined {
@@ -79,7 +117,7 @@
 		}
 		// The function that aborts the run does nothing, as this platform does not report
 		// when a server started.
-		run = j.front.quarantineState.tracker.Begin(instance, quarantine.Suspect{Content: j.fingerprint}, func() {}, time.Time{}, time.Now())
+		run = j.front.quarantineState.tracker.Begin(instance, j.suspect(), func() {}, time.Time{}, time.Now())
 		return nil
 	}
 	x.OnRelease = func() {
@@ -90,7 +128,11 @@
 		ending := quarantine.Aborted
 		if x.Attempt.Outcome() == attempt.Done {
 			ending = quarantine.Completed
-			j.front.quarantineState.registry.Answered(j.fingerprint, time.Now())
+			now := time.Now()
+			j.front.quarantineState.registry.Answered(j.fingerprint, now)
+			if !j.failed {
+				j.front.quarantineState.parts.Answered(j.parts, now)
+			}
 		}
 		j.front.quarantineState.tracker.End(run, ending, time.Now())
 	}
@@ -121,5 +163,7 @@
 		return
 	}
 	f.quarantineState.registry.RecordServerExit(p.Server, quarantine.Contents(suspects), now)
-	f.Log.Warn().Str("server", p.Server).Int("requests", len(suspects)).Msg("quarantine: server exited with requests in flight")
+	parts := quarantine.Parts(suspects)
+	f.quarantineState.parts.RecordCrash(quarantine.PartCrash{Parts: parts, Server: xxhash.Sum64String(p.Server), At: now}, now)
+	f.Log.Warn().Str("server", p.Server).Int("requests", len(suspects)).Strs("parts", quarantine.PartNames(parts[:min(len(parts), maxLoggedParts)])).Msg("quarantine: server exited with requests in flight")
 }
--- a/daemon/front/send.go
+++ b/daemon/front/send.go
@@ -49,6 +49,7 @@
 		j.reportFailure(x.Server.ID, ref, err)
 		j.front.checkServer(x.Server, err)
 	}
+	j.failed = err == nil && reply.Status >= http.StatusMultipleChoices
 	j.addStep(s)
 	return reply, err
 }
--- a/daemon/scenario/crash_test.go
+++ b/daemon/scenario/crash_test.go
@@ -1,6 +1,7 @@
 package scenario_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -46,3 +47,26 @@
 		t.Errorf("the other daemon: %d %s, %d more servers crashed", got.status, got.body, c.crashes.Load()-before)
 	}
 }
+
+// Guards against a document that crashes each model server that reads it: chat requests that share it,
+// and nothing else, counted on their own. Those that share only the system prompt are served.
+func TestChatsWithACrashingMessageAreStopped(t *testing.T) {
+	c := &cluster{t: t, halls: 1, backends: 28, crashBody: "the roster of the dead"}
+	c.start(1)
+	ask := func(n int, messages string) answer {
+		body := fmt.Sprintf(`{"model":"roster@v1","messages":[{"role":"system","content":"be brief"},%s{"role":"user","content":"question %d"}]}`, messages, n)
+		return c.do("entry-0", http.MethodPost, wire.PathChat, body)
+	}
+	refused := 0
+	for n := range 16 {
+		if got := ask(n, `{"role":"user","content":"`+c.crashBody+`"},`); got.code() == "quarantined" && got.header.Get("Retry-After") != "" {
+			refused++
+		}
+		if got := ask(100+n, ""); got.status != http.StatusOK {
+			t.Errorf("sound request %d: %d %s", n, got.status, got.body)
+		}
+	}
+	if n := c.crashes.Load(); n < 5 || n > 8 || refused < 12 {
+		t.Errorf("%d servers crashed, want 5 to 8; %d of 16 requests refused at once", n, refused)
+	}
+}
