storesync: a daemon whose entry the store has lost writes it again

Cause: the entry was written again when a new era was noticed, by a version later than the known one. A daemon that first reads the list after the restore knows none. Change: a list that was read after the store had accepted the entry and lacks it has the entry written again, every two seconds at most. One call to the store for each loss.

--- a/daemon/storesync/members.go
+++ b/daemon/storesync/members.go
@@ -43,6 +43,7 @@
 			continue
 		}
 		pause = minBackoff
+		sy.publishedAt.Store(time.Now().UnixNano())
 		select {
 		case <-sy.republish:
 		case <-ctx.Done():
@@ -50,6 +51,29 @@
 	}
 }
 
+// relistInterval is the least time between two requests to write the entry of this daemon again.
+const relistInterval = 2 * time.Second
+
+// relist has the entry of this daemon written again if the store has lost it: a list that was read after
+// the store had accepted the entry lacks it.
+func (sy *Syncer) relist(now time.Time) {
+	t, published := sy.topics[gossip.Members], sy.publishedAt.Load()
+	if _, listed := t.rows[sy.Self.ID]; listed || published == 0 || !t.known || !t.confirmed.After(time.Unix(0, published)) || now.Sub(sy.relistedAt) < relistInterval {
+		return
+	}
+	sy.relistedAt = now
+	sy.Log.Warn().Stringer("version", t.version).Msg("storesync: the store has lost the entry of this daemon; it is written again")
+	sy.requestRepublish()
+}
+
+// requestRepublish has the entry of this daemon written again.
+func (sy *Syncer) requestRepublish() {
+	select {
+	case sy.republish <- struct{}{}:
+	default:
+	}
+}
+
 // putMember writes the entry of this daemon once.
 func (sy *Syncer) putMember(ctx context.Context, data []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/daemon/storesync/restore.go
+++ b/daemon/storesync/restore.go
@@ -199,10 +199,7 @@
 	sy.Restores.Add(1)
 	if topic == gossip.Members && now.Sub(sy.startedAt) < maxCopyAge {
 		// The backup copy may be older than the entry of this daemon.
-		select {
-		case sy.republish <- struct{}{}:
-		default:
-		}
+		sy.requestRepublish()
 	}
 }
 
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -120,7 +120,11 @@
 
 	// republish requests that the entry of this daemon is written again. progressLost is set if
 	// the store may lack states of roll-outs.
-	republish    chan struct{}
+	republish chan struct{}
+	// publishedAt is when the store last accepted the entry, in Unix nanoseconds, relistedAt when it was last
+	// found missing.
+	publishedAt  atomic.Int64
+	relistedAt   time.Time
 	progressLost atomic.Bool
 	// leaving has the servers that leave according to their entries, with the era of the store
 	// in which they announced it.
@@ -539,5 +543,6 @@
 	sy.sendUsage(now)
 	sy.advanceRollouts(ctx, now)
 	sy.handleRestore(ctx, now)
+	sy.relist(now)
 	sy.publishView()
 }
