--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -52,6 +52,9 @@
 	for _, cut := range c.seen.Cuts {
 		c.servedWhileCut(cut)
 	}
+	for _, s := range c.seen.Skews {
+		c.servedWhileSkewed(s)
+	}
 	for _, t := range c.seen.Brittle {
 		if float64(t.Falls) > fallSlack+fallFraction*float64(t.Servers) {
 			c.found("LIMIT", "the %d servers of %s fell over %d times in %v in which they said that they bear to refuse %d requests a second", t.Servers, t.Service, t.Falls, t.To.Sub(t.From), t.Bears)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -71,7 +71,11 @@
 func (w *worker) run(ctx context.Context) {
 	defer w.disconnect()
 	for !w.callers.stopped.Load() && ctx.Err() == nil {
-		if w.daemon == nil || w.random.IntN(reconnectOneIn) == 0 {
+		oneIn := reconnectOneIn
+		if w.callers.cluster.preferred.Load() != nil {
+			oneIn = skewReconnectOneIn
+		}
+		if w.daemon == nil || w.random.IntN(oneIn) == 0 {
 			w.connect()
 		}
 		if a := w.send(ctx); a.Reply.Err != nil {
@@ -95,6 +99,9 @@
 		candidates = all
 	}
 	w.daemon = candidates[w.random.IntN(len(candidates))]
+	if to := w.callers.cluster.preferred.Load(); to != nil && to.ready.Load() && w.random.IntN(skewedOneIn) > 0 {
+		w.daemon = to
+	}
 	w.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 }
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -82,6 +82,20 @@
 	stream("last", "c0c0:10,deadbeef:10", true, 28, http.StatusServiceUnavailable)
 }
 
+// skewed adds 20 requests before a time in which most connections go to one daemon, and 20 in it, of which
+// some are answered.
+func skewed(s *soak.Observations, answered int) {
+	s.Skews = append(s.Skews, soak.Skew{Daemon: 0, From: after(20), To: after(30)})
+	for n := range 20 {
+		addRequest(s, fmt.Sprintf("before%d", n), 8, standin.Announcement{})
+		addRequest(s, fmt.Sprintf("during%d", n), 15, standin.Announcement{})
+		if n >= answered {
+			a := &s.Requests[len(s.Requests)-1]
+			a.Reply, s.Runs = standin.Reply{Status: http.StatusServiceUnavailable, Complete: true}, s.Runs[:len(s.Runs)-1]
+		}
+	}
+}
+
 // addRequest adds one more request like that of good, which reaches the same server.
 func addRequest(s *soak.Observations, id string, seconds float64, w standin.Announcement) {
 	a, r := good()
@@ -135,6 +149,8 @@
 		{"", func(s *soak.Observations) { crashingPart(s, 3, 20) }},
 		{"BUDGET", func(s *soak.Observations) { crashingPart(s, 4, 20) }},
 		{"LOST", func(s *soak.Observations) { crashingPart(s, 3, 9) }},
+		{"", func(s *soak.Observations) { skewed(s, 16) }},
+		{"RECOVER", func(s *soak.Observations) { skewed(s, 14) }},
 		{"TWICE", func(s *soak.Observations) { s.Runs = append(s.Runs, s.Runs[0]) }},
 		{"REFUSED", func(s *soak.Observations) { s.Requests[0].Reply = refused }},
 		{"UNASKED", func(s *soak.Observations) { s.Runs[0].Run.ID = "b"; s.Requests[0].Reply = refused }},
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ladderridge.example/core/clock"
@@ -24,7 +25,9 @@
 	daemons  []*daemon
 	// backends lists the backend servers; those that serve models come first.
 	backends []*backend
-	cancel   context.CancelFunc
+	// preferred is the daemon that most new connections go to, nil for none.
+	preferred atomic.Pointer[daemon]
+	cancel    context.CancelFunc
 
 	mu     sync.Mutex
 	config standin.Config
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -89,6 +89,7 @@
 	Left     map[Incarnation]time.Time
 	Rollouts []Rollout
 	Cuts     []ServerCut
+	Skews    []Skew
 	Brittle  []BrittleTime
 	// Crashed holds when a request has crashed a server.
 	Crashed map[Incarnation]time.Time
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,7 +40,7 @@
 	Seed uint64
 	// Daemons is the number of daemons; 0 has the seed determine it.
 	Daemons int
-	// Faults is the number of faults within Length; 0 derives it from Length.
+	// Faults is the number of faults within Length; 0 derives it from Length, -1 is none.
 	Faults int
 	Length time.Duration
 	// Workers is the number of concurrent callers; 0 means three for each daemon.
@@ -63,6 +63,8 @@
 	// BrittleServers has the servers of a service announce that they fail if they refuse too many
 	// requests in a second.
 	BrittleServers bool
+	// SkewedConnections has most new connections go to one daemon at times.
+	SkewedConnections bool
 	// LyingServer makes one server violate a guarantee, which the checks must detect.
 	LyingServer bool
 }
@@ -106,11 +108,19 @@
 	if o.ServerCuts {
 		cutter.start(ctx)
 	}
+	skewer := newSkewer(s, o.Seed)
+	if o.SkewedConnections {
+		skewer.start(ctx)
+	}
 	brittler := newBrittler(s, o.Seed)
 	if o.BrittleServers {
 		brittler.start(ctx)
 	}
 	s.play(ctx, plan)
+	if o.SkewedConnections && len(plan.Faults) == 0 {
+		clock.Wait(ctx, o.Length)
+	}
+	skewer.stop()
 	cutter.stop()
 	brittler.stop()
 	announcer.stop()
