--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -128,17 +128,6 @@
 	}
 }
 
-// Guards against a daemon that refuses most of its callers while it has most of the connections, since
-// the slots of servers that fail if they reject too many requests are divided evenly.
-func TestBrittleServersServeSkewedConnections(t *testing.T) {
-	o := skewOptions(1, 7, 20*time.Second)
-	o.BrittleServers = true
-	report := run(t, o)
-	if len(report.Findings) > 0 {
-		t.Error(report)
-	}
-}
-
 // TestChecksFindLyingServer has one server run requests and report them as not run: an unsafe
 // request then runs twice, or is refused as not run although it ran.
 func TestChecksFindLyingServer(t *testing.T) {
