quarantine, soak: two functions split for the linter

Cause: PartRegistry.update and soak.Run were beyond the linter's bounds. Change: the causes and the stored confinements have functions of their own; the skewed connections begin and end with the plan. Words of a test's model follow the field's.

--- a/core/quarantine/confinement.go
+++ b/core/quarantine/confinement.go
@@ -171,35 +171,17 @@
 func (reg *PartRegistry) update(now time.Time) {
 	candidates, stored := reg.candidates(now)
 	set := &confinements{byPart: map[Part][]*Confinement{}, causes: causes(candidates)}
-	for len(set.all) < maxConfinements {
-		best := bestOf(candidates)
-		if best == nil {
-			break
-		}
-		cause := []*candidate{best}
-		for _, c := range candidates {
-			if c != best && !c.confined && c.known == best.known && sameExits(c.exits, best.exits) {
-				cause = append(cause, c)
-			}
-		}
-		set.add(reg.confinement(cause, candidates))
-		for _, c := range candidates {
-			c.left = slices.DeleteFunc(c.left, func(e exit) bool { return slices.ContainsFunc(best.exits, e.sameAs) })
-		}
-	}
+	reg.confineCauses(set, candidates)
 	// Other parts explain the crashes of the rest. That may be chance, and those that were never
 	// answered are as likely a cause.
 	for _, c := range candidates {
-		if !c.confined && !c.known && len(set.all) < maxConfinements {
+		if !c.confined && !c.known {
 			set.add(reg.confinement([]*candidate{c}, candidates))
 		}
 	}
 	for _, p := range stored {
-		r := reg.records[p]
-		isCandidate := slices.ContainsFunc(candidates, func(c *candidate) bool { return c.part == p })
-		if len(set.all) < maxConfinements && !isCandidate {
-			since := r.until.Add(-Duration)
-			set.add(&Confinement{Parts: []Part{p}, Crashes: len(r.counted(now)), Since: since, Until: r.until, TrialFrom: since.Add(newTrialDelay + reg.trialDelay(p)), trialAt: r.trialAt})
+		if !slices.ContainsFunc(candidates, func(c *candidate) bool { return c.part == p }) {
+			set.add(reg.storedConfinement(p, now))
 		}
 	}
 	if len(set.all) == 0 {
@@ -208,7 +190,36 @@
 	reg.confined.Store(set)
 }
 
+// storedConfinement returns the confinement of a part that was read from the store. The caller holds
+// reg.mu.
+func (reg *PartRegistry) storedConfinement(p Part, now time.Time) *Confinement {
+	r := reg.records[p]
+	since := r.until.Add(-Duration)
+	return &Confinement{Parts: []Part{p}, Crashes: len(r.counted(now)), Since: since, Until: r.until, TrialFrom: since.Add(newTrialDelay + reg.trialDelay(p)), trialAt: r.trialAt}
+}
+
+// confineCauses confines the parts that explain most crashes, until the rest explains too few. The
+// caller holds reg.mu.
+func (reg *PartRegistry) confineCauses(set *confinements, candidates []*candidate) {
+	for best := bestOf(candidates); best != nil; best = bestOf(candidates) {
+		cause := []*candidate{best}
+		for _, c := range candidates {
+			if c != best && !c.confined && c.known == best.known && sameExits(c.exits, best.exits) {
+				cause = append(cause, c)
+			}
+		}
+		set.add(reg.confinement(cause, candidates))
+		for _, c := range candidates {
+			c.left = slices.DeleteFunc(c.left, func(e exit) bool { return slices.ContainsFunc(best.exits, e.sameAs) })
+		}
+	}
+}
+
+// add adds a confinement if there are not too many.
 func (set *confinements) add(c *Confinement) {
+	if len(set.all) >= maxConfinements {
+		return
+	}
 	set.all = append(set.all, c)
 	set.byPart[c.Parts[0]] = append(set.byPart[c.Parts[0]], c)
 }
--- a/core/quarantine/histories_test.go
+++ b/core/quarantine/histories_test.go
@@ -184,7 +184,7 @@
 				c := quarantine.PartCrash{Parts: slices.Compact(parts), Server: server, At: h.now}
 				c.Parts = d.reg.RecordCrash(c, h.now)
 				for n := range 3 {
-					h.after(time.Duration(n)*200*time.Millisecond, func() { h.tell(d, []quarantine.PartCrash{c}, nil) })
+					h.after(time.Duration(n)*200*time.Millisecond, func() { h.notify(d, []quarantine.PartCrash{c}, nil) })
 				}
 			})
 		}
@@ -195,15 +195,15 @@
 	})
 }
 
-// tell sends a message to all other daemons.
-func (h *history) tell(from *modelDaemon, crashes []quarantine.PartCrash, answers []quarantine.PartAnswer) {
+// notify sends a message to all other daemons.
+func (h *history) notify(from *modelDaemon, crashes []quarantine.PartCrash, answers []quarantine.PartAnswer) {
 	for _, d := range h.daemons {
-		h.tellOne(from, d, crashes, answers)
+		h.notifyOne(from, d, crashes, answers)
 	}
 }
 
-// tellOne sends a message to a daemon.
-func (h *history) tellOne(from, to *modelDaemon, crashes []quarantine.PartCrash, answers []quarantine.PartAnswer) {
+// notifyOne sends a message to a daemon.
+func (h *history) notifyOne(from, to *modelDaemon, crashes []quarantine.PartCrash, answers []quarantine.PartAnswer) {
 	if from == to || len(crashes)+len(answers) == 0 || h.now.Before(from.cutUntil) || h.now.Before(to.cutUntil) || h.rng.Float64() < h.loss {
 		return
 	}
@@ -217,12 +217,12 @@
 	})
 }
 
-// tick sends what daemons have to say: answers each time, and the evidence at intervals.
+// tick sends the answers of all daemons, and at intervals their evidence.
 func (h *history) tick(n int) {
 	for _, d := range h.daemons {
 		if answers := d.reg.Announcements(h.now); len(answers) > 0 {
 			for n := range 3 {
-				h.after(time.Duration(n)*200*time.Millisecond, func() { h.tell(d, nil, answers) })
+				h.after(time.Duration(n)*200*time.Millisecond, func() { h.notify(d, nil, answers) })
 			}
 		}
 	}
@@ -234,10 +234,10 @@
 		}
 		for _, d := range h.daemons {
 			crashes, answers := d.reg.Evidence(h.now)
-			h.tellOne(d, reader, crashes, answers)
+			h.notifyOne(d, reader, crashes, answers)
 		}
 		crashes, answers := reader.reg.Evidence(h.now)
-		h.tell(reader, crashes, answers)
+		h.notify(reader, crashes, answers)
 	}
 	h.after(200*time.Millisecond, func() { h.tick(n + 1) })
 }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -13,14 +13,22 @@
 )
 
 // play executes a plan and waits until its last fault has ended.
-func (s *cluster) play(ctx context.Context, p Plan) {
+func (s *cluster) play(ctx context.Context, o Options, p Plan) {
 	started := time.Now()
+	if o.SkewedConnections {
+		skewer := newSkewer(s, o.Seed)
+		skewer.start(ctx)
+		defer skewer.stop()
+	}
 	var running sync.WaitGroup
 	for _, f := range p.Faults {
 		clock.Wait(ctx, time.Until(started.Add(f.At)))
 		running.Go(func() { s.inject(ctx, f) })
 	}
 	running.Wait()
+	if len(p.Faults) == 0 {
+		clock.Wait(ctx, time.Until(started.Add(o.Length)))
+	}
 }
 
 // inject injects one fault and ends it.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -108,19 +108,11 @@
 	if o.ServerCuts {
 		cutter.start(ctx)
 	}
-	skewer := newSkewer(s, o.Seed)
-	if o.SkewedConnections {
-		skewer.start(ctx)
-	}
 	brittler := newBrittler(s, o.Seed)
 	if o.BrittleServers {
 		brittler.start(ctx)
 	}
-	s.play(ctx, plan)
-	if o.SkewedConnections && len(plan.Faults) == 0 {
-		clock.Wait(ctx, o.Length)
-	}
-	skewer.stop()
+	s.play(ctx, o, plan)
 	cutter.stop()
 	brittler.stop()
 	announcer.stop()
