storesync: a list that was sent by mistake is no loss of this daemon's entry

Callers saw: nothing. Cause: the commit that has a lost entry written again took any list without the entry for a loss, also one that another daemon has sent by mistake, and that the store has not confirmed. The daemon then wrote to the store, which hid the mistake from the repair of differences at the same version. Change: the list must have been confirmed since it lacks the entry. A row that the store has lost and others hold for a while counts as missing.

--- a/daemon/storesync/members.go
+++ b/daemon/storesync/members.go
@@ -55,10 +55,20 @@
 const relistInterval = 2 * time.Second
 
 // relist has the entry of this daemon written again if the store has lost it: a list that was read after
-// the store had accepted the entry lacks it.
+// the store had accepted the entry lacks it, and was confirmed since. A list that another daemon has sent
+// by mistake is not confirmed.
 func (sy *Syncer) relist(now time.Time) {
 	t, published := sy.topics[gossip.Members], sy.publishedAt.Load()
-	if _, listed := t.rows[sy.Self.ID]; listed || published == 0 || !t.known || !t.confirmed.After(time.Unix(0, published)) || now.Sub(sy.relistedAt) < relistInterval {
+	// A version of 0 says that the store has lost the row, and that others hold it for a while.
+	row, known := t.rows[sy.Self.ID]
+	switch {
+	case known && row.Version.Number > 0 || published == 0 || !t.known || !t.confirmed.After(time.Unix(0, published)):
+		sy.unlistedSince = time.Time{}
+		return
+	case sy.unlistedSince.IsZero():
+		sy.unlistedSince = now
+		return
+	case !t.confirmed.After(sy.unlistedSince) || now.Sub(sy.relistedAt) < relistInterval:
 		return
 	}
 	sy.relistedAt = now
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -121,11 +121,12 @@
 	// republish requests that the entry of this daemon is written again. progressLost is set if
 	// the store may lack states of roll-outs.
 	republish chan struct{}
-	// publishedAt is when the store last accepted the entry, in Unix nanoseconds, relistedAt when it was last
-	// found missing.
-	publishedAt  atomic.Int64
-	relistedAt   time.Time
-	progressLost atomic.Bool
+	// publishedAt is when the store last accepted the entry, in Unix nanoseconds, unlistedSince since when
+	// the list lacks it, relistedAt when it was last written again for that.
+	publishedAt   atomic.Int64
+	unlistedSince time.Time
+	relistedAt    time.Time
+	progressLost  atomic.Bool
 	// leaving has the servers that leave according to their entries, with the era of the store
 	// in which they announced it.
 	leaving map[fleet.Incarnation]uint64
