storesync: only daemons that saw a crash write the row of its part at once

Callers saw: nothing; found in reading the change once more. Cause: a daemon whose own tick found a confinement wrote its row at once, also if it had not seen a crash: as many calls to the store as daemons that an answer leads to the same confinement. Change: at once only where this daemon has just seen a crash with the part; others take turns, as for whole requests. No test counts these calls.

--- a/daemon/storesync/parts.go
+++ b/daemon/storesync/parts.go
@@ -103,7 +103,7 @@
 			sy.queuePartReport(forward)
 		}
 	}
-	sy.trackConfinements(now, false)
+	sy.trackConfinements(now)
 }
 
 // sendParts sends the queued reports, and at times what is known of suspected parts: a reader to its hall
@@ -112,7 +112,7 @@
 	for _, a := range sy.parts.Announcements(now) {
 		sy.queuePartReport(partReport{answer: a, otherHalls: true, left: crashSendCount})
 	}
-	sy.trackConfinements(now, true)
+	sy.trackConfinements(now)
 	sy.ownPartCrashes = slices.DeleteFunc(sy.ownPartCrashes, func(c quarantine.PartCrash) bool { return now.Sub(c.At) > crashResendWindow })
 	reader, ok := sy.readers.reader()
 	if !sy.reading.Load() && !ok {
@@ -270,7 +270,7 @@
 
 // trackConfinements logs the confinements that begin and end, and schedules the writes of the rows of
 // parts that are confined alone.
-func (sy *Syncer) trackConfinements(now time.Time, own bool) {
+func (sy *Syncer) trackConfinements(now time.Time) {
 	current := map[quarantine.Part]bool{}
 	for _, c := range sy.parts.Confinements(now) {
 		first := c.Parts[0]
@@ -280,7 +280,7 @@
 			sy.Log.Warn().Strs("parts", quarantine.PartNames(c.Parts)).Int("crashes", c.Crashes).Dur("for", c.Until.Sub(now)).Dur("trial_in", c.TrialFrom.Sub(now)).Msg("quarantine: requests with these parts get no server because servers exited under them")
 		}
 		if len(c.Parts) == 1 {
-			sy.trackPartRow(first, now, own)
+			sy.trackPartRow(first, now)
 		}
 	}
 	for p := range sy.confined {
@@ -299,11 +299,13 @@
 	return fmt.Sprintf("%s%0*x", quarantinePrefix, partKeyDigits, uint64(p))
 }
 
-// trackPartRow schedules the write of the row of a part that is confined alone.
-func (sy *Syncer) trackPartRow(p quarantine.Part, now time.Time, own bool) {
+// trackPartRow schedules the write of the row of a part that is confined alone: at once if this daemon
+// has just seen a crash with it, otherwise in turn.
+func (sy *Syncer) trackPartRow(p quarantine.Part, now time.Time) {
 	if _, tracked := sy.partRows[p]; tracked {
 		return
 	}
+	own := slices.ContainsFunc(sy.ownPartCrashes, func(c quarantine.PartCrash) bool { return slices.Contains(c.Parts, p) })
 	c := quarantineRow{due: now, own: own}
 	if !own {
 		c.due = now.Add(sy.writeDelay(canary.RolledBack))
@@ -340,7 +342,7 @@
 		return err
 	}
 	if sy.parts.Confine(quarantine.Part(p), until, now) {
-		sy.trackConfinements(now, false)
+		sy.trackConfinements(now)
 	}
 	return nil
 }
