storesync: daemons with as much but other knowledge of suspected parts are repaired

Callers saw: nothing; found in reading the change once more. Cause: a daemon did not send what it knows of suspected parts to its reader if the reader's last message was as large. Equal sizes were taken for equal content, so that a crash which the reader had missed stayed unknown to it. Change: a checksum of the crashes and parts is compared. Figures: the package's tests of parts, exits and quarantine pass with -race. No test failed before: a case with equal sizes was not built.

--- a/daemon/storesync/parts.go
+++ b/daemon/storesync/parts.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -23,7 +25,7 @@
 const (
 	// partEvidenceInterval is the time between two messages with what is known of suspected parts,
 	// recentEvidenceInterval that for evidenceRecent after a crash. Daemons send it to a reader only if
-	// they know more.
+	// it differs from what the reader knows.
 	partEvidenceInterval   = 5 * time.Second
 	recentEvidenceInterval = time.Second
 	evidenceRecent         = 10 * time.Second
@@ -161,8 +163,8 @@
 		return nil, nil
 	}
 	crashes, answers = sy.parts.Evidence(now)
-	if !sy.reading.Load() && now.Sub(sy.readerReport.at) < readerReportTTL && sy.readerReport.size >= reportSize(crashes, answers) {
-		// The reader knows as much.
+	if at, ok := sy.readerReports[evidenceSum(crashes, answers, now)]; ok && !sy.reading.Load() && now.Sub(at) < readerReportTTL {
+		// The reader knows the same.
 		return nil, nil
 	}
 	recent := slices.ContainsFunc(crashes, func(c quarantine.PartCrash) bool { return now.Sub(c.At) < evidenceRecent }) ||
@@ -174,36 +176,48 @@
 	return crashes, answers
 }
 
-// readerReport is the largest recent message about parts from the reader.
-type readerReport struct {
-	size int
-	at   time.Time
-}
-
 // readerReportTTL is how long a message about parts from the reader shows what it knows.
 const readerReportTTL = 3 * time.Second
 
-// observeReport records the size of a message about parts if it is from the reader.
+// observeReport records what a message about parts holds if it is from the reader.
 func (sy *Syncer) observeReport(from string, r gossip.PartReport, now time.Time) {
-	if reader, ok := sy.readers.reader(); !ok || reader.ID != from {
-		return
+	maps.DeleteFunc(sy.readerReports, func(_ uint64, at time.Time) bool { return now.Sub(at) >= readerReportTTL })
+	if reader, ok := sy.readers.reader(); ok && reader.ID == from {
+		sy.readerReports[reportSum(r)] = now
+	}
+}
+
+// reportSum returns a checksum of the crashes and the answered parts of a report. Times are not part of
+// it, since daemons derive them from ages.
+func reportSum(r gossip.PartReport) uint64 {
+	var sum uint64
+	add := func(server, part uint64) {
+		var b [16]byte
+		binary.LittleEndian.PutUint64(b[:], server)
+		binary.LittleEndian.PutUint64(b[8:], part)
+		sum += xxhash.Sum64(b[:])
 	}
-	size := len(r.Answers)
 	for _, c := range r.Crashes {
-		size += len(c.Parts)
+		for _, p := range c.Parts {
+			add(c.Server, p)
+		}
 	}
-	if size >= sy.readerReport.size || now.Sub(sy.readerReport.at) >= readerReportTTL {
-		sy.readerReport = readerReport{size, now}
+	for _, a := range r.Answers {
+		add(0, a.Part)
 	}
+	return sum
 }
 
-// reportSize returns the size of a message as observeReport counts it.
-func reportSize(crashes []quarantine.PartCrash, answers []quarantine.PartAnswer) int {
-	size := len(answers)
+// evidenceSum returns the checksum of a report of crashes and answers.
+func evidenceSum(crashes []quarantine.PartCrash, answers []quarantine.PartAnswer, now time.Time) uint64 {
+	var m partMessage
 	for _, c := range crashes {
-		size += len(c.Parts)
+		m.add(partReport{crash: c}, now)
+	}
+	for _, a := range answers {
+		m.add(partReport{answer: a}, now)
 	}
-	return size
+	return reportSum(m.report)
 }
 
 // takePartReports returns the queued reports as they fit into a message: all, and those for other halls.
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -236,9 +236,10 @@
 	ownPartCrashes []quarantine.PartCrash
 	partReader     string
 	evidenceSentAt time.Time
-	readerReport   readerReport
-	partRows       map[quarantine.Part]quarantineRow
-	confined       map[quarantine.Part]bool
+	// readerReports has when the reader last sent a report about parts, by its checksum.
+	readerReports map[uint64]time.Time
+	partRows      map[quarantine.Part]quarantineRow
+	confined      map[quarantine.Part]bool
 	// malformedSums has the checksums of rows that could not be decoded, by key, so that each
 	// is logged once.
 	malformedSums map[string]uint64
@@ -287,7 +288,7 @@
 		firstSeen: map[string]time.Time{}, pendingRequests: map[uint64]time.Time{}, subscribers: map[string]time.Time{}, announcedSums: map[gossip.Topic]uint64{}, readers: newReaders(),
 		malformedSums: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), serverLoad: serverload.NewTracker(), limits: newLimits(),
 		entries: map[string]serverEntry{}, starts: map[string]int64{}, registry: quarantine.NewRegistry(), quarantineRows: map[quarantine.Fingerprint]quarantineRow{}, reportedExits: map[uint64]time.Time{},
-		parts: quarantine.NewPartRegistry(), partRows: map[quarantine.Part]quarantineRow{}, confined: map[quarantine.Part]bool{},
+		parts: quarantine.NewPartRegistry(), partRows: map[quarantine.Part]quarantineRow{}, readerReports: map[uint64]time.Time{}, confined: map[quarantine.Part]bool{},
 	}
 	for _, t := range []gossip.Topic{gossip.Operator, gossip.Servers, gossip.Progress, gossip.Members} {
 		sy.topics[t] = newTopicState()
