front: a chat stream is not resumed once its request is quarantined

Callers saw: nothing yet; found in reading the change once more. Cause: a stream that broke off was resumed at other servers without the check that each other attempt makes, so that a crashing request whose answer had begun reached up to maxAttempts servers after its quarantine. Change: the same check before each resumption; the stream ends with the refusal, as one that may have run. No test of this path: the stand-in crashes servers before they answer.

--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -121,6 +121,9 @@
 		if !c.mayRetry() {
 			return c.endWithError(c.failure(cause))
 		}
+		if out := c.checkQuarantine(); out != nil {
+			return c.endWithError(out.withRun(attempt.Unknown))
+		}
 		c.addStep(route.Step{Kind: route.StepResume, Model: ref.Model, Version: ref.Version, Value: float64(c.tokens), Text: cause.Error()})
 		if out := c.decideOn(ref); out != nil {
 			return c.endWithError(out.withRun(attempt.Unknown))
