--- a/core/quarantine/confinement.go
+++ b/core/quarantine/confinement.go
@@ -16,7 +16,7 @@
 	simultaneousExits = 4
 	sameMoment        = 150 * time.Millisecond
 	// seenTrialDelay is how much later a request may pass that has all parts of which one has caused a
-	// crash, if others of its kind may tell more.
+	// crash: the answer to one without them shows more.
 	seenTrialDelay = 8 * time.Second
 	// trialBackoff multiplies the delay for each trial that ended in a crash.
 	trialBackoff = 3
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -55,8 +55,8 @@
 
 // PartRegistry finds out which parts of requests crash servers, and confines the requests that have them.
 // Such a part is in flight at each crash that it causes and is never answered completely. The other parts
-// of the same requests, and those of the requests that happened to be at the same servers, are told from
-// it by their answers, and by crashes without them. It is safe for concurrent use.
+// of the same requests, and those of the requests that happened to be at the same servers, are distinguished
+// from it by their answers, and by crashes without them. It is safe for concurrent use.
 type PartRegistry struct {
 	// TrialDelay, if set, returns how much later than other daemons this one may let a request with a
 	// part pass as a trial, so that one daemon does so at a time. It is set before use.
