--- a/daemon/proxy/engine_test.go
+++ b/daemon/proxy/engine_test.go
@@ -838,6 +838,44 @@
 	})
 }
 
+// Guards against a request whose servers exit right after they have answered it completely: such an exit
+// counted for nobody, and the answer cleared what was counted before.
+func TestServerExitAfterACompleteAnswerIsCounted(t *testing.T) {
+	for name, answer := range map[string]script{"stream": events(1, 3, true), "ends with its connection": unframedAnswer} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newFixture(t)
+				servers := b.servers(24, b.crashing("deadly", 30*time.Millisecond, answer))
+				ask := func(body string) *response {
+					b.known.set(routemap.New(parts(1, "k")), servers...)
+					return b.send(t.Context(), proxy.Request{ID: body, Path: "/stream/x", Key: "k", Body: []byte(body), Timeout: 2 * time.Second})
+				}
+				for range 24 {
+					ask("deadly")
+					ask("sound")
+					time.Sleep(500 * time.Millisecond)
+				}
+				if n := b.ended.Load(); n < quarantine.CrashThreshold || n > quarantine.CrashThreshold+3 {
+					t.Errorf("%d servers exited", n)
+				}
+				if out, refused := ask("deadly").outcome.(proxy.Refused); !refused || out.Reason != proxy.Quarantined {
+					t.Errorf("outcome after %d exits: %#v", b.ended.Load(), out)
+				}
+				if got := ask("sound"); got.status != 200 {
+					t.Errorf("outcome of a sound request: %#v", got.outcome)
+				}
+			})
+		})
+	}
+}
+
+// unframedAnswer answers with an event and ends the answer with the connection.
+func unframedAnswer(c net.Conn, a arrival) bool {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+a.header.Get("Id")+"\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: x\n\n")
+	_ = c.Close()
+	return false
+}
+
 // A request that is aborted at its server runs on for a moment and may crash it: if servers have
 // exited under the request before, this one must be probed.
 func TestServerExitAfterADisconnectIsCounted(t *testing.T) {
