quarantine: log the contents at an exit, and exits right after an answer

When a server exited under a request that it had just answered nothing said so, and the line of an exit did not tell which contents were not counted (counted=0). The tracker keeps requests for a second after their answer, the line has contents and answered, and servers_ended_after_answer_total counts exits at which nothing else was in flight.

--- a/core/quarantine/suspect.go
+++ b/core/quarantine/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +42,13 @@
 	Content Fingerprint
 	// Parts are the parts of the content that other requests may share.
 	Parts []Part
+	// Answered is set if the server had answered the request completely before it crashed.
+	Answered bool
+}
+
+// Unanswered returns the suspects that were not answered.
+func Unanswered(suspects []Suspect) []Suspect {
+	return slices.DeleteFunc(slices.Clone(suspects), func(s Suspect) bool { return s.Answered })
 }
 
 // Contents returns the contents of suspects.
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -11,6 +11,10 @@
 // runs it for a moment longer, and crashes some hundred milliseconds after it began to.
 const crashDelay = 2 * time.Second
 
+// answeredDelay is how long after its complete answer to a request a server may still crash under it:
+// what it does for the request may go on for a moment.
+const answeredDelay = time.Second
+
 // Instance identifies a server process as requests address it.
 type Instance struct {
 	// Server names the incarnation.
@@ -34,8 +38,10 @@
 const (
 	// Aborted means that either end broke the request off, or that it was dropped.
 	Aborted Ending = iota
-	// Completed means that the server answered completely, or declined the request.
-	Completed
+	// Declined means that the server has not run the request.
+	Declined
+	// Answered means that the server answered completely.
+	Answered
 )
 
 // Tracker records which requests this daemon has in flight at which servers, so that the suspects
@@ -50,7 +56,9 @@
 // runs holds the requests at one server.
 type runs struct {
 	open    map[*Run]bool
-	aborted map[Fingerprint]abortedRun
+	aborted map[Fingerprint]endedRun
+	// answered are the requests that were answered within answeredDelay.
+	answered map[Fingerprint]endedRun
 	// probing reports whether a probe of the server is in progress.
 	probing bool
 	// exitedAt is when the process was last found to have exited, or zero. A connection that was
@@ -58,8 +66,8 @@
 	exitedAt time.Time
 }
 
-// abortedRun is a request that was aborted at a server.
-type abortedRun struct {
+// endedRun is a request that has ended at a server.
+type endedRun struct {
 	suspect Suspect
 	at      time.Time
 }
@@ -72,7 +80,9 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker { return &Tracker{at: map[Instance]*runs{}} }
 
-func newRuns() *runs { return &runs{open: map[*Run]bool{}, aborted: map[Fingerprint]abortedRun{}} }
+func newRuns() *runs {
+	return &runs{open: map[*Run]bool{}, aborted: map[Fingerprint]endedRun{}, answered: map[Fingerprint]endedRun{}}
+}
 
 func (t *Tracker) runsAt(inst Instance) *runs {
 	rs := t.at[inst]
@@ -104,8 +114,23 @@
 		return
 	}
 	delete(rs.open, run)
-	if ending == Aborted {
-		rs.aborted[run.suspect.Content] = abortedRun{suspect: run.suspect, at: now}
+	switch ending {
+	case Aborted:
+		rs.aborted[run.suspect.Content] = endedRun{suspect: run.suspect, at: now}
+	case Answered:
+		// The parts may belong to the request's own memory, which is larger.
+		run.suspect.Parts = slices.Clone(run.suspect.Parts)
+		rs.expire(now)
+		rs.answered[run.suspect.Content] = endedRun{suspect: run.suspect, at: now}
+	case Declined:
+	}
+}
+
+// expire drops answers that are too long ago once there are many.
+func (rs *runs) expire(now time.Time) {
+	const many = 16
+	if len(rs.answered) >= many {
+		maps.DeleteFunc(rs.answered, func(_ Fingerprint, run endedRun) bool { return now.Sub(run.at) >= answeredDelay })
 	}
 }
 
@@ -147,12 +172,19 @@
 }
 
 // TakeSuspects returns the requests that were in flight at a server that has exited, or were
-// aborted there shortly before. Each is returned once.
+// aborted or answered there shortly before. Each is returned once.
 func (t *Tracker) TakeSuspects(inst Instance, now time.Time) []Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rs := t.runsAt(inst)
 	found := map[Fingerprint]Suspect{}
+	for f, run := range rs.answered {
+		if now.Sub(run.at) < answeredDelay {
+			s := run.suspect
+			s.Answered = true
+			found[f] = s
+		}
+	}
 	for run := range rs.open {
 		found[run.suspect.Content] = run.suspect
 	}
@@ -214,9 +246,10 @@
 	}
 	t.swept = now
 	for _, rs := range t.at {
-		maps.DeleteFunc(rs.aborted, func(_ Fingerprint, run abortedRun) bool { return now.Sub(run.at) >= crashDelay })
+		maps.DeleteFunc(rs.aborted, func(_ Fingerprint, run endedRun) bool { return now.Sub(run.at) >= crashDelay })
+		maps.DeleteFunc(rs.answered, func(_ Fingerprint, run endedRun) bool { return now.Sub(run.at) >= answeredDelay })
 	}
 	maps.DeleteFunc(t.at, func(_ Instance, rs *runs) bool {
-		return len(rs.open)+len(rs.aborted) == 0 && !rs.probing && now.Sub(rs.exitedAt) >= exitRetention
+		return len(rs.open)+len(rs.aborted)+len(rs.answered) == 0 && !rs.probing && now.Sub(rs.exitedAt) >= exitRetention
 	})
 }
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -17,7 +17,7 @@
 		runs = append(runs, r.Begin(p, quarantine.Suspect{Content: f}, func() { cancelled++ }, time.Time{}, start))
 	}
 	r.Begin(other, quarantine.Suspect{Content: 9}, func() { cancelled++ }, time.Time{}, start)
-	r.End(runs[1], quarantine.Completed, start)
+	r.End(runs[1], quarantine.Declined, start)
 	r.End(runs[2], quarantine.Aborted, start)
 	r.End(runs[3], quarantine.Aborted, start.Add(3*time.Second))
 	if r.CancelAll(p); cancelled != 2 {
@@ -77,7 +77,7 @@
 	if !slices.Equal(got, []quarantine.Fingerprint{2, 3}) {
 		t.Errorf("suspects of the restart: %v", got)
 	}
-	r.End(later, quarantine.Completed, restart)
+	r.End(later, quarantine.Declined, restart)
 	r.End(crashing, quarantine.Aborted, restart)
 	if got := quarantine.Contents(r.TakeSuspects(r.InstanceOf(crashing), restart)); r.InstanceOf(crashing) != is || !slices.Equal(got, []quarantine.Fingerprint{5}) {
 		t.Errorf("suspects of the crash of the new process: %v, at %v", got, r.InstanceOf(crashing))
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -127,7 +127,7 @@
 		}
 		ending := quarantine.Aborted
 		if x.Attempt.Outcome() == attempt.Done {
-			ending = quarantine.Completed
+			ending = quarantine.Answered
 			now := time.Now()
 			j.front.quarantineState.registry.Answered(j.fingerprint, now)
 			if !j.failed {
@@ -158,7 +158,7 @@
 // that exited.
 func (f *Front) serverExited(p quarantine.Instance) {
 	now := time.Now()
-	suspects := f.quarantineState.tracker.TakeSuspects(p, now)
+	suspects := quarantine.Unanswered(f.quarantineState.tracker.TakeSuspects(p, now))
 	if len(suspects) == 0 {
 		return
 	}
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -44,9 +44,11 @@
 	cancel context.CancelFunc
 	ended  bool
 	// run tracks the request at its server from the time when it may have reached it; complete
-	// is set when the server has answered completely or declined.
+	// is set when the server has answered completely or declined, answered when it has answered with
+	// success.
 	run      *quarantine.Run
 	complete bool
+	answered bool
 	// latencyKey identifies the latency estimate of the attempt: route and model.
 	latencyKey string
 	// relative is the time to the first part divided by the typical time, 0 if that is unknown.
--- a/daemon/proxy/server_exit.go
+++ b/daemon/proxy/server_exit.go
@@ -46,8 +46,11 @@
 		return
 	}
 	how := quarantine.Aborted
-	if a.complete {
-		how = quarantine.Completed
+	switch {
+	case a.answered:
+		how = quarantine.Answered
+	case a.complete:
+		how = quarantine.Declined
 	}
 	j.engine.runs.End(a.run, how, time.Now())
 	if how == quarantine.Aborted && j.view.Suspected(j.suspect(), time.Now()) {
@@ -63,6 +66,7 @@
 	if a.reply.Status >= http.StatusMultipleChoices {
 		return
 	}
+	a.answered = a.complete
 	s := j.suspect()
 	answered := func() { j.engine.StoreSync.Answered(s) }
 	switch {
--- a/daemon/storesync/quarantine.go
+++ b/daemon/storesync/quarantine.go
@@ -70,16 +70,22 @@
 // RecordServerExit counts the exit of a server against the requests in flight there, and
 // notifies the other daemons.
 func (sy *Syncer) RecordServerExit(server string, suspects []quarantine.Suspect) {
+	all := suspects
+	suspects = quarantine.Unanswered(all)
 	e := crashesObserved{crashes: sy.registry.RecordServerExit(server, quarantine.Contents(suspects), time.Now())}
 	sy.recordPartCrash(server, suspects, time.Now())
-	sy.ServerExits.Add(1)
-	sy.Log.Warn().Str("server", server).Int("requests", len(suspects)).Int("counted", len(e.crashes)).Strs("parts", loggedParts(suspects)).Msg("quarantine: server exited with requests in flight")
+	if len(suspects) > 0 {
+		sy.ServerExits.Add(1)
+	} else {
+		sy.ExitsAfterAnswer.Add(1)
+	}
+	sy.Log.Warn().Str("server", server).Int("requests", len(all)).Int("answered", len(all)-len(suspects)).Int("counted", len(e.crashes)).Strs("contents", loggedContents(all)).Strs("parts", loggedParts(all)).Msg("quarantine: server exited with requests in flight")
 	if len(e.crashes) > 0 {
 		sy.enqueue(e)
 	}
 }
 
-// maxLoggedParts bounds the parts in a log line.
+// maxLoggedParts bounds the parts, and the contents, in a log line.
 const maxLoggedParts = 32
 
 // loggedParts returns the parts of the requests that were in flight at an exit, for its log line.
@@ -88,6 +94,15 @@
 	return quarantine.PartNames(parts[:min(len(parts), maxLoggedParts)])
 }
 
+// loggedContents returns the contents of the requests that were in flight at an exit, for its log line.
+func loggedContents(suspects []quarantine.Suspect) []string {
+	var out []string
+	for _, f := range quarantine.Contents(suspects[:min(len(suspects), maxLoggedParts)]) {
+		out = append(out, f.String())
+	}
+	return out
+}
+
 // Answered records a request that a server has answered completely.
 func (sy *Syncer) Answered(s quarantine.Suspect) {
 	now := time.Now()
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -117,6 +117,8 @@
 	// ServerExits counts servers that exited while requests of this daemon were in flight
 	// there.
 	ServerExits atomic.Int64
+	// ExitsAfterAnswer counts those at which all of these requests had just been answered.
+	ExitsAfterAnswer atomic.Int64
 
 	// republish requests that the entry of this daemon is written again. progressLost is set if
 	// the store may lack states of roll-outs.
