proxy: a server that exits right after an answer counts against the request

Cause: a complete answer ended the run, so that the exit had no suspect, and it cleared the crashes that were counted. Nobody noticed the exit while the connection was idle.

An idle connection is read from, so that its end is known at once; the server is then probed if it has just answered. So is one whose answer ends with its connection, and one whose kept connection broke before anything was sent.

--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -38,6 +38,9 @@
 	keepAlive time.Duration
 	// userTimeout is how long bytes may remain unacknowledged.
 	userTimeout time.Duration
+	// watched is closed when the idle connection is not read from any more, ended is set if it has ended.
+	watched chan struct{}
+	ended   bool
 	// reason says why the connection leads through another daemon, if it does.
 	reason string
 }
@@ -63,7 +66,7 @@
 	if c.keepAlive > 0 {
 		limit = min(limit, c.keepAlive-keepAliveMargin)
 	}
-	return now.Sub(c.idleSince) < limit && c.read.Buffered() == 0 && c.nothingReceived()
+	return !c.ended && now.Sub(c.idleSince) < limit && c.read.Buffered() == 0 && c.nothingReceived()
 }
 
 // nothingReceived reports whether the server has neither sent bytes nor closed
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -105,6 +105,8 @@
 	// OnPathChange is called when the servers are lost to this daemon, or
 	// reached again; may be nil.
 	OnPathChange func(reach.Change)
+	// OnIdleEnded is called when a server has ended an idle connection; may be nil.
+	OnIdleEnded func(addr string)
 
 	// Opened counts new connections, Reused requests on idle ones, and Surplus
 	// answers that belonged to no request.
@@ -187,6 +189,11 @@
 		c := kept[len(kept)-1]
 		p.idle[addr] = kept[:len(kept)-1]
 		p.mu.Unlock()
+		if c.stopWatching(); c.ended {
+			c.close()
+			p.idleEnded(addr, nil)
+			continue
+		}
 		if c.reusable(now, maxIdle) && (p.Relay == nil || p.Paths.MayReuse(addr, c.idleSince, now)) {
 			return c
 		}
@@ -196,10 +203,11 @@
 
 // putIdle returns a connection to the pool after a complete answer.
 func (p *Pool) putIdle(addr string, c *persistentConn) {
-	c.idleSince = time.Now()
+	c.idleSince, c.watched = time.Now(), make(chan struct{})
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.idle[addr] = append(p.idle[addr], c)
+	p.mu.Unlock()
+	go p.watchIdle(addr, c)
 }
 
 // sweepInterval is the interval between two sweeps of idle connections.
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -108,6 +108,7 @@
 // connections of the requests still in progress.
 func (f *Front) Run(ctx context.Context) error {
 	f.slowReader.Log = f.Log
+	f.Backend.Pool.OnIdleEnded = f.idleConnectionEnded
 	l := f.Listener
 	f.Listener = nil
 	if l == nil {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -157,6 +157,7 @@
 	g.engine.OnLimitChange, g.syncer.OnLimitChange = g.onLimitChange, g.reporter.logLimitChange
 	g.engine.OnRejectionBound = g.reporter.logRejectionBound
 	g.engine.Budget = &retry.Budget{Seed: g.Start}
+	g.channels.OnIdleEnded = g.engine.IdleConnectionEnded
 	g.syncer.OnServerRestart = g.engine.ServerRestarted
 	g.syncer.Exposure = canary.Exposure{Share: s.ExposureShare, Slack: s.ExposureSlack}
 	g.syncer.Regions, g.syncer.ColdOverage, g.syncer.ColdSlack = s.Regions.ByHall(), s.ColdOverage, s.ColdSlack
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -327,6 +327,9 @@
 	var e *channel.Error
 	if errors.As(a.err, &e) && e.Kind.NotRun() {
 		a.result, a.complete = declined, true
+		if a.path.Reused {
+			j.engine.IdleConnectionEnded(a.server.Addr)
+		}
 		if fault.Is(a.err, channel.Unreachable) && j.live() {
 			j.recordFailure(a, a.err, now)
 		}
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -156,6 +156,7 @@
 		pool.Sweep(func(string) bool { return false })
 	})
 	b.engine = proxy.New()
+	pool.OnIdleEnded = b.engine.IdleConnectionEnded
 	b.engine.StoreSync, b.engine.Channels, b.engine.Dialect = b.known, pool, dialect{}
 	b.engine.Budget = &retry.Budget{Ratio: 2, Window: 10 * time.Second, Slack: 800}
 	b.engine.SetKeyAge(4*time.Second, 0)
