soak: the crashing request is answered first, or its servers crash after their answers

Of the odd seeds one in three answers it four times first, and one in three has its servers crash 30 ms after their answers.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -88,11 +88,17 @@
 		r.Events, r.Confidence = streamEvents, map[string]int{smallModel: 40, largeModel: 90}
 	}
 	r.OnRun = func(run standin.Run) {
-		b.cluster.recorder.ran(Execution{Run: run, Server: r.ID, Service: b.service, Version: b.version, Start: start, At: time.Now()})
-		if crashes(run) {
+		crash := b.cluster.crashes(run)
+		b.cluster.recorder.ran(Execution{Run: run, Server: r.ID, Service: b.service, Version: b.version, Start: start, At: time.Now(), Spared: crash == spared})
+		if crash == atStart {
 			go b.crashByRequest(hasCrashingPart(run))
 		}
 	}
+	r.OnEnd = func(run standin.Run) {
+		if crashes(run) && b.cluster.crashesAfterAnswer(run) {
+			time.AfterFunc(crashAfterAnswer, func() { b.crashByRequest(true) })
+		}
+	}
 	r.OnArrival = func(id string, w standin.Announcement) {
 		b.cluster.recorder.arrived(Arrival{ID: id, Server: r.ID, Start: start, Announcement: w, At: time.Now()})
 	}
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -33,6 +33,44 @@
 
 func hasCrashingPart(r standin.Run) bool { return strings.Contains(r.Prompt, crashingPart) }
 
+// crashTime is when a run crashes its server.
+type crashTime int
+
+const (
+	spared crashTime = iota
+	atStart
+	afterAnswer
+)
+
+const (
+	// answersBefore is how many runs are answered first by some seeds.
+	answersBefore = 4
+	// crashAfterAnswer is how long after its response a server crashes by others.
+	crashAfterAnswer = 30 * time.Millisecond
+)
+
+// crashes returns when a run that has just started crashes its server. Of the odd seeds one in three has
+// the request answered before it begins to crash servers, and one in three has servers crash after their
+// answers.
+func (s *cluster) crashes(r standin.Run) crashTime {
+	switch {
+	case !crashes(r):
+		return spared
+	case hasCrashingPart(r):
+		return atStart
+	case s.seed/2%3 == 1 && s.crashingRuns.Add(1) <= answersBefore:
+		return spared
+	case s.crashesAfterAnswer(r):
+		return afterAnswer
+	}
+	return atStart
+}
+
+// crashesAfterAnswer reports whether a run crashes its server after its response.
+func (s *cluster) crashesAfterAnswer(r standin.Run) bool {
+	return !hasCrashingPart(r) && s.seed/2%3 == 2
+}
+
 // crasher is a caller that repeatedly sends requests that crash servers, to any daemon: by odd seeds the
 // same one, by even seeds different ones that share one part of their prompts.
 type crasher struct {
@@ -153,7 +191,7 @@
 	ended := map[start]bool{}
 	for _, r := range c.seen.Runs {
 		of := start{r.Server, r.Start}
-		if !crashes(r.Run) || ended[of] {
+		if !crashes(r.Run) || r.Spared || ended[of] {
 			continue
 		}
 		ended[of] = true
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -46,6 +46,8 @@
 	// Start counts the starts of the server.
 	Start int
 	At    time.Time
+	// Spared is set if a run of a crashing request has not crashed the server.
+	Spared bool
 }
 
 // Incarnation is one start of a server. A server that restarts under the same id is a new
