--- a/daemon/storesync/quarantine_test.go
+++ b/daemon/storesync/quarantine_test.go
@@ -167,3 +167,35 @@
 		}
 	})
 }
+
+// Guards against daemons that count crashes which an answer at another daemon has cleared, and against an
+// answer by one version that clears the crashes of another.
+func TestAnswersOfAContentAreKnownToAllDaemonsByGroup(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCluster(t)
+		s.writeConfig(1, "k")
+		daemons := startTwoHalls(s, 1)
+		advance(3 * time.Second)
+		crash := func(n int) {
+			daemons[n%len(daemons)].RecordServerExit(fmt.Sprintf("i-%d", n), []quarantine.Suspect{{Content: crashingRequest, Group: 1}})
+			advance(time.Second)
+		}
+		answer := func(g quarantine.Group) {
+			daemons[5].Answered("i-99", quarantine.Suspect{Content: crashingRequest, Group: g})
+			advance(2 * time.Second)
+		}
+		crash(0)
+		crash(1)
+		answer(1)
+		crash(2)
+		crash(3)
+		if got := quarantineCount(daemons...); got > 0 {
+			t.Errorf("%d daemons quarantine the request after two crashes since its last answer", got)
+		}
+		answer(2)
+		crash(4)
+		if got := quarantineCount(daemons...); got != len(daemons) {
+			t.Errorf("%d of %d daemons quarantine the request after three crashes without an answer of that version", got, len(daemons))
+		}
+	})
+}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -27,9 +27,9 @@
 	backends []*backend
 	// preferred is the daemon that most new connections go to, nil for none.
 	preferred atomic.Pointer[daemon]
-	// crashingRuns counts the runs of the crashing request.
-	crashingRuns atomic.Int64
-	cancel       context.CancelFunc
+	// armed is set when the crashing request begins to crash servers.
+	armed  atomic.Bool
+	cancel context.CancelFunc
 
 	mu     sync.Mutex
 	config standin.Config
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -42,15 +42,11 @@
 	afterAnswer
 )
 
-const (
-	// answersBefore is how many runs are answered first by some seeds.
-	answersBefore = 4
-	// crashAfterAnswer is how long after its response a server crashes by others.
-	crashAfterAnswer = 30 * time.Millisecond
-)
+// crashAfterAnswer is how long after its response a server crashes by some seeds.
+const crashAfterAnswer = 30 * time.Millisecond
 
 // crashes returns when a run that has just started crashes its server. Of the odd seeds one in three has
-// the request answered before it begins to crash servers, and one in three has servers crash after their
+// the request answered through each daemon before it begins to crash servers, and one in three has servers crash after their
 // answers.
 func (s *cluster) crashes(r standin.Run) crashTime {
 	switch {
@@ -58,7 +54,7 @@
 		return spared
 	case hasCrashingPart(r):
 		return atStart
-	case s.seed/2%3 == 1 && s.crashingRuns.Add(1) <= answersBefore:
+	case s.answersFirst() && !s.armed.Load():
 		return spared
 	case s.crashesAfterAnswer(r):
 		return afterAnswer
@@ -66,6 +62,8 @@
 	return atStart
 }
 
+func (s *cluster) answersFirst() bool { return s.seed/2%3 == 1 }
+
 // crashesAfterAnswer reports whether a run crashes its server after its response.
 func (s *cluster) crashesAfterAnswer(r standin.Run) bool {
 	return !hasCrashingPart(r) && s.seed/2%3 == 2
@@ -110,6 +108,10 @@
 
 func (d *crasher) send(ctx context.Context, n int) {
 	to := d.cluster.daemons[d.random.IntN(len(d.cluster.daemons))]
+	if d.cluster.answersFirst() && n < len(d.cluster.daemons) {
+		to = d.cluster.daemons[n]
+	}
+	d.cluster.armed.Store(n >= len(d.cluster.daemons))
 	a := Request{
 		ID: fmt.Sprintf("deadly%d-%d", d.seed, n), Kind: standin.Streaming, Service: modelStream, Method: http.MethodPost,
 		Target: streamRoute + "deadly", Key: keyName(0), Body: crashingBody, Limit: streamLimit, Daemon: to.number, Process: to.processNumber(), Sent: time.Now(),
