--- a/soak/backend.go
+++ b/soak/backend.go
@@ -95,7 +95,7 @@
 		}
 	}
 	r.OnEnd = func(run standin.Run) {
-		if crashes(run) && b.cluster.crashesAfterAnswer(run) {
+		if b.cluster.crashes(run) == afterAnswer {
 			time.AfterFunc(crashAfterAnswer, func() { b.crashByRequest(true) })
 		}
 	}
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -46,8 +46,8 @@
 const crashAfterAnswer = 30 * time.Millisecond
 
 // crashes returns when a run that has just started crashes its server. Of the odd seeds one in three has
-// the request answered through each daemon before it begins to crash servers, and one in three has servers crash after their
-// answers.
+// the request answered through each daemon before it begins to crash servers, and one in three has servers
+// crash after the answers of the larger model: that of the smaller one is dropped.
 func (s *cluster) crashes(r standin.Run) crashTime {
 	switch {
 	case !crashes(r):
@@ -56,18 +56,17 @@
 		return atStart
 	case s.answersFirst() && !s.armed.Load():
 		return spared
-	case s.crashesAfterAnswer(r):
+	case !s.crashesAfterAnswers():
+		return atStart
+	case r.Model == largeModel:
 		return afterAnswer
 	}
-	return atStart
+	return spared
 }
 
 func (s *cluster) answersFirst() bool { return s.seed/2%3 == 1 }
 
-// crashesAfterAnswer reports whether a run crashes its server after its response.
-func (s *cluster) crashesAfterAnswer(r standin.Run) bool {
-	return !hasCrashingPart(r) && s.seed/2%3 == 2
-}
+func (s *cluster) crashesAfterAnswers() bool { return s.seed/2%3 == 2 }
 
 // crasher is a caller that repeatedly sends requests that crash servers, to any daemon: by odd seeds the
 // same one, by even seeds different ones that share one part of their prompts.
