storesync: lines about a quarantined content name it under the key content again

The line of a request that enters quarantine had its content under parts since contents and parts share their code. Keys of log lines do not change; OPERATIONS says content.

--- a/daemon/storesync/crashes.go
+++ b/daemon/storesync/crashes.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
 
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/gossip"
@@ -391,7 +392,7 @@
 		current[first] = true
 		if !cs.confined[first] {
 			cs.confined[first] = true
-			sy.Log.Warn().Strs("parts", quarantine.PartNames(c.Parts)).Int("crashes", c.Crashes).Dur("for", c.Until.Sub(now)).Dur("trial_in", c.TrialFrom.Sub(now)).Msg(cs.started)
+			cs.named(sy.Log.Warn(), c.Parts).Int("crashes", c.Crashes).Dur("for", c.Until.Sub(now)).Dur("trial_in", c.TrialFrom.Sub(now)).Msg(cs.started)
 		}
 		if len(c.Parts) == 1 {
 			sy.trackRow(cs, first, now)
@@ -400,7 +401,7 @@
 	for p := range cs.confined {
 		if !current[p] {
 			delete(cs.confined, p)
-			sy.Log.Info().Stringer("part", p).Msg(cs.ended)
+			cs.named(sy.Log.Info(), []quarantine.Part{p}).Msg(cs.ended)
 		}
 	}
 }
@@ -413,6 +414,17 @@
 	return fmt.Sprintf("%s%0*x", quarantinePrefix, partKeyDigits, uint64(p))
 }
 
+// named adds a content, or parts, to a log line.
+func (cs *confinementSync) named(e *log.Entry, parts []quarantine.Part) *log.Entry {
+	switch {
+	case cs.topic == gossip.Contents:
+		return e.Stringer("content", parts[0])
+	case len(parts) == 1:
+		e = e.Stringer("part", parts[0])
+	}
+	return e.Strs("parts", quarantine.PartNames(parts))
+}
+
 // trackRow schedules the write of the row of a part that is confined alone: at once if this daemon
 // has just seen a crash with it, otherwise in turn.
 func (sy *Syncer) trackRow(cs *confinementSync, p quarantine.Part, now time.Time) {
