review: case 3, one spoiled answer takes a daemon over its memory

A runner that sends zero bytes in place of an answer takes a daemon from 25 MB over the 284 MB of its machine within one or two seconds, since the head of an answer has no largest size. The platform kills the process, with all requests that it had taken in (Fault).

A stand-in of the platform kills a process above 284 MB and starts it again.

--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,9 @@
 	"time"
 )
 
+// errNoChannel is the error of a request whose channel could not be opened.
+var errNoChannel = errors.New("no channel")
+
 // consumer is a stand-in of a consumer with one kept channel.
 type consumer struct {
 	front string
@@ -74,7 +78,7 @@
 // do sends a request on the kept channel and reads its answer.
 func (c *consumer) do(method, path, id string, deadline time.Duration, body string, more ...string) reply {
 	if err := c.open(); err != nil {
-		return reply{err: err}
+		return reply{err: fmt.Errorf("%w: %w", errNoChannel, err)}
 	}
 	if _, err := io.WriteString(c.conn, head(method, path, id, deadline, len(body), more...)+body); err != nil {
 		c.close()
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -86,6 +87,9 @@
 	front     string
 	readiness string
 	cmd       *exec.Cmd
+	program   string
+	file      string
+	log       *os.File
 }
 
 // startDeployment starts the store and the daemons of each zone, and waits until all are ready.
@@ -127,12 +131,33 @@
 	if err != nil {
 		return nil, err
 	}
-	d.cmd = exec.Command(program, "gateway")
-	d.cmd.Env = append(os.Environ(), "LADDERRIDGE_NODE_FILE="+file)
-	d.cmd.Stdout, d.cmd.Stderr = log, log
+	d.program, d.file, d.log = program, file, log
+	return d, d.start()
+}
+
+// start starts the process.
+func (d *daemon) start() error {
+	d.cmd = exec.Command(d.program, "gateway")
+	d.cmd.Env = append(os.Environ(), "LADDERRIDGE_NODE_FILE="+d.file)
+	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
 	// The daemon ends with this process, however that ends.
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	return d, d.cmd.Start()
+	return d.cmd.Start()
+}
+
+// restart kills the process, and starts it again after a pause, with the settings of a later start.
+func (d *daemon) restart(after time.Duration) error {
+	_ = d.cmd.Process.Kill()
+	_ = d.cmd.Wait()
+	text, err := os.ReadFile(d.file)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(d.file, bytes.Replace(text, []byte("first = true"), []byte("first = false"), 1), 0o600); err != nil {
+		return err
+	}
+	time.Sleep(after)
+	return d.start()
 }
 
 // awaitReady waits until each daemon has answered its readiness check with 200.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,7 +37,7 @@
 		os.Exit(notRun)
 	}
 	r := &run{trouble: os.Getenv("TROUBLE") != "0", program: *program, record: rec}
-	play, ok := map[string]func(*run) (int, error){"surplus": surplusCase, "resume": resumeCase}[*name]
+	play, ok := map[string]func(*run) (int, error){"surplus": surplusCase, "resume": resumeCase, "zeros": zerosCase}[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(notRun)
@@ -70,6 +70,13 @@
 	return out
 }
 
+// modelEngine returns the engine of a service of model runners.
+func modelEngine() map[string]any {
+	return map[string]any{"slots": modelSlots, "kvTokens": 439367, "kvBytes": 18432, "models": []map[string]any{
+		{"name": models[0], "cost": 0.018}, {"name": models[1], "cost": 0.13}, {"name": models[2], "cost": 0.27},
+	}}
+}
+
 // config returns a configuration with the given routes and services.
 func config(services []string, routes ...map[string]any) map[string]any {
 	var list []map[string]any
--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -103,9 +103,7 @@
 		streaming := route("explain", "/explain/", "streaming", "ladder-llm", routeTimeout)
 		streaming["sizes"] = models
 		c := config([]string{"ladder-llm"}, streaming)
-		c["services"].([]map[string]any)[0]["engine"] = map[string]any{"slots": modelSlots, "kvTokens": 439367, "kvBytes": 18432, "models": []map[string]any{
-			{"name": models[0], "cost": 0.018}, {"name": models[1], "cost": 0.13}, {"name": models[2], "cost": 0.27},
-		}}
+		c["services"].([]map[string]any)[0]["engine"] = modelEngine()
 		return s.Set("op", "config", c)
 	})
 	defer d.stop()
