--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return d, err
 	}
-	go func() { _ = http.Serve(l, d.store) }()
+	go func() { _ = http.Serve(l, withoutEra(d.store)) }()
 	if err := configure(d.store); err != nil {
 		return d, err
 	}
@@ -119,6 +119,20 @@
 	return d, d.awaitReady()
 }
 
+// withoutEra serves a store without the header Store-Era, which the pages for these sites don't name.
+func withoutEra(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { store.ServeHTTP(&eraless{w}, r) })
+}
+
+// eraless is a response without the header Store-Era.
+type eraless struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (e *eraless) WriteHeader(status int) {
+	e.Header().Del("Store-Era")
+	e.ResponseWriter.WriteHeader(status)
+}
+
 // startDaemon starts a daemon of a zone by the command of the deploy file.
 func startDaemon(dir, program, zone string, n int, store string) (*daemon, error) {
 	d := &daemon{id: fmt.Sprintf("front-%s-%d", zone, n), front: freeAddr(), readiness: freeAddr()}
