proxy: another answer in place of the rest of a stream is dropped

Cause: handleAttempt sent each answer of 300 or more to forwardBuffered, also that of a server at which a stream was to be continued. Three ways led from there behind the caller's events: a failure of 500 or more when the daemon's deadline had just ended, which is when a server that stops at its deadline answers; any answer from 300 to 499; any answer that is forwarded as it arrives, because it is long or too many others are buffered. All ended as Answered, so that the front end ended the answer regularly.

Why this works: what can be sent is a type for each stage. A status and a body need an unsent response; once a stream has begun there is only a callerStream, which takes events. What is sent to servers, and when, is as before.

--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -111,13 +111,10 @@
 }
 
 // recheck verifies, immediately before an attempt is sent, that the latest configuration
-// still routes the request to the service. A response that the caller has received in part is
-// completed under the configuration under which it started, and the key is not checked again
-// under a configuration that has already accepted it.
+// still routes the request to the service. The key is not checked again under a configuration that
+// has already accepted it. A stream that the caller has received in part is not checked: it is
+// completed under the configuration under which it started.
 func (j *job) recheck(now time.Time) Outcome {
-	if j.responseStarted {
-		return nil
-	}
 	route, ok := j.view.Map.Match(j.request.Host, j.request.Path)
 	if !ok {
 		return Refused{Reason: NoRoute}
@@ -140,10 +137,11 @@
 	return j.route.Cascade[min(j.step.Index, len(j.route.Cascade)-1)]
 }
 
-// open sends the request to a server and reads the response head. It aborts the attempt after
-// timeout, if that is set and the retry budget allows another attempt.
-func (j *job) open(ctx context.Context, s *fleet.Server, timeout time.Duration) *attempt {
-	a := &attempt{server: s, model: j.model(), sent: time.Now(), lastEvent: j.lastEvent}
+// open sends the request to a server, to be answered after the event with the id lastEvent, and reads
+// the response head. It aborts the attempt after timeout, if that is set and the retry budget allows
+// another attempt.
+func (j *job) open(ctx context.Context, s *fleet.Server, timeout time.Duration, lastEvent int64) *attempt {
+	a := &attempt{server: s, model: j.model(), sent: time.Now(), lastEvent: lastEvent}
 	a.latencyKey = j.latencyKeyOf(a.model)
 	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
 	ctx, a.cancel = context.WithCancel(ctx)
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -46,7 +46,7 @@
 	return bytes, true
 }
 
-// bufferedResponse is a server's complete response.
+// bufferedResponse is a server's complete response, with the headers that the caller gets.
 type bufferedResponse struct {
 	status int
 	header http.Header
@@ -55,46 +55,52 @@
 
 // forwardBuffered reads a response to its end and forwards it, or returns the reason why the
 // request is retried.
-func (j *job) forwardBuffered(ctx context.Context, a *attempt) (Outcome, Reason) {
+func (j *job) forwardBuffered(ctx context.Context, a *attempt, w unsent) (Outcome, Reason) {
 	defer j.finish(a)
 	held, ok := j.engine.reserveBuffer(a.reply.Length)
 	if !ok {
-		return j.forwardUnbuffered(a, nil)
+		return j.forwardUnbuffered(a, w, nil), ""
 	}
 	defer j.engine.buffered.Add(-held)
 	body, err := io.ReadAll(io.LimitReader(a.reply, maxBufferedResponse+1))
 	if err != nil {
-		return j.recordInterruption(a, err)
+		j.recordInterruption(a, err)
+		return nil, Failed
 	}
 	if len(body) > maxBufferedResponse {
-		return j.forwardUnbuffered(a, body)
+		return j.forwardUnbuffered(a, w, body), ""
 	}
 	took := time.Since(a.sent)
 	a.complete = a.reply.SelfDelimited
-	w := &bufferedResponse{status: a.reply.Status, header: a.reply.Header, body: body}
-	if w.status >= http.StatusInternalServerError {
-		a.server.State.Failed()
-		j.failed = append(j.failed, a.server.Incarnation())
-		j.observeResponse(a, true)
-		j.reportAttempt(a, fmt.Sprintf("status %d", w.status))
-		j.failedResponse = w
+	r := &bufferedResponse{status: a.reply.Status, header: j.engine.Dialect.ResponseHeaders(a.reply.Header), body: body}
+	if r.status >= http.StatusInternalServerError {
+		j.recordFailedResponse(a)
+		j.reportAttempt(a, fmt.Sprintf("status %d", r.status))
+		j.failedResponse = r
 		if ctx.Err() != nil {
-			return j.sendBuffered(w), ""
+			return w.complete(r), ""
 		}
 		return nil, Failed
 	}
 	j.recordComplete(a)
 	j.recordFirstPart(a, took)
 	j.observeResponse(a, false)
-	j.reportAttempt(a, fmt.Sprintf("status %d", w.status))
-	return j.sendBuffered(w), ""
+	j.reportAttempt(a, fmt.Sprintf("status %d", r.status))
+	return w.complete(r), ""
+}
+
+// recordFailedResponse records a response that says that the server has failed.
+func (j *job) recordFailedResponse(a *attempt) {
+	a.server.State.Failed()
+	j.failed = append(j.failed, a.server.Incarnation())
+	j.observeResponse(a, true)
 }
 
 // recordInterruption records a response that broke off before its end.
-func (j *job) recordInterruption(a *attempt, err error) (Outcome, Reason) {
+func (j *job) recordInterruption(a *attempt, err error) {
 	j.reportAttempt(a, err.Error())
 	if fault.Is(err, relay.HelperLost) {
-		return nil, Failed
+		return
 	}
 	if errors.Is(err, errEventTruncated) {
 		a.reply.Truncated()
@@ -103,7 +109,6 @@
 	if j.live() {
 		j.recordFailure(a, err, time.Now())
 	}
-	return nil, Failed
 }
 
 // recordFirstPart records that the first part of a successful response arrived, or all of one
@@ -127,29 +132,16 @@
 	a.firstRatio = j.compareToReference(a, j.referenceKey(a), took)
 }
 
-// sendBuffered sends a complete response to the caller.
-func (j *job) sendBuffered(w *bufferedResponse) Outcome {
-	j.responseStarted = true
-	j.sink.Begin(w.status, j.engine.Dialect.ResponseHeaders(w.header), int64(len(w.body)))
-	if _, err := j.sink.Write(w.body); err != nil {
-		return ClientGone{}
-	}
-	return Answered{Status: w.status}
-}
-
 // forwardUnbuffered forwards a response that is too long to buffer.
-func (j *job) forwardUnbuffered(a *attempt, begun []byte) (Outcome, Reason) {
-	j.responseStarted = true
-	j.sink.Begin(a.reply.Status, j.engine.Dialect.ResponseHeaders(a.reply.Header), a.reply.Length)
-	if _, err := j.sink.Write(begun); err != nil {
-		return ClientGone{}, ""
-	}
-	if _, err := io.Copy(j.sink, a.reply); err != nil {
+func (j *job) forwardUnbuffered(a *attempt, w unsent, begun []byte) sentOutcome {
+	out, err := w.copy(a.reply.Status, j.engine.Dialect.ResponseHeaders(a.reply.Header), a.reply.Length, begun, a.reply)
+	switch {
+	case err != nil:
 		j.reportAttempt(a, err.Error())
-		return Interrupted{Reason: Failed}, ""
+	case out == sentOutcome(Answered{Status: a.reply.Status}):
+		j.recordComplete(a)
+		j.recordFirstPart(a, time.Since(a.sent))
+		j.observeResponse(a, false)
 	}
-	j.recordComplete(a)
-	j.recordFirstPart(a, time.Since(a.sent))
-	j.observeResponse(a, false)
-	return Answered{Status: a.reply.Status}, ""
+	return out
 }
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -77,6 +77,10 @@
 	// Permits limits the requests to small pools of plain servers; nil disables it.
 	Permits *permits.Pool
 
+	// NotContinued counts the responses that were dropped because they were not the rest of a stream that
+	// a caller had received in part.
+	NotContinued atomic.Int64
+
 	// InFlight counts the requests in flight.
 	InFlight atomic.Int64
 
@@ -171,8 +175,8 @@
 func (e *Engine) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
 	e.InFlight.Add(1)
 	defer e.InFlight.Add(-1)
-	j := &job{engine: e, request: r, sink: sink, lastEvent: r.LastEvent, suspendedBefore: e.SuspendClock.Now(), report: Report{Request: r}, clientGone: func() bool { return ctx.Err() != nil }}
-	out := j.serve(ctx)
+	j := &job{engine: e, request: r, suspendedBefore: e.SuspendClock.Now(), report: Report{Request: r}, clientGone: func() bool { return ctx.Err() != nil }}
+	out := j.serve(ctx, unsent{sink})
 	if _, complete := out.(Answered); j.clientGone() && !complete {
 		out = ClientGone{}
 	}
@@ -187,7 +191,6 @@
 type job struct {
 	engine  *Engine
 	request *Request
-	sink    Sink
 	report  Report
 
 	// clientGone reports whether the caller has disconnected.
@@ -232,10 +235,6 @@
 	paidAt time.Time
 	// counted reports whether the request has been counted for its organisation.
 	counted bool
-	// responseStarted reports whether the caller has received a part of a response.
-	responseStarted bool
-	// lastEvent is the id of the last event that the caller has, or -1.
-	lastEvent int64
 	// version is the version that the current response comes from, "" for any.
 	version string
 	// failedResponse is an error response to forward if no attempt gives a better one.
@@ -243,7 +242,7 @@
 }
 
 // serve checks a request and proxies it.
-func (j *job) serve(ctx context.Context) Outcome {
+func (j *job) serve(ctx context.Context, w unsent) Outcome {
 	j.awaitStart(ctx)
 	now := time.Now()
 	if out := j.prepare(now); out != nil {
@@ -264,7 +263,7 @@
 	}
 	answered := false
 	defer func() { release(answered) }()
-	out = j.run(ctx)
+	out = j.run(ctx, w)
 	a, ok := out.(Answered)
 	answered = ok && a.Status < http.StatusInternalServerError
 	return out
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -253,12 +253,14 @@
 	header  http.Header
 	body    bytes.Buffer
 	length  int64
+	begins  int
 	outcome proxy.Outcome
 	took    time.Duration
 }
 
 func (t *response) Begin(status int, h http.Header, length int64) {
 	t.status, t.header, t.length = status, h, length
+	t.begins++
 }
 
 func (t *response) Write(p []byte) (int, error) { return t.body.Write(p) }
--- /dev/null
+++ b/daemon/proxy/response.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"ladderridge.example/daemon/channel"
+)
+
+// This file has what can be sent to a caller at each stage of its response. Only an unsent response
+// takes a status and a body; once a stream has begun, only its events can be written.
+
+// sentOutcome is the outcome of a request whose caller has received a part of a response: Answered,
+// Interrupted or ClientGone. A refusal or failure can no longer be sent.
+type sentOutcome interface {
+	Outcome
+	sent()
+}
+
+func (Answered) sent()    {}
+func (Interrupted) sent() {}
+func (ClientGone) sent()  {}
+
+// unsent is a response of which the caller has received nothing.
+type unsent struct{ sink Sink }
+
+// complete sends a complete response.
+func (w unsent) complete(r *bufferedResponse) sentOutcome {
+	w.sink.Begin(r.status, r.header, int64(len(r.body)))
+	if _, err := w.sink.Write(r.body); err != nil {
+		return ClientGone{}
+	}
+	return Answered{Status: r.status}
+}
+
+// copy sends a response of a length, -1 if that is unknown, whose body starts with begun and goes on
+// with rest. The error is that of a body that ends too early.
+func (w unsent) copy(status int, h http.Header, length int64, begun []byte, rest io.Reader) (sentOutcome, error) {
+	w.sink.Begin(status, h, length)
+	if _, err := w.sink.Write(begun); err != nil {
+		return ClientGone{}, nil
+	}
+	if _, err := io.Copy(w.sink, rest); err != nil {
+		return Interrupted{Reason: Failed}, err
+	}
+	return Answered{Status: status}, nil
+}
+
+// beginStream sends the head of a stream. lastEvent is the id of the last event that the caller
+// already has, or -1.
+func (w unsent) beginStream(r *channel.Reply, h http.Header, lastEvent int64) (*callerStream, error) {
+	w.sink.Begin(r.Status, h, -1)
+	return &callerStream{sink: w.sink, lastEvent: lastEvent}, w.sink.Flush()
+}
+
+// callerStream is the stream that a caller receives, from one or several servers.
+type callerStream struct {
+	sink Sink
+	// lastEvent is the id of the last event that the caller has, or -1.
+	lastEvent int64
+}
+
+// continuedBy reports whether a response of another server may be the rest of the stream, by its
+// head.
+func (w *callerStream) continuedBy(r *channel.Reply) bool {
+	return r.Status < http.StatusMultipleChoices
+}
+
+var (
+	errClientGone   = errors.New("caller has disconnected")
+	errMissingEvent = errors.New("gap in the ids of the events")
+)
+
+// forward forwards one event, unless the caller already has it, and optionally flushes the sink.
+func (w *callerStream) forward(ev event, flush bool) error {
+	if ev.id >= 0 && ev.id <= w.lastEvent {
+		return nil
+	}
+	if ev.id >= 0 && w.lastEvent >= 0 && ev.id != w.lastEvent+1 {
+		return errMissingEvent
+	}
+	if _, err := w.sink.Write(ev.raw); err != nil {
+		return errClientGone
+	}
+	if ev.id >= 0 {
+		w.lastEvent = ev.id
+	}
+	if !flush {
+		return nil
+	}
+	if err := w.sink.Flush(); err != nil {
+		return errClientGone
+	}
+	return nil
+}
--- a/daemon/proxy/run.go
+++ b/daemon/proxy/run.go
@@ -10,37 +10,40 @@
 	"ladderridge.example/core/retry"
 )
 
-// run makes attempts until one succeeds or no more are allowed.
-func (j *job) run(ctx context.Context) Outcome {
+// run makes attempts until a response has been sent to the caller or no more attempts are allowed.
+func (j *job) run(ctx context.Context, w unsent) Outcome {
 	reason := NoServer
 	for {
-		s, ok := j.next(time.Now())
+		s, ok := j.nextServer(ctx)
 		if !ok {
-			if s, ok = j.awaitRoom(ctx); !ok {
-				return j.giveUp(ctx, j.withoutServer(reason))
-			}
+			return j.giveUp(ctx, w, j.withoutServer(reason))
 		}
 		if out := j.recheck(time.Now()); out != nil {
 			return j.withExecutionState(out)
 		}
-		if !j.deadline.IsZero() && j.remaining() <= 0 {
-			return j.giveUp(ctx, DeadlineExceeded)
+		if barred, ok := j.barred(); ok {
+			return j.giveUp(ctx, w, barred)
 		}
-		if _, ok := j.quarantined(time.Now()); ok {
-			return j.giveUp(ctx, Quarantined)
-		}
-		a := j.open(ctx, s, j.headTimeout())
+		a := j.open(ctx, s, j.headTimeout(), j.request.LastEvent)
 		var out Outcome
-		if out, reason = j.handleAttempt(ctx, a); out != nil {
+		if out, reason = j.handleAttempt(ctx, a, w); out != nil {
 			return out
 		}
 		if !j.mayRetry(ctx) {
-			return j.giveUp(ctx, reason)
+			return j.giveUp(ctx, w, reason)
 		}
 	}
 }
 
-// next returns the server for the next attempt.
+// nextServer returns the server for the next attempt. It may wait for room at a server.
+func (j *job) nextServer(ctx context.Context) (*fleet.Server, bool) {
+	if s, ok := j.next(time.Now()); ok {
+		return s, true
+	}
+	return j.awaitRoom(ctx)
+}
+
+// next returns the server that is reserved for the next attempt, or chooses one.
 func (j *job) next(now time.Time) (s *fleet.Server, ok bool) {
 	if s, j.reserved = j.reserved, nil; s != nil {
 		j.refreshView()
@@ -49,38 +52,51 @@
 	return j.choose(now)
 }
 
+// barred returns why no attempt may be sent, if the deadline has passed or the request is quarantined.
+func (j *job) barred() (Reason, bool) {
+	if !j.deadline.IsZero() && j.remaining() <= 0 {
+		return DeadlineExceeded, true
+	}
+	_, quarantined := j.quarantined(time.Now())
+	return Quarantined, quarantined
+}
+
 // handleAttempt processes the result of an attempt. Without an outcome the request is retried,
 // for the reason that it returns.
-func (j *job) handleAttempt(ctx context.Context, a *attempt) (Outcome, Reason) {
+func (j *job) handleAttempt(ctx context.Context, a *attempt, w unsent) (Outcome, Reason) {
+	switch {
+	case a.result != answered:
+		return nil, j.recordUnanswered(a)
+	case j.route.Streaming && a.reply.Status < http.StatusMultipleChoices:
+		return j.stream(ctx, a, w)
+	default:
+		return j.forwardBuffered(ctx, a, w)
+	}
+}
+
+// recordUnanswered reports an attempt that has no response, and returns the reason for the retry.
+func (j *job) recordUnanswered(a *attempt) Reason {
 	switch {
-	case a.result == declined:
-		if a.err != nil {
-			j.reportAttempt(a, a.err.Error())
-			return nil, NoServer
-		}
-		j.reportAttempt(a, "declined")
-		return nil, Overloaded
 	case a.result == unknown:
 		j.reportAttempt(a, a.err.Error())
-		return nil, Failed
-	case j.route.Streaming && a.reply.Status < http.StatusMultipleChoices:
-		return j.stream(ctx, a)
+		return Failed
+	case a.err != nil:
+		j.reportAttempt(a, a.err.Error())
+		return NoServer
 	default:
-		return j.forwardBuffered(ctx, a)
+		j.reportAttempt(a, "declined")
+		return Overloaded
 	}
 }
 
 // giveUp ends a request without another attempt: with a server's last error response, if there
 // is one, and otherwise with a refusal or failure.
-func (j *job) giveUp(ctx context.Context, reason Reason) Outcome {
-	if j.responseStarted {
-		return Interrupted{Reason: reason}
-	}
+func (j *job) giveUp(ctx context.Context, w unsent, reason Reason) Outcome {
 	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		reason = DeadlineExceeded
 	}
 	if j.failedResponse != nil {
-		return j.sendBuffered(j.failedResponse)
+		return w.complete(j.failedResponse)
 	}
 	if out, ok := j.refuseUnavailable(time.Now()); ok && (reason == NoServer || reason == Overloaded) {
 		return j.withExecutionState(out)
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -11,12 +11,12 @@
 	"ladderridge.example/core/latency"
 )
 
-// stream forwards the events of a response, or drops it for a larger model's. Without an
-// outcome the request goes on at another server.
-func (j *job) stream(ctx context.Context, a *attempt) (Outcome, Reason) {
-	defer j.finish(a)
+// stream sends a stream to the caller, or drops its first response for a larger model's. Without an
+// outcome the request is retried.
+func (j *job) stream(ctx context.Context, a *attempt, w unsent) (Outcome, Reason) {
 	j.observeWait(time.Since(a.sent), time.Now())
 	if next, load, ok := j.mayEscalate(ctx, a); ok {
+		defer j.finish(a)
 		j.reportAttempt(a, fmt.Sprintf("dropped: confidence %d, %s", a.head.Confidence, load))
 		j.updateLatency(a, time.Since(a.sent))
 		j.observeResponse(a, false)
@@ -24,30 +24,36 @@
 		j.report.Escalated = true
 		return nil, Overloaded
 	}
-	j.version = a.server.Version
-	if !j.responseStarted {
-		j.responseStarted = true
-		j.sink.Begin(a.reply.Status, j.engine.Dialect.ResponseHeaders(a.reply.Header), -1)
-		if err := j.sink.Flush(); err != nil {
-			return ClientGone{}, ""
-		}
+	started, err := w.beginStream(a.reply, j.engine.Dialect.ResponseHeaders(a.reply.Header), j.request.LastEvent)
+	if err != nil {
+		j.finish(a)
+		return ClientGone{}, ""
 	}
+	return j.sendStream(ctx, a, started), ""
+}
+
+// forwardRun forwards one server's events to the caller. Without an outcome the response has broken
+// off.
+func (j *job) forwardRun(ctx context.Context, a *attempt, w *callerStream) sentOutcome {
+	defer j.finish(a)
+	j.version = a.server.Version
 	var t eventTiming
-	err := j.forwardEvents(ctx, a, &t)
+	err := j.forwardEvents(ctx, a, w, &t)
 	switch {
 	case err == nil:
 		j.recordComplete(a)
 		j.observeEnd(a, &t)
 		j.reportAttempt(a, "whole")
-		return Answered{Status: a.reply.Status}, ""
+		return Answered{Status: a.reply.Status}
 	case errors.Is(err, errClientGone):
 		j.reportAttempt(a, "caller gone")
-		return ClientGone{}, ""
+		return ClientGone{}
 	}
 	if t.events == 0 && (errors.Is(err, errServerTimeout) || ctx.Err() != nil) {
 		j.observeAbandoned(a)
 	}
-	return j.recordInterruption(a, err)
+	j.recordInterruption(a, err)
+	return nil
 }
 
 // observeEnd records the times of a complete stream.
@@ -66,15 +72,10 @@
 // recent.
 const busyFactor = 2
 
-var (
-	errClientGone   = errors.New("caller has disconnected")
-	errMissingEvent = errors.New("gap in the ids of the events")
-)
-
 // mayEscalate reports whether a response is dropped for a larger model's, and the load on which
 // the decision is based.
 func (j *job) mayEscalate(ctx context.Context, a *attempt) (cascade.Step, cascade.Load, bool) {
-	if j.responseStarted || j.trial || len(j.route.Cascade) == 0 || j.history.Ran >= j.route.Attempts || ctx.Err() != nil {
+	if j.trial || len(j.route.Cascade) == 0 || j.history.Ran >= j.route.Attempts || ctx.Err() != nil {
 		return j.step, cascade.Load{}, false
 	}
 	now := time.Now()
@@ -140,7 +141,7 @@
 }
 
 // forwardEvents forwards events until the regular end of the stream.
-func (j *job) forwardEvents(ctx context.Context, a *attempt, timing *eventTiming) error {
+func (j *job) forwardEvents(ctx context.Context, a *attempt, w *callerStream, timing *eventTiming) error {
 	events := newEventReader(a.reply)
 	timer := j.startTimer(a, j.firstEventTimeout())
 	defer timer.stop()
@@ -162,7 +163,7 @@
 			j.observeFirstPart(a)
 		}
 		timing.event(time.Now())
-		if err := j.forwardEvent(ev, !events.buffered()); err != nil {
+		if err := w.forward(ev, !events.buffered()); err != nil {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -171,30 +172,6 @@
 	}
 }
 
-// forwardEvent forwards one event, unless the caller already has it, and optionally flushes the
-// sink.
-func (j *job) forwardEvent(ev event, flush bool) error {
-	if ev.id >= 0 && ev.id <= j.lastEvent {
-		return nil
-	}
-	if ev.id >= 0 && j.lastEvent >= 0 && ev.id != j.lastEvent+1 {
-		return errMissingEvent
-	}
-	if _, err := j.sink.Write(ev.raw); err != nil {
-		return errClientGone
-	}
-	if ev.id >= 0 {
-		j.lastEvent = ev.id
-	}
-	if !flush {
-		return nil
-	}
-	if err := j.sink.Flush(); err != nil {
-		return errClientGone
-	}
-	return nil
-}
-
 // eventTiming measures the intervals between the events of one stream.
 type eventTiming struct {
 	first  time.Time
--- a/daemon/proxy/timeout.go
+++ b/daemon/proxy/timeout.go
@@ -58,6 +58,18 @@
 // headTimeout returns the time-out of an attempt for the response head; 0 means the request's
 // deadline.
 func (j *job) headTimeout() time.Duration {
+	if !j.hasAttemptsAfter(j.history.Ran + 1) {
+		return 0
+	}
+	if d, ok := j.secondAttemptTimeout(time.Now()); ok {
+		return d
+	}
+	return j.attemptTimeout()
+}
+
+// continuationTimeout returns the time-out of an attempt that is to continue a stream, for the
+// response head; 0 means the request's deadline.
+func (j *job) continuationTimeout() time.Duration {
 	if !j.hasAttemptsAfter(j.history.Ran + 1) {
 		return 0
 	}
@@ -82,9 +94,6 @@
 
 // attemptTimeout returns the time-out for the first part of a response; 0 means none.
 func (j *job) attemptTimeout() time.Duration {
-	if d, ok := j.secondAttemptTimeout(time.Now()); ok {
-		return d
-	}
 	now, size := time.Now(), j.request.size()
 	pace := j.engine.latencies.get(j.latencyKeyOf(j.model()))
 	e := retry.ExpectedLatency{Now: pace.Typical(size, now), Recent: pace.Recent(size)}
@@ -99,7 +108,7 @@
 // One answer in twelve or so waits behind a long prompt that other daemons have sent to the same
 // server; another server rarely has one at the same time.
 func (j *job) secondAttemptTimeout(now time.Time) (timeout time.Duration, ok bool) {
-	if !j.hasFewSlots() || j.responseStarted {
+	if !j.hasFewSlots() {
 		return 0, false
 	}
 	first := j.engine.runTimes.get(j.referenceKeyOf(j.model())).First(j.runSize(j.prompt.UniqueTokens(), 0), estimate.Conditions{})
