proxy: a success that does not continue a stream is dropped

What callers saw: a stream that was taken up at a server which answered 204, 206, another media type or another encoding got that answer's bytes behind its events, or ended as complete with a part missing.

Cause: any status below 300 of a streaming route was read as events, whatever its head said. A body without events (204, JSON with an empty line at its end) ended like a stream of which nothing was left.

Not seen in a run of the daemons.

Why this works: the head of the first response (status, media type, encoding) is kept with the caller's stream, and a response with another one is dropped like a failure.

--- a/daemon/proxy/response.go
+++ b/daemon/proxy/response.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 
 	"ladderridge.example/daemon/channel"
@@ -51,20 +52,37 @@
 // already has, or -1.
 func (w unsent) beginStream(r *channel.Reply, h http.Header, lastEvent int64) (*callerStream, error) {
 	w.sink.Begin(r.Status, h, -1)
-	return &callerStream{sink: w.sink, lastEvent: lastEvent}, w.sink.Flush()
+	return &callerStream{sink: w.sink, head: headOf(r), lastEvent: lastEvent}, w.sink.Flush()
 }
 
 // callerStream is the stream that a caller receives, from one or several servers.
 type callerStream struct {
 	sink Sink
+	head streamHead
 	// lastEvent is the id of the last event that the caller has, or -1.
 	lastEvent int64
 }
 
+// streamHead is what the heads of all responses to a stream have in common.
+type streamHead struct {
+	status    int
+	mediaType string
+	encoding  string
+}
+
+func headOf(r *channel.Reply) streamHead {
+	mediaType, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return streamHead{status: r.Status, mediaType: mediaType, encoding: r.Header.Get("Content-Encoding")}
+}
+
 // continuedBy reports whether a response of another server may be the rest of the stream, by its
-// head.
+// head. It need not name its media type.
 func (w *callerStream) continuedBy(r *channel.Reply) bool {
-	return r.Status < http.StatusMultipleChoices
+	head := headOf(r)
+	if head.mediaType == "" {
+		head.mediaType = w.head.mediaType
+	}
+	return head == w.head
 }
 
 var (
--- a/daemon/proxy/resume.go
+++ b/daemon/proxy/resume.go
@@ -60,7 +60,7 @@
 	} else {
 		j.avoid = append(j.avoid, a.server.Incarnation())
 	}
-	j.reportAttempt(a, fmt.Sprintf("status %d in place of the rest of the stream", a.reply.Status))
+	j.reportAttempt(a, fmt.Sprintf("status %d, type %q in place of the rest of the stream", a.reply.Status, a.reply.Header.Get("Content-Type")))
 	return Failed, false
 }
 
--- a/daemon/proxy/resume_test.go
+++ b/daemon/proxy/resume_test.go
@@ -45,6 +45,10 @@
 	"refusal that says nothing of runs": whole(http.StatusTooManyRequests, "too many", "Retry-After: 1"),
 	"declined":                          whole(http.StatusServiceUnavailable, "full", "Declined: 1"),
 	"interim answer before a failure":   raw("103 X", "\r\nHTTP/1.1 500 X\r\nContent-Length: 6\r\n\r\nfailed", true),
+	"no content":                        raw("204 X", "\r\n", true),
+	"partial content":                   raw("206 X", chunked("id: 3\ndata: x\n\nid: 4\ndata: x\n\n"), true),
+	"another type":                      whole(http.StatusOK, "{\"error\":\"failed\"}\n\n", "Content-Type: application/json"),
+	"another encoding":                  raw("200 X", "Content-Encoding: gzip\r\n"+chunked("id: 3\ndata: x\n\n"), true),
 }
 
 // resumable returns a configuration whose streams may run at three servers.
@@ -174,7 +178,9 @@
 // events that the caller has come again, keep-alive events, and none if only the end was missing.
 func TestRestOfAStreamIsForwardedInAnyForm(t *testing.T) {
 	for name, rest := range map[string]string{
-		"repeated events": chunked("id: 1\ndata: s\n\nid: 2\ndata: s\n\nid: 3\ndata: s\n\n"),
+		"repeated events":  chunked("id: 1\ndata: s\n\nid: 2\ndata: s\n\nid: 3\ndata: s\n\n"),
+		"no type":          "Content-Length: 15\r\n\r\nid: 3\ndata: s\n\n",
+		"type in capitals": "Content-Type: Text/Event-Stream; charset=utf-8\r\nContent-Length: 15\r\n\r\nid: 3\ndata: s\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
