proxy: events that cannot be the rest of a stream are not joined to it

What callers saw: behind the events of one server, events of another answer that carry no id, or a regular end where the other server's answer was shorter than what the caller had; and events twice, when a stream without ids was begun anew.

Cause: only events with an id were compared with the last one that the caller had. An event without an id was forwarded wherever it came, a text without events ended like a stream of which nothing was left, and a server was asked to continue "after event -1", from the beginning, though the caller had events without ids.

Why this works: the response of each further server is a streamRun of its own. Until one of its events follows the caller's last one, it may only repeat events with ids or send comments; a regular end before that counts only if nothing or all of what the caller has was repeated. After an event without an id no other server is asked.

--- a/daemon/proxy/events.go
+++ b/daemon/proxy/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -26,17 +27,22 @@
 	return &eventReader{r: bufio.NewReaderSize(r, 4<<10)}
 }
 
-// event is one event as received, with its id, or -1.
+// event is one event as received, with its id, or -1. One that only keeps the connection alive has
+// no lines but comments and the fields retry and event.
 type event struct {
-	raw []byte
-	id  int64
+	raw       []byte
+	id        int64
+	keepAlive bool
 }
 
 var idField = []byte("id:")
 
+// keepAliveFields are the beginnings of lines that carry nothing of an answer.
+var keepAliveFields = [][]byte{[]byte(":"), []byte("retry:"), []byte("event:")}
+
 // next returns the next event, or io.EOF at the regular end of the stream.
 func (e *eventReader) next() (event, error) {
-	out := event{id: -1}
+	out := event{id: -1, keepAlive: true}
 	for {
 		line, err := e.r.ReadSlice('\n')
 		out.raw = append(out.raw, line...)
@@ -56,6 +62,9 @@
 		if len(line) == 0 {
 			return out, nil
 		}
+		if !slices.ContainsFunc(keepAliveFields, func(f []byte) bool { return bytes.HasPrefix(line, f) }) {
+			out.keepAlive = false
+		}
 		if rest, ok := bytes.CutPrefix(line, idField); ok {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64); err == nil {
 				out.id = id
--- a/daemon/proxy/response.go
+++ b/daemon/proxy/response.go
@@ -61,6 +61,10 @@
 	head streamHead
 	// lastEvent is the id of the last event that the caller has, or -1.
 	lastEvent int64
+	// begun is set once the caller has received an event, unnumbered once one without an id: a server
+	// cannot be told to continue after such an event.
+	begun      bool
+	unnumbered bool
 }
 
 // streamHead is what the heads of all responses to a stream have in common.
@@ -86,23 +90,46 @@
 }
 
 var (
-	errClientGone   = errors.New("caller has disconnected")
-	errMissingEvent = errors.New("gap in the ids of the events")
+	errClientGone      = errors.New("caller has disconnected")
+	errMissingEvent    = errors.New("gap in the ids of the events")
+	errUnnumberedEvent = errors.New("event without an id before the rest of the stream")
+	errShorterStream   = errors.New("stream ended before the last event that the caller has")
 )
 
+// streamRun is one server's response to a request for a stream.
+type streamRun struct {
+	stream *callerStream
+	// joined is set once the events follow those that the caller has. Until then the server may repeat
+	// events.
+	joined bool
+	// last is the id of the last event that the server sent, or -1.
+	last int64
+}
+
+func (w *callerStream) newRun() *streamRun {
+	return &streamRun{stream: w, joined: !w.begun, last: -1}
+}
+
 // forward forwards one event, unless the caller already has it, and optionally flushes the sink.
-func (w *callerStream) forward(ev event, flush bool) error {
-	if ev.id >= 0 && ev.id <= w.lastEvent {
+func (r *streamRun) forward(ev event, flush bool) error {
+	w := r.stream
+	switch {
+	case ev.id < 0 && !r.joined && !ev.keepAlive:
+		return errUnnumberedEvent
+	case ev.id >= 0 && ev.id <= w.lastEvent:
+		r.last = ev.id
 		return nil
-	}
-	if ev.id >= 0 && w.lastEvent >= 0 && ev.id != w.lastEvent+1 {
+	case ev.id >= 0 && w.lastEvent >= 0 && ev.id != w.lastEvent+1:
 		return errMissingEvent
 	}
 	if _, err := w.sink.Write(ev.raw); err != nil {
 		return errClientGone
 	}
-	if ev.id >= 0 {
-		w.lastEvent = ev.id
+	switch {
+	case ev.id >= 0:
+		w.begun, r.joined, r.last, w.lastEvent = true, true, ev.id, ev.id
+	case !ev.keepAlive:
+		w.begun, w.unnumbered = true, true
 	}
 	if !flush {
 		return nil
@@ -112,3 +139,12 @@
 	}
 	return nil
 }
+
+// end checks that a run that has ended by itself is not another, shorter answer than the one that the
+// caller has a part of.
+func (r *streamRun) end() error {
+	if !r.joined && r.last >= 0 && r.last < r.stream.lastEvent {
+		return errShorterStream
+	}
+	return nil
+}
--- a/daemon/proxy/resume.go
+++ b/daemon/proxy/resume.go
@@ -27,7 +27,7 @@
 // resume makes attempts until one continues the stream, or returns the reason why there is none.
 func (j *job) resume(ctx context.Context, w *callerStream) (*attempt, Reason) {
 	reason := Failed
-	for j.mayRetry(ctx) {
+	for !w.unnumbered && j.mayRetry(ctx) {
 		s, ok := j.nextServer(ctx)
 		if !ok {
 			return nil, j.withoutServer(reason)
--- a/daemon/proxy/resume_test.go
+++ b/daemon/proxy/resume_test.go
@@ -49,6 +49,10 @@
 	"partial content":                   raw("206 X", chunked("id: 3\ndata: x\n\nid: 4\ndata: x\n\n"), true),
 	"another type":                      whole(http.StatusOK, "{\"error\":\"failed\"}\n\n", "Content-Type: application/json"),
 	"another encoding":                  raw("200 X", "Content-Encoding: gzip\r\n"+chunked("id: 3\ndata: x\n\n"), true),
+	"text without a type":               whole(http.StatusOK, "failed\n\n"),
+	"event without an id":               raw("200 X", chunked("data: failed\n\n"), true),
+	"shorter answer from its beginning": raw("200 X", chunked("id: 1\ndata: other\n\n"), true),
+	"gap":                               raw("200 X", chunked("id: 4\ndata: x\n\n"), true),
 }
 
 // resumable returns a configuration whose streams may run at three servers.
@@ -76,10 +80,7 @@
 	for i := range ids {
 		fmt.Fprintf(&want, "id: %d\ndata: s\n\n", i+1)
 	}
-	body := got.body.String()
-	for _, server := range []string{"s0", "s1", "s2"} {
-		body = strings.ReplaceAll(body, server, "s")
-	}
+	body := strings.NewReplacer("s0", "s", "s1", "s", "s2", "s", ": wait\n\n", "", "retry: 100\n\n", "").Replace(got.body.String())
 	if diff := cmp.Diff(want.String(), body); diff != "" {
 		t.Error(diff)
 	}
@@ -174,11 +175,26 @@
 	})
 }
 
+// Guards against events that come twice: a server cannot be told after which event without an id it is to
+// continue.
+func TestStreamWithEventsWithoutIDsIsNotResumed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		first := raw("200 X", "Content-Type: text/event-stream\r\n\r\ndata: x\n\nid: 5\nda", false)
+		b.known.set(resumable(), b.servers(3, inOrder(first, raw("200 X", chunked("data: x\n\ndata: y\n\n"), true)))...)
+		got := b.send(t.Context(), proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Timeout: time.Second})
+		if got.outcome != (proxy.Interrupted{Reason: proxy.Failed}) || got.body.String() != "data: x\n\n" {
+			t.Errorf("outcome %#v, body %q", got.outcome, got.body.String())
+		}
+	})
+}
+
 // Guards against the loss of the rest of a stream that is not sent from its next event, but is the rest:
 // events that the caller has come again, keep-alive events, and none if only the end was missing.
 func TestRestOfAStreamIsForwardedInAnyForm(t *testing.T) {
 	for name, rest := range map[string]string{
 		"repeated events":  chunked("id: 1\ndata: s\n\nid: 2\ndata: s\n\nid: 3\ndata: s\n\n"),
+		"keep-alive":       chunked(": wait\n\nretry: 100\n\nid: 3\ndata: s\n\n"),
 		"no type":          "Content-Length: 15\r\n\r\nid: 3\ndata: s\n\n",
 		"type in capitals": "Content-Type: Text/Event-Stream; charset=utf-8\r\nContent-Length: 15\r\n\r\nid: 3\ndata: s\n\n",
 	} {
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -38,7 +38,7 @@
 	defer j.finish(a)
 	j.version = a.server.Version
 	var t eventTiming
-	err := j.forwardEvents(ctx, a, w, &t)
+	err := j.forwardEvents(ctx, a, w.newRun(), &t)
 	switch {
 	case err == nil:
 		j.recordComplete(a)
@@ -141,14 +141,14 @@
 }
 
 // forwardEvents forwards events until the regular end of the stream.
-func (j *job) forwardEvents(ctx context.Context, a *attempt, w *callerStream, timing *eventTiming) error {
+func (j *job) forwardEvents(ctx context.Context, a *attempt, run *streamRun, timing *eventTiming) error {
 	events := newEventReader(a.reply)
 	timer := j.startTimer(a, j.firstEventTimeout())
 	defer timer.stop()
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return nil
+			return run.end()
 		}
 		if err != nil {
 			if timer.stop() {
@@ -163,7 +163,7 @@
 			j.observeFirstPart(a)
 		}
 		timing.event(time.Now())
-		if err := w.forward(ev, !events.buffered()); err != nil {
+		if err := run.forward(ev, !events.buffered()); err != nil {
 			return err
 		}
 		if ctx.Err() != nil {
