proxy: a line of an event that is longer than the read buffer is read whole

What callers saw: a stream with a line of 4 KiB that broke off before the empty line behind it was taken up one event later, so that two events stood as one; one with "id:" at the 4,096th byte of a line ended as interrupted.

Cause: the reader looked at each piece that its buffer held as if it were a line: the line end behind a full buffer was an empty line, and a piece that starts with "id:" an id.

Evidence: TestLongLinesOfEventsAreReadWhole, both cases, failed on the commit before. Found by reading; not seen in a run.

Why this works: a line is looked at from its beginning, once it is whole.

--- a/daemon/proxy/events.go
+++ b/daemon/proxy/events.go
@@ -43,9 +43,10 @@
 // next returns the next event, or io.EOF at the regular end of the stream.
 func (e *eventReader) next() (event, error) {
 	out := event{id: -1, keepAlive: true}
+	start := 0 // of the current line, which may be longer than the buffer
 	for {
-		line, err := e.r.ReadSlice('\n')
-		out.raw = append(out.raw, line...)
+		read, err := e.r.ReadSlice('\n')
+		out.raw = append(out.raw, read...)
 		if len(out.raw) > maxEventBytes {
 			return out, errEventTooLong
 		}
@@ -58,7 +59,8 @@
 			}
 			return out, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(out.raw[start:], "\r\n")
+		start = len(out.raw)
 		if len(line) == 0 {
 			return out, nil
 		}
--- a/daemon/proxy/resume_test.go
+++ b/daemon/proxy/resume_test.go
@@ -222,3 +222,32 @@
 		})
 	})
 }
+
+// Guards against a line as long as the reader's buffer that ends an event early, and against an id that is
+// read from the middle of a line: both misplace the rest of the stream.
+func TestLongLinesOfEventsAreReadWhole(t *testing.T) {
+	fill := "data: " + strings.Repeat("x", 4<<10-len("data: "))
+	first, rest := "id: 1\n"+fill, "id: 2\ndata: y\n\n"
+	for name, c := range map[string]struct{ sent, want string }{
+		"event without its end": {sent: first + "\n", want: first + "\n\n" + rest},
+		"id within a line":      {sent: first + "id: 7\n\n", want: first + "id: 7\n\n" + rest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newFixture(t)
+				broken := raw("200 X", "Content-Type: text/event-stream\r\nContent-Length: 9000\r\n\r\n"+c.sent, false)
+				second := func(conn net.Conn, a arrival) bool {
+					if a.header.Get("After") == "1" {
+						return raw("200 X", chunked(rest), true)(conn, a)
+					}
+					return raw("200 X", chunked(c.want), true)(conn, a)
+				}
+				b.known.set(resumable(), b.servers(3, inOrder(broken, second))...)
+				got := b.send(t.Context(), proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Timeout: time.Second})
+				if got.outcome != (proxy.Answered{Status: http.StatusOK}) || got.body.String() != c.want {
+					t.Errorf("outcome %#v, body of %d bytes, want %d: ...%q", got.outcome, got.body.Len(), len(c.want), got.body.String()[max(0, got.body.Len()-60):])
+				}
+			})
+		})
+	}
+}
