front: a chat stream that breaks off gets no end of its body

What callers saw: a stream of the chat API that no other engine continued ended with an error event and then like a complete HTTP answer. A client that does not look for [DONE] or for the error took it for whole.

Cause: the handler returned after the error event, and the HTTP server wrote the last chunk.

Evidence: TestStreamThatBreaksOffLooksBroken failed before (no error at the end of the body).

Why this works: the handler ends by http.ErrAbortHandler once everything is recorded, as the gateway's front end does. The error event is flushed before and still reaches the caller. Billing, claims and the record are as before.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -212,6 +212,10 @@
 				f.OnComplete(j.rec)
 			}
 		}
+		if out != nil && j.answered {
+			// Aborts the connection, so that the caller does not take a partial response for a complete one.
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -168,7 +168,8 @@
 // statusClientGone is recorded for a caller that disconnected; it is never sent.
 const statusClientGone = 499
 
-// endWithError ends a stream with an error event and without its terminator.
+// endWithError ends a stream with an error event and without its terminator. The body gets no end
+// either (see Front.handle).
 func (c *chatJob) endWithError(out *refusal) *refusal {
 	data, err := json.Marshal(out.body(c.id))
 	if err == nil {
--- a/daemon/scenario/scenario_test.go
+++ b/daemon/scenario/scenario_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -228,6 +231,20 @@
 	}
 }
 
+// TestStreamThatBreaksOffLooksBroken guards against a stream without an end that looks like a complete
+// answer to an HTTP client: the caller gets the error event, and no end of the body.
+func TestStreamThatBreaksOffLooksBroken(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	for _, id := range []string{"engine-0", "engine-1"} {
+		c.engines[id].SetFault(standin.EngineFault{CutAfter: 1})
+	}
+	a := c.do("entry-0", http.MethodPost, wire.PathChat, chatBody(v1.String(), true, 12))
+	if a.status != http.StatusOK || !strings.Contains(a.body, `"error"`) || !errors.Is(a.err, io.ErrUnexpectedEOF) {
+		t.Errorf("status %d, error %v, body %q", a.status, a.err, a.body)
+	}
+}
+
 // TestMismatchedAnswersAreDropped makes one engine of each version answer with the ids of
 // other attempts: no caller may receive an answer to another request.
 func TestMismatchedAnswersAreDropped(t *testing.T) {
