front: events that are not the rest of a chat answer end its attempt

What callers saw: an error event of an engine was sent as a token, or dropped, and the stream ended with [DONE]; a stream that was taken up at an engine which began anew and ended earlier ended with [DONE] and a part missing. Such answers were billed as complete.

The terminator was accepted wherever it came.

Evidence: TestOtherAnswersDoNotContinueAStream, three cases with processes, failed before; the stand-in of engines learned the faults (fail_after, fail_resumed, replay_tokens).

Why this works: an event needs an index or the token counts, an error event ends the attempt, and the terminator of an engine that has sent fewer tokens than the caller has does not end the answer. The stream goes on at another engine if attempts and time allow, and breaks off visibly otherwise.

--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -16,36 +16,55 @@
 	"ladderridge.example/daemon/wire"
 )
 
+// engineChunk is what is read of an event from an engine. Only a chunk with an index can be placed in
+// the answer.
+type engineChunk struct {
+	Index *int            `json:"ladderridge_index"`
+	Usage json.RawMessage `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
 // stream forwards the events of an answer. c.tokens is the index of the next token
 // to send to the caller.
 func (c *chatJob) stream(reply *backend.Reply) error {
 	events := backend.NewStream(reply.Body)
 	flush := http.NewResponseController(c.w)
 	var usage []byte
+	// next is the index behind the last token that this engine sent; 0 is none.
+	next := 0
 	for {
 		data, last, err := events.Next()
 		if err != nil {
 			c.reportInterrupted()
 			return reply.Lose(err)
 		}
+		if last && next > 0 && next < c.tokens {
+			c.reportInterrupted()
+			return reply.Lose(merry.Errorf("the stream ended after %d tokens; the caller has %d", next, c.tokens))
+		}
 		if last {
 			return c.endStream(reply, usage)
 		}
-		var chunk wire.ChatChunk
+		var chunk engineChunk
 		if err := json.Unmarshal(data, &chunk); err != nil {
 			c.reportInterrupted()
 			return reply.Lose(merry.Wrap(err))
 		}
-		if chunk.Usage != nil {
-			usage = append([]byte(nil), data...)
-			continue
+		if isSet(chunk.Error) {
+			c.reportInterrupted()
+			return reply.Lose(merry.New("the stream has an error event"))
 		}
-		if chunk.Index < c.tokens {
+		if isSet(chunk.Usage) {
+			usage = append([]byte(nil), data...)
 			continue
 		}
-		if chunk.Index > c.tokens {
+		if chunk.Index == nil || *chunk.Index > c.tokens {
 			c.reportInterrupted()
-			return reply.Lose(merry.Errorf("token %d came where %d was due", chunk.Index, c.tokens))
+			return reply.Lose(merry.Errorf("event %.80s came where token %d was due", data, c.tokens))
+		}
+		next = *chunk.Index + 1
+		if next <= c.tokens {
+			continue
 		}
 		if !c.answered {
 			c.sendHead("text/event-stream", attempt.Unknown)
@@ -58,6 +77,9 @@
 	}
 }
 
+// isSet reports whether a JSON field is there and not null.
+func isSet(field json.RawMessage) bool { return len(field) > 0 && string(field) != "null" }
+
 // reportInterrupted reports an interrupted answer to the control state and probes
 // the server, unless the caller or the deadline ended the request.
 func (c *chatJob) reportInterrupted() {
--- a/daemon/scenario/scenario_test.go
+++ b/daemon/scenario/scenario_test.go
@@ -245,6 +245,30 @@
 	}
 }
 
+// TestOtherAnswersDoNotContinueAStream guards against a stream that is taken up at an engine which does not
+// send its rest and then looks complete, and against an engine's error that passes for a token.
+func TestOtherAnswersDoNotContinueAStream(t *testing.T) {
+	t.Parallel()
+	const tokens = 12
+	for name, f := range map[string]standin.EngineFault{
+		"error after tokens":   {FailAfter: 2},
+		"error after a resume": {CutAfter: 2, FailResumed: true},
+		"shorter answer":       {CutAfter: 5, ReplayTokens: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1)
+			for _, id := range []string{"engine-0", "engine-1"} {
+				c.engines[id].SetFault(f)
+			}
+			a := c.do("entry-0", http.MethodPost, wire.PathChat, chatBody(v1.String(), true, tokens))
+			if a.status != http.StatusOK || !errors.Is(a.err, io.ErrUnexpectedEOF) || strings.Contains(a.body, wire.Terminator) || strings.Contains(a.body, "engine failed") {
+				t.Errorf("status %d, error %v, body %q", a.status, a.err, a.body)
+			}
+		})
+	}
+}
+
 // TestMismatchedAnswersAreDropped makes one engine of each version answer with the ids of
 // other attempts: no caller may receive an answer to another request.
 func TestMismatchedAnswersAreDropped(t *testing.T) {
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -25,6 +25,13 @@
 	ErrorRate float64 `json:"error_rate"`
 	// CutAfter interrupts streams after that many tokens; 0 is never.
 	CutAfter int `json:"cut_after"`
+	// FailAfter makes streams send an error event in place of the token after that many, and end
+	// regularly; 0 is never.
+	FailAfter int `json:"fail_after"`
+	// FailResumed makes resumed streams begin with an error event and end regularly.
+	FailResumed bool `json:"fail_resumed"`
+	// ReplayTokens makes resumed streams begin anew and end regularly after that many tokens; 0 is never.
+	ReplayTokens int `json:"replay_tokens"`
 	// MismatchAnswers is the number of answers that carry a wrong attempt id.
 	MismatchAnswers int `json:"cross_answers"`
 	// HoldAnswers delays the start of every answer until it is set to false.
@@ -359,7 +366,14 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	id := r.Header.Get(wire.HeaderRequest)
 	flush := http.NewResponseController(w)
+	if f.ReplayTokens > 0 && offset > 0 {
+		offset, tokens = 0, tokens[:min(f.ReplayTokens, len(tokens))]
+	}
 	for i := offset; i < len(tokens); i++ {
+		if f.FailAfter > 0 && i-offset >= f.FailAfter || f.FailResumed && offset > 0 {
+			_, _ = fmt.Fprintf(w, "data: {\"error\":{\"message\":\"engine failed\"}}\n\ndata: %s\n\n", wire.Terminator)
+			return
+		}
 		if f.CutAfter > 0 && i-offset >= f.CutAfter {
 			panic(http.ErrAbortHandler)
 		}
