soak: streams break off while servers answer something else

The interrupter resets the connections of model servers while all of them answer requests for the rest of a stream with 504 at the deadline, 404, or a 200 of another type; the stand-in of servers learned these. The check is the old one (MIXED).

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -32,7 +32,9 @@
 	keepID    bool
 	name      string
 	fault     standin.RunnerFault
-	present   bool
+	// continuations is how the server answers requests for the rest of a stream.
+	continuations standin.ContinuationFault
+	present       bool
 	// announcement is what the server currently announces in its answers, except for its rate limit.
 	announcement standin.Announcement
 	limit        string
@@ -103,6 +105,7 @@
 		b.cluster.recorder.arrived(Arrival{ID: id, Server: r.ID, Start: start, Announcement: w, At: time.Now()})
 	}
 	r.Play(b.fault)
+	r.PlayContinuations(b.continuations)
 	b.runner, b.present = r, true
 	b.applyAnnouncement(standin.Announcement{}, "")
 	return b.register(false)
@@ -134,6 +137,14 @@
 	b.runner.Play(f)
 }
 
+// setContinuations sets how the server answers requests for the rest of a stream.
+func (b *backend) setContinuations(f standin.ContinuationFault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.continuations = f
+	b.runner.PlayContinuations(f)
+}
+
 // entryTTL is how long the store entry of a crashed server remains.
 const entryTTL = 1500 * time.Millisecond
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -41,6 +41,9 @@
 	// CutServers is not drawn at random; Options.ServerCuts enables it.
 	CutServers FaultKind = "daemon reaches no server"
 
+	// FailContinuations is not drawn at random; Options.FailedContinuations enables it.
+	FailContinuations FaultKind = "streams break off and are not continued"
+
 	// Faults of backend servers and of the connections to them.
 	SlowServer    FaultKind = "server is delayed"
 	ResetServer   FaultKind = "server's connections are reset"
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,6 +65,9 @@
 	BrittleServers bool
 	// SkewedConnections has most new connections go to one daemon at times.
 	SkewedConnections bool
+	// FailedContinuations has streams break off while the servers answer requests for the rest of a
+	// stream with something else.
+	FailedContinuations bool
 	// LyingServer makes one server violate a guarantee, which the checks must detect.
 	LyingServer bool
 }
@@ -112,7 +115,12 @@
 	if o.BrittleServers {
 		brittler.start(ctx)
 	}
+	interrupter := newInterrupter(s, o.Seed)
+	if o.FailedContinuations {
+		interrupter.start(ctx)
+	}
 	s.play(ctx, o, plan)
+	interrupter.stop()
 	cutter.stop()
 	brittler.stop()
 	announcer.stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// TestShortRunWithFailedContinuations has streams break off while no server sends the rest.
+func TestShortRunWithFailedContinuations(t *testing.T) {
+	report := run(t, soak.Options{Seed: 8, Daemons: 3, Length: 8 * time.Second, FailedContinuations: true})
+	if len(report.Findings) > 0 {
+		t.Error(report)
+	}
+}
+
 // skewOptions returns the options of a run without faults in which most new connections go to one daemon.
 func skewOptions(seed uint64, daemons int, length time.Duration) soak.Options {
 	return soak.Options{Seed: seed, Daemons: daemons, Faults: -1, Length: length, Bounds: true, SkewedConnections: true, Workers: 60}
@@ -202,7 +210,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			o := soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag, BrittleServers: extras && *brittleFlag}
+			o := soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag, BrittleServers: extras && *brittleFlag, FailedContinuations: extras && seed%3 == 0}
 			if *skewFlag {
 				o = skewOptions(seed, *daemonsFlag, 2*length)
 			}
