abort: an aborted HTTP/1.0 response does not look complete

What callers saw: a caller that speaks HTTP/1.0 got the regular end of its connection when a stream broke off, which is the end of a body without a length there.

Cause: http.ErrAbortHandler closes the connection; only chunks and lengths show that a body is not complete.

Evidence: TestAbortedResponseLooksBroken failed for HTTP/1.0 with the reset taken out.

Why this works: the connection is reset, which no client takes for an end.

--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -22,6 +22,7 @@
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/core/route"
 	"ladderridge.example/core/table"
+	"ladderridge.example/daemon/abort"
 	"ladderridge.example/daemon/backend"
 	"ladderridge.example/daemon/claims"
 	"ladderridge.example/daemon/control"
@@ -213,8 +214,7 @@
 			}
 		}
 		if out != nil && j.answered {
-			// Aborts the connection, so that the caller does not take a partial response for a complete one.
-			panic(http.ErrAbortHandler)
+			abort.Response(w, r)
 		}
 	}
 }
