storesync: exits that were planned are told apart in the log and the metrics

The line of an exit did not say whether the platform had planned it. It does now (planned), and servers_ended_planned_total counts them: servers that leave, and from the last moment at which no end of the roll-out was known on those of the version that it takes away. What counts against requests is unchanged.

--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -50,6 +50,7 @@
 	counter("rows_spoiled_total", "Rows of the store that came and do not decode.", func() float64 { return float64(g.syncer.CorruptedRows.Load()) })
 	counter("servers_ended_total", "Servers that ended without notice while requests of this daemon were under way there.", func() float64 { return float64(g.syncer.ServerExits.Load()) })
 	counter("servers_ended_after_answer_total", "Servers that ended without notice within a second after they had answered the only requests of this daemon there.", func() float64 { return float64(g.syncer.ExitsAfterAnswer.Load()) })
+	counter("servers_ended_planned_total", "Servers that ended as planned while requests of this daemon were under way there.", func() float64 { return float64(g.syncer.PlannedExits.Load()) })
 	counter("callers_unread_total", "Callers that were let go since they did not read their answer.", func() float64 { return float64(g.slowReaders.Disconnected.Load()) })
 	counter("bodies_refused_total", "Requests that were refused since their bodies found no memory.", func() float64 { return float64(g.bodies.Refused.Load()) })
 	counter("bodies_late_total", "Requests whose callers did not send their bodies in time.", func() float64 { return float64(g.bodies.TimedOut.Load()) })
--- a/daemon/storesync/changes.go
+++ b/daemon/storesync/changes.go
@@ -42,6 +42,7 @@
 	sy.relistChangedLimits(c, now)
 	sy.view.Store(&next)
 	sy.updateColdLimits(now)
+	sy.planEnds(c.added, now)
 	for _, s := range c.restarted {
 		sy.reportRestart(s.was, s.is)
 	}
--- a/daemon/storesync/quarantine.go
+++ b/daemon/storesync/quarantine.go
@@ -39,6 +39,7 @@
 // daemons.
 func (sy *Syncer) RecordServerExit(server string, suspects []quarantine.Suspect) {
 	now, counted := time.Now(), 0
+	planned := sy.planned.servers.Includes(quarantine.ServerHash(server), now)
 	for _, cs := range []*confinementSync{sy.contents, sy.parts} {
 		for _, c := range cs.registry.RecordServerExit(quarantine.ServerHash(server), suspects, cs.keys, now) {
 			if cs == sy.contents {
@@ -53,12 +54,15 @@
 			answered++
 		}
 	}
-	if answered < len(suspects) {
+	switch {
+	case planned:
+		sy.PlannedExits.Add(1)
+	case answered < len(suspects):
 		sy.ServerExits.Add(1)
-	} else {
+	default:
 		sy.ExitsAfterAnswer.Add(1)
 	}
-	sy.Log.Warn().Str("server", server).Int("requests", len(suspects)).Int("answered", answered).Int("counted", counted).Strs("contents", loggedContents(suspects)).Strs("parts", loggedParts(suspects)).Msg("quarantine: server exited with requests in flight")
+	sy.Log.Warn().Str("server", server).Int("requests", len(suspects)).Int("answered", answered).Int("counted", counted).Bool("planned", planned).Strs("contents", loggedContents(suspects)).Strs("parts", loggedParts(suspects)).Msg("quarantine: server exited with requests in flight")
 }
 
 // maxLoggedParts bounds the parts, and the contents, in a log line.
--- a/daemon/storesync/read.go
+++ b/daemon/storesync/read.go
@@ -104,6 +104,7 @@
 	sy.relistLimits(servers, now)
 	sy.view.Store(&v)
 	sy.updateColdLimits(now)
+	sy.planEnds(servers, now)
 	sy.reportRestarts(was, servers)
 }
 
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -118,6 +118,9 @@
 	ServerExits atomic.Int64
 	// ExitsAfterAnswer counts those at which all of these requests had just been answered.
 	ExitsAfterAnswer atomic.Int64
+	// PlannedExits counts servers of which it was known, when they exited with requests of this daemon in
+	// flight, that they were due to end.
+	PlannedExits atomic.Int64
 
 	// republish requests that the entry of this daemon is written again. progressLost is set if
 	// the store may lack states of roll-outs.
@@ -221,6 +224,8 @@
 	// contents and parts share the crash counts of requests.
 	contents *confinementSync
 	parts    *confinementSync
+	// planned has the servers that are due to end.
+	planned *plannedEnds
 	// reportedExits has when the exits of servers were last reported, by the hash of the server.
 	reportedExits map[uint64]time.Time
 	// malformedSums has the checksums of rows that could not be decoded, by key, so that each
@@ -270,7 +275,7 @@
 		drained: map[string]time.Time{}, undrainedAt: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]revision.Revision{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, pendingRequests: map[uint64]time.Time{}, subscribers: map[string]time.Time{}, announcedSums: map[gossip.Topic]uint64{}, readers: newReaders(),
 		malformedSums: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), serverLoad: serverload.NewTracker(), limits: newLimits(),
-		entries: map[string]serverEntry{}, starts: map[string]int64{}, contents: newContentSync(), parts: newPartSync(), reportedExits: map[uint64]time.Time{},
+		entries: map[string]serverEntry{}, starts: map[string]int64{}, contents: newContentSync(), parts: newPartSync(), planned: newPlannedEnds(), reportedExits: map[uint64]time.Time{},
 	}
 	for _, t := range []gossip.Topic{gossip.Operator, gossip.Servers, gossip.Progress, gossip.Members} {
 		sy.topics[t] = newTopicState()
@@ -468,6 +473,7 @@
 		sy.applyServerChanges(now)
 	case gossip.Progress:
 		sy.readProgress(now)
+		sy.recordEndedRollouts(now)
 	case gossip.Members:
 		sy.readMembers(now)
 		sy.updateColdLimits(now)
@@ -525,6 +531,7 @@
 	sy.sendFigures(now)
 	sy.sendUsage(now)
 	sy.advanceRollouts(ctx, now)
+	sy.recordEndedRollouts(now)
 	sy.handleRestore(ctx, now)
 	sy.relist(now)
 	sy.publishView()
