channel: surplus bytes without an id are not the next answer

Cause: an answer without an id was taken as the answer to whatever request had just been sent.

Why this works: on a connection that has carried another request an answer must have the request's id; any other is read past, like surplus answers of other ids. One without a length or chunks has no end but that of the connection, which is closed at once: the request may have run then, and is not repeated if it must not be. On a new connection nothing can be surplus, and an answer without an id, of an intermediary, is accepted as before.

--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -150,6 +150,9 @@
 // discard reads and drops an answer that belongs to no request on this
 // connection.
 func discard(resp *http.Response) error {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errors.New("the surplus answer has no end but that of its connection")
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBytes+1))
 	if err == nil && n > maxSurplusBytes {
 		err = errors.New("the surplus answer is too long")
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -81,8 +81,9 @@
 	// before the first byte is sent; its error stops the request.
 	BeforeSend func(Path) error
 	// Matches reports whether the head of an answer belongs to this request;
-	// nil accepts any answer.
-	Matches func(http.Header) bool
+	// nil accepts any answer. reused is set on a connection that has carried
+	// other requests.
+	Matches func(h http.Header, reused bool) bool
 }
 
 // Pool keeps idle connections to servers for further requests.
@@ -310,7 +311,7 @@
 		// A server may answer before it has read a long body.
 		go func() { r.sent <- writeResult{err: c.writeRequest(x)} }()
 	}
-	if err := r.head(x); err != nil {
+	if err := r.head(x, path.Reused); err != nil {
 		r.Close()
 		if !path.Reused {
 			r.recordClose(err)
@@ -352,13 +353,13 @@
 }
 
 // head reads the head of the answer to a request.
-func (r *Reply) head(x Request) error {
+func (r *Reply) head(x Request, reused bool) error {
 	for range maxSurplusAnswers + 1 {
 		resp, err := r.conn.readHead(x.Method) //nolint:bodyclose // The Reply owns the body.
 		if err != nil {
 			return &Error{Op: opExchange, Kind: Interrupted, Err: merry.Wrap(err)}
 		}
-		if x.Matches == nil || x.Matches(resp.Header) {
+		if x.Matches == nil || x.Matches(resp.Header, reused) {
 			r.Status, r.Header, r.Length, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 			r.conn.keepAlive = keepAliveTimeout(resp.Header)
 			r.SelfDelimited = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
--- a/daemon/channel/pool_test.go
+++ b/daemon/channel/pool_test.go
@@ -62,7 +62,7 @@
 func request(addr, id string) channel.Request {
 	return channel.Request{
 		Endpoint: channel.Endpoint{Addr: addr}, Method: http.MethodPost, Target: "/a?b=c", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
@@ -175,6 +175,48 @@
 	}
 }
 
+// Guards against a surplus answer without an id that arrives with the next request on its connection and
+// counts as the answer to it.
+func TestSurplusAnswerWithoutAnIDIsDiscarded(t *testing.T) {
+	for name, surplus := range map[string]string{
+		"with a length":  "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno",
+		"without an end": "HTTP/1.1 400 Bad Request\r\n\r\nno",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+				for n := 0; ; n++ {
+					id, err := readRequest(r)
+					if err != nil {
+						return
+					}
+					if n > 0 {
+						_, _ = io.WriteString(c, surplus)
+					}
+					_, _ = io.WriteString(c, answer(id, "whole"))
+				}
+			})
+			p := newPool()
+			for _, id := range []string{"a", "b"} {
+				x := request(addr, id)
+				x.Matches = func(h http.Header, reused bool) bool { return h.Get("Id") == id || h.Get("Id") == "" && !reused }
+				got, err := exchange(t, p, x)
+				if id == "b" && name == "without an end" {
+					if !fault.Is(err, channel.Mismatched) {
+						t.Errorf("%s: %q, %v", id, got, err)
+					}
+					continue
+				}
+				if err != nil || got != "whole" {
+					t.Errorf("%s: %q, %v", id, got, err)
+				}
+			}
+			if p.Reused.Load() != 1 || p.Surplus.Load() != 1 {
+				t.Errorf("%d connections reused, %d surplus answers", p.Reused.Load(), p.Surplus.Load())
+			}
+		})
+	}
+}
+
 func TestTruncatedAnswerIsInterrupted(t *testing.T) {
 	for name, script := range map[string]string{
 		"cut within its length":      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -186,7 +186,7 @@
 	}
 	x := channel.Request{
 		Endpoint: j.endpoint(a), Method: r.Method, Target: r.Target, Host: r.Host, Header: j.engine.Dialect.Compose(attempt),
-		Body: r.Body, SendLength: r.HasBody, NonRepeatable: !j.route.MayRepeat(), Matches: func(h http.Header) bool { return j.engine.Dialect.Matches(r.ID, h) },
+		Body: r.Body, SendLength: r.HasBody, NonRepeatable: !j.route.MayRepeat(), Matches: func(h http.Header, reused bool) bool { return j.engine.Dialect.Matches(r.ID, h, reused) },
 		BeforeSend: func(path channel.Path) error { a.path = path; return j.admit(a) },
 	}
 	return x
--- a/daemon/proxy/request.go
+++ b/daemon/proxy/request.go
@@ -139,8 +139,9 @@
 type Dialect interface {
 	// Compose returns the headers for a server.
 	Compose(a Attempt) http.Header
-	// Matches reports whether a response belongs to the request with that id.
-	Matches(id string, h http.Header) bool
+	// Matches reports whether a response belongs to the request with that id. reused is set on a
+	// connection that has carried other requests.
+	Matches(id string, h http.Header, reused bool) bool
 	// ParseHead parses the head of a response.
 	ParseHead(status int, h http.Header) Head
 	// ResponseHeaders returns the headers of a response to forward to the caller.
