channel: the head of an answer has a largest size

Cause: net/http reads a line of a head whole, however long it is, and nothing bounded it on the connections to servers.

Why this works: while a head is read, with its interim responses, a connection gives at most 64 KB; then the exchange is interrupted like one that broke off, and the connection is closed. The events of a stream, kept bodies and surplus answers had bounds already.

--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -28,6 +28,9 @@
 type persistentConn struct {
 	conn net.Conn
 	read *bufio.Reader
+	// headLeft is how many bytes may be received until the head of the next
+	// answer is complete, or noLimit.
+	headLeft int
 	// openedAt is when the connection was established, or zero if unknown.
 	openedAt time.Time
 	// written counts the bytes sent to the server.
@@ -46,7 +49,36 @@
 }
 
 func newPersistentConn(conn net.Conn) *persistentConn {
-	return &persistentConn{conn: conn, read: bufio.NewReaderSize(conn, readBuffer), openedAt: time.Now(), userTimeout: userTimeout}
+	c := &persistentConn{conn: conn, headLeft: noLimit, openedAt: time.Now(), userTimeout: userTimeout}
+	c.read = bufio.NewReaderSize(connReader{c}, readBuffer)
+	return c
+}
+
+const (
+	// maxHead bounds the head of an answer, with its interim responses, in bytes:
+	// a faulty server may send bytes without end in place of it.
+	maxHead = 64 << 10
+	// noLimit as headLeft allows any number of bytes.
+	noLimit = -1
+)
+
+var errHeadTooLong = errors.New("the head of the answer is too long")
+
+// connReader reads from the connection, as many bytes as headLeft allows.
+type connReader struct{ c *persistentConn }
+
+// Read implements io.Reader.
+func (r connReader) Read(p []byte) (int, error) {
+	c := r.c
+	switch {
+	case c.headLeft == noLimit:
+		return c.conn.Read(p)
+	case c.headLeft == 0:
+		return 0, errHeadTooLong
+	}
+	n, err := c.conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // Write counts the bytes that it writes; it implements io.Writer.
@@ -135,6 +167,8 @@
 
 // readHead reads the head of an answer and skips interim (1xx) responses.
 func (c *persistentConn) readHead(method string) (*http.Response, error) {
+	c.headLeft = maxHead
+	defer func() { c.headLeft = noLimit }()
 	for {
 		resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
 		if err != nil {
--- a/daemon/channel/pool_test.go
+++ b/daemon/channel/pool_test.go
@@ -217,6 +217,33 @@
 	}
 }
 
+// Guards against the memory that a server's bytes without end take if they come in place of an answer.
+func TestEndlessHeadIsBounded(t *testing.T) {
+	const sent = 64 << 20
+	for name, start := range map[string]string{"no answer": "", "header": "HTTP/1.1 200 OK\r\nId: ", "interim": "HTTP/1.1 100 Continue\r\nX: "} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = readRequest(r)
+				_, _ = io.WriteString(c, start)
+				n := 0
+				for zeros := make([]byte, 64<<10); n < sent; n += len(zeros) {
+					if _, err := c.Write(zeros); err != nil {
+						break
+					}
+				}
+				written <- n
+			})
+			if _, err := exchange(t, newPool(), request(addr, "a")); !fault.Is(err, channel.Interrupted) {
+				t.Errorf("the error is %v", err)
+			}
+			if n := <-written; n >= sent {
+				t.Errorf("%d bytes were read", n)
+			}
+		})
+	}
+}
+
 func TestTruncatedAnswerIsInterrupted(t *testing.T) {
 	for name, script := range map[string]string{
 		"cut within its length":      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
