--- a/daemon/abort/abort_test.go
+++ b/daemon/abort/abort_test.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
+		defer func() { _ = c.Close() }()
 		if _, err := fmt.Fprintf(c, "GET / %s\r\nHost: h\r\n\r\n", version); err != nil {
 			t.Fatal(err)
 		}
--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -70,10 +70,10 @@
 // Read implements io.Reader.
 func (r connReader) Read(p []byte) (int, error) {
 	c := r.c
-	switch {
-	case c.headLeft == noLimit:
+	switch c.headLeft {
+	case noLimit:
 		return c.conn.Read(p)
-	case c.headLeft == 0:
+	case 0:
 		return 0, errHeadTooLong
 	}
 	n, err := c.conn.Read(p[:min(len(p), c.headLeft)])
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -45,24 +45,16 @@
 		if last {
 			return c.endStream(reply, usage)
 		}
-		var chunk engineChunk
-		if err := json.Unmarshal(data, &chunk); err != nil {
-			c.reportInterrupted()
-			return reply.Lose(merry.Wrap(err))
-		}
-		if isSet(chunk.Error) {
+		index, isUsage, err := c.place(data)
+		if err != nil {
 			c.reportInterrupted()
-			return reply.Lose(merry.New("the stream has an error event"))
+			return reply.Lose(err)
 		}
-		if isSet(chunk.Usage) {
+		if isUsage {
 			usage = append([]byte(nil), data...)
 			continue
 		}
-		if chunk.Index == nil || *chunk.Index > c.tokens {
-			c.reportInterrupted()
-			return reply.Lose(merry.Errorf("event %.80s came where token %d was due", data, c.tokens))
-		}
-		next = *chunk.Index + 1
+		next = index + 1
 		if next <= c.tokens {
 			continue
 		}
@@ -77,6 +69,24 @@
 	}
 }
 
+// place returns the index of an event's token in the answer, or that it has the token counts. An event that
+// is no part of the rest of the answer is an error.
+func (c *chatJob) place(data []byte) (index int, isUsage bool, err error) {
+	var chunk engineChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return 0, false, merry.Wrap(err)
+	}
+	switch {
+	case isSet(chunk.Error):
+		return 0, false, merry.New("the stream has an error event")
+	case isSet(chunk.Usage):
+		return 0, true, nil
+	case chunk.Index == nil || *chunk.Index > c.tokens:
+		return 0, false, merry.Errorf("event %.80s came where token %d was due", data, c.tokens)
+	}
+	return *chunk.Index, false, nil
+}
+
 // isSet reports whether a JSON field is there and not null.
 func isSet(field json.RawMessage) bool { return len(field) > 0 && string(field) != "null" }
 
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -135,13 +135,12 @@
 // forwardUnbuffered forwards a response that is too long to buffer.
 func (j *job) forwardUnbuffered(a *attempt, w unsent, begun []byte) sentOutcome {
 	out, err := w.copy(a.reply.Status, j.engine.Dialect.ResponseHeaders(a.reply.Header), a.reply.Length, begun, a.reply)
-	switch {
-	case err != nil:
+	if err != nil {
 		j.reportAttempt(a, err.Error())
-	case out == sentOutcome(Answered{Status: a.reply.Status}):
-		j.recordComplete(a)
-		j.recordFirstPart(a, time.Since(a.sent))
-		j.observeResponse(a, false)
+		return out
 	}
+	j.recordComplete(a)
+	j.recordFirstPart(a, time.Since(a.sent))
+	j.observeResponse(a, false)
 	return out
 }
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -42,7 +42,9 @@
 	return h
 }
 
-func (dialect) Matches(id string, h http.Header, _ bool) bool { return h.Get("Id") == "" || h.Get("Id") == id }
+func (dialect) Matches(id string, h http.Header, _ bool) bool {
+	return h.Get("Id") == "" || h.Get("Id") == id
+}
 
 func (dialect) ParseHead(_ int, h http.Header) proxy.Head {
 	head := proxy.Head{NotRun: h.Get("Declined") != ""}
--- a/daemon/proxy/response.go
+++ b/daemon/proxy/response.go
@@ -36,11 +36,11 @@
 }
 
 // copy sends a response of a length, -1 if that is unknown, whose body starts with begun and goes on
-// with rest. The error is that of a body that ends too early.
+// with rest. The error says why it is not complete.
 func (w unsent) copy(status int, h http.Header, length int64, begun []byte, rest io.Reader) (sentOutcome, error) {
 	w.sink.Begin(status, h, length)
 	if _, err := w.sink.Write(begun); err != nil {
-		return ClientGone{}, nil
+		return ClientGone{}, errClientGone
 	}
 	if _, err := io.Copy(w.sink, rest); err != nil {
 		return Interrupted{Reason: Failed}, err
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -20,6 +20,11 @@
 		skewer.start(ctx)
 		defer skewer.stop()
 	}
+	if o.FailedContinuations {
+		interrupter := newInterrupter(s, o.Seed)
+		interrupter.start(ctx)
+		defer interrupter.stop()
+	}
 	var running sync.WaitGroup
 	for _, f := range p.Faults {
 		clock.Wait(ctx, time.Until(started.Add(f.At)))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -115,12 +115,7 @@
 	if o.BrittleServers {
 		brittler.start(ctx)
 	}
-	interrupter := newInterrupter(s, o.Seed)
-	if o.FailedContinuations {
-		interrupter.start(ctx)
-	}
 	s.play(ctx, o, plan)
-	interrupter.stop()
 	cutter.stop()
 	brittler.stop()
 	announcer.stop()
