storesync: an exit known to be planned is no evidence against requests

Cause: the exits counted as crashes, though each daemon knew that the version had been replaced. They are noticed over a second, so that they are more than one event, and a part that most requests share reaches five.

Why this works: a daemon that knows, when it notices an exit, that the server was due to end does not count it.

--- a/daemon/storesync/planned.go
+++ b/daemon/storesync/planned.go
@@ -10,8 +10,8 @@
 )
 
 // Ends of servers that are planned: the platform stops the servers of a version as soon as a roll-out has
-// replaced it or was rolled back, and others announce that they leave. They are counted apart from other
-// exits.
+// replaced it or was rolled back, and others announce that they leave. Their exits are no evidence
+// against requests.
 
 // plannedEnds finds the servers that are due to end. It belongs to the Syncer's goroutine, but for servers.
 type plannedEnds struct {
--- a/daemon/storesync/quarantine.go
+++ b/daemon/storesync/quarantine.go
@@ -36,17 +36,12 @@
 }
 
 // RecordServerExit counts the exit of a server against the requests that were there, and notifies the other
-// daemons.
+// daemons. An exit that this daemon knew to be planned is no evidence against them.
 func (sy *Syncer) RecordServerExit(server string, suspects []quarantine.Suspect) {
 	now, counted := time.Now(), 0
 	planned := sy.planned.servers.Includes(quarantine.ServerHash(server), now)
-	for _, cs := range []*confinementSync{sy.contents, sy.parts} {
-		for _, c := range cs.registry.RecordServerExit(quarantine.ServerHash(server), suspects, cs.keys, now) {
-			if cs == sy.contents {
-				counted += len(c.Parts)
-			}
-			sy.enqueue(crashObserved{cs, c})
-		}
+	if !planned {
+		counted = sy.countExit(server, suspects, now)
 	}
 	answered := 0
 	for _, s := range suspects {
@@ -65,6 +60,19 @@
 	sy.Log.Warn().Str("server", server).Int("requests", len(suspects)).Int("answered", answered).Int("counted", counted).Bool("planned", planned).Strs("contents", loggedContents(suspects)).Strs("parts", loggedParts(suspects)).Msg("quarantine: server exited with requests in flight")
 }
 
+// countExit counts an exit against the requests that were there, and returns how many contents it is new for.
+func (sy *Syncer) countExit(server string, suspects []quarantine.Suspect, now time.Time) (counted int) {
+	for _, cs := range []*confinementSync{sy.contents, sy.parts} {
+		for _, c := range cs.registry.RecordServerExit(quarantine.ServerHash(server), suspects, cs.keys, now) {
+			if cs == sy.contents {
+				counted += len(c.Parts)
+			}
+			sy.enqueue(crashObserved{cs, c})
+		}
+	}
+	return counted
+}
+
 // maxLoggedParts bounds the parts, and the contents, in a log line.
 const maxLoggedParts = 32
 
