quarantine: planned ends are kept by their end alone

An exit counts as planned only where the daemon knows of the plan when it finds the exit, so that the time from which exits may be planned was never used.

--- a/core/quarantine/planned.go
+++ b/core/quarantine/planned.go
@@ -13,36 +13,29 @@
 // PlannedEnds holds the servers that are due to end, by the operator's order or their own word. It is safe
 // for concurrent use; the zero value has no servers.
 type PlannedEnds struct {
-	mu      sync.RWMutex
-	servers map[uint64]plannedEnd
+	mu sync.RWMutex
+	// until is the time up to which an exit of a server, by its hash, is its planned end.
+	until map[uint64]time.Time
 }
 
-// plannedEnd is the time in which an exit is the planned end of a server.
-type plannedEnd struct{ from, until time.Time }
-
-// Add records that a server, by its hash, is due to end. Exits from the given time on are planned: the
-// daemon may learn of the plan after them.
-func (p *PlannedEnds) Add(server uint64, from, now time.Time) {
+// Add records that a server, by its hash, is due to end from now on.
+func (p *PlannedEnds) Add(server uint64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.servers == nil {
-		p.servers = map[uint64]plannedEnd{}
+	if p.until == nil {
+		p.until = map[uint64]time.Time{}
 	}
-	e, known := p.servers[server]
-	if !known {
-		e = plannedEnd{from: from, until: now.Add(plannedWithin)}
+	if _, known := p.until[server]; !known {
+		p.until[server] = now.Add(plannedWithin)
 	}
-	// Of two plans the earlier one may become known later.
-	e.from = earliest(e.from, from)
-	p.servers[server] = e
-	// An exit may be reported for as long as it counts.
-	maps.DeleteFunc(p.servers, func(_ uint64, e plannedEnd) bool { return now.Sub(e.until) > rememberFor })
+	// Kept past its end, so that a server that goes on is not due to end anew.
+	maps.DeleteFunc(p.until, func(_ uint64, until time.Time) bool { return now.Sub(until) > rememberFor })
 }
 
-// Includes reports whether the exit of a server, by its hash, at a time was planned.
-func (p *PlannedEnds) Includes(server uint64, at time.Time) bool {
+// Includes reports whether the exit of a server, by its hash, that is found at a time was planned.
+func (p *PlannedEnds) Includes(server uint64, now time.Time) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	e, ok := p.servers[server]
-	return ok && !at.Before(e.from) && !at.After(e.until)
+	until, ok := p.until[server]
+	return ok && !now.After(until)
 }
--- a/core/quarantine/planned_histories_test.go
+++ b/core/quarantine/planned_histories_test.go
@@ -50,11 +50,9 @@
 		case n == 1 && news == newsLost:
 			continue
 		}
-		// The daemon last knew that there was no order within a second before it.
-		from := h.now.Add(order - h.between(0, time.Second))
 		h.after(at, func() {
 			for _, id := range ids {
-				d.planned.Add(id, from, h.now)
+				d.planned.Add(id, h.now)
 			}
 		})
 	}
--- a/daemon/storesync/planned.go
+++ b/daemon/storesync/planned.go
@@ -5,7 +5,6 @@
 
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/fleet"
-	"ladderridge.example/core/gossip"
 	"ladderridge.example/core/quarantine"
 )
 
@@ -16,17 +15,14 @@
 // plannedEnds finds the servers that are due to end. It belongs to the Syncer's goroutine, but for servers.
 type plannedEnds struct {
 	servers quarantine.PlannedEnds
-	// endedRollouts has the orders that have ended, by service, and since when they may have.
+	// endedRollouts has the orders that have ended, by service.
 	endedRollouts map[string]endedRollout
-	// progressAt is the last time for which the states of roll-outs were known.
-	progressAt time.Time
 }
 
 // endedRollout is an order that has been completed or rolled back.
 type endedRollout struct {
 	order canary.Order
 	state canary.State
-	since time.Time
 }
 
 // ends reports whether the platform stops the servers of a version.
@@ -50,27 +46,18 @@
 		if known, ok := p.endedRollouts[service]; ok && known.state == r.State && known.order.Number == r.Order.Number {
 			continue
 		}
-		p.endedRollouts[service] = endedRollout{order: r.Order, state: r.State, since: p.progressAt}
+		p.endedRollouts[service] = endedRollout{order: r.Order, state: r.State}
 		if v := sy.view.Load(); v.Servers != nil {
 			sy.planEnds(v.Servers.Service(service), now)
 		}
 	}
-	p.progressAt = sy.topics[gossip.Progress].confirmed
 }
 
 // planEnds records those of the servers that are due to end.
 func (sy *Syncer) planEnds(servers []*fleet.Server, now time.Time) {
-	p := sy.planned
 	for _, s := range servers {
-		e, ok := p.endedRollouts[s.Service]
-		from := e.since
-		switch {
-		case s.Leaving:
-			// A server that has crashed announces nothing.
-			from = time.Time{}
-		case !ok || !e.ends(s.Version):
-			continue
+		if e, ended := sy.planned.endedRollouts[s.Service]; s.Leaving || ended && e.ends(s.Version) {
+			sy.planned.servers.Add(quarantine.ServerHash(s.Incarnation().String()), now)
 		}
-		p.servers.Add(quarantine.ServerHash(s.Incarnation().String()), from, now)
 	}
 }
