--- a/core/quarantine/content_histories_test.go
+++ b/core/quarantine/content_histories_test.go
@@ -68,7 +68,7 @@
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
 				h := drawContentHistory(seed)
-				h.run(40 * time.Second)
+				h.run()
 				if n := h.late[1000]; n > 3 {
 					t.Errorf("the request reached servers %d times later than contactTime after word of its third crash, %d crashes", n, len(h.crashes[1000]))
 				}
--- a/core/quarantine/histories_test.go
+++ b/core/quarantine/histories_test.go
@@ -345,8 +345,11 @@
 	}
 }
 
-func (h *history) run(d time.Duration) {
-	end := h.now.Add(d)
+// historyLength is how long a history lasts.
+const historyLength = 40 * time.Second
+
+func (h *history) run() {
+	end := h.now.Add(historyLength)
 	for len(h.queue) > 0 && h.queue[0].at.Before(end) {
 		e := heap.Pop(&h.queue).(event) //nolint:forcetypeassert // The queue holds nothing else.
 		h.now = e.at
@@ -461,7 +464,7 @@
 			crashes, sound, refused, most := 0, 0, 0, 0
 			for seed := first + group; seed < first+histories; seed += groups {
 				h := drawHistory(seed)
-				h.run(40 * time.Second)
+				h.run()
 				for p, n := range h.late {
 					most = max(most, n)
 					if n > 3 {
--- a/core/quarantine/planned_histories_test.go
+++ b/core/quarantine/planned_histories_test.go
@@ -110,7 +110,7 @@
 			broken, sound := 0, 0
 			for seed := first + group; seed < first+drawnHistories; seed += groups {
 				h := drawPlannedHistory(seed, news)
-				h.run(40 * time.Second)
+				h.run()
 				sound += h.sound
 				if h.refused > 0 {
 					broken++
@@ -139,7 +139,7 @@
 			for seed := *firstHistory + group; seed < *firstHistory+drawnHistories; seed += groups {
 				h := drawHistory(seed)
 				h.drawPlannedEnds(newsLate)
-				h.run(40 * time.Second)
+				h.run()
 				for p, n := range h.late {
 					if n > 3 {
 						t.Errorf("seed %d: part %d reached servers %d times later than contactTime after its fifth crash, %d crashes", seed, p, n, len(h.crashes[p]))
