proxy: the network's time does not count against a version

What callers saw: a good new version of a service with short answers was taken back, and beside that noise a slow one (a third of its answers three times as long) was completed and kept.

Cause: the time to the first part counted from when the attempt was made. A new version gets few requests, so most of its answers come over new connections, and over other halls, while the old version answers on kept connections in the hall.

Change: what an answer is compared by is the time from when its connection was ready, less the shortest time that connecting to its hall has taken. Everything else (estimates, time-outs, prices) goes by the whole time as before.

--- a/daemon/channel/path.go
+++ b/daemon/channel/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -50,6 +51,9 @@
 	Via string
 	// Reason says why the connection is not direct.
 	Reason string
+	// RoundTrip is the shortest time that connecting to a server of the same hall has
+	// taken, 0 if that is unknown.
+	RoundTrip time.Duration
 }
 
 // Relay connects to servers through other daemons.
@@ -87,6 +91,28 @@
 	return ""
 }
 
+// roundTrips has the shortest times to connect, by data hall. It is safe for
+// concurrent use.
+type roundTrips struct {
+	mu     sync.Mutex
+	byHall map[string]time.Duration
+}
+
+// observe records how long it took to connect to a server of a hall.
+func (t *roundTrips) observe(hall string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if shortest, ok := t.byHall[hall]; !ok || took < shortest {
+		t.byHall[hall] = took
+	}
+}
+
+func (t *roundTrips) shortest(hall string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byHall[hall]
+}
+
 // release ends the use of a connection that may carry another request.
 func (p *Pool) release(addr string, c *persistentConn) {
 	if relayed, ok := c.conn.(RelayConn); ok {
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -118,6 +118,8 @@
 	// whether the server has exited.
 	Unconfirmed atomic.Int64
 
+	roundTrips roundTrips
+
 	mu   sync.Mutex
 	idle map[string][]*persistentConn
 }
@@ -130,8 +132,9 @@
 		Control:         setUserTimeout,
 	}
 	return &Pool{
-		idle: map[string][]*persistentConn{},
-		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
+		idle:       map[string][]*persistentConn{},
+		roundTrips: roundTrips{byHall: map[string]time.Duration{}},
+		Dial:       func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
 	}
 }
 
@@ -289,12 +292,15 @@
 		p.Reused.Add(1)
 	} else {
 		var err error
+		began := time.Now()
 		if c, err = p.open(ctx, x.Endpoint); err != nil {
 			return nil, err
 		}
-		path.Via, path.Reason = c.via(), c.reason
+		if path.Via, path.Reason = c.via(), c.reason; path.Via == "" {
+			p.roundTrips.observe(x.Hall, time.Since(began))
+		}
 	}
-	path.OpenedAt = c.openedAt
+	path.OpenedAt, path.RoundTrip = c.openedAt, p.roundTrips.shortest(x.Hall)
 	if x.BeforeSend != nil {
 		if err := x.BeforeSend(path); err != nil {
 			c.close()
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -37,7 +37,9 @@
 	result attemptResult
 	err    error
 	sent   time.Time
-	path   channel.Path
+	// begun is when the connection was ready for the request, zero before that.
+	begun time.Time
+	path  channel.Path
 	// lateProbe probes the server if the head of the response is late; may be nil.
 	lateProbe *time.Timer
 	// cancel aborts the attempt at the server.
@@ -310,6 +312,7 @@
 	if _, ok := j.quarantined(now); ok {
 		return errQuarantined
 	}
+	a.begun = now
 	j.beginRun(a)
 	j.probeIfLate(a)
 	return nil
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -129,7 +129,8 @@
 	a.server.State.Answered(a.relative)
 	j.engine.latencies.update(a.latencyKey, func(e latency.Estimate) latency.Estimate { return e.With(j.request.size(), took, time.Now()) })
 	j.observeRunStart(a, took)
-	a.firstRatio = j.compareToReference(a, j.referenceKey(a), took)
+	j.learnReference(a, took)
+	a.firstRatio = j.compareToReference(a, j.serverTimeKey(a), a.serverTime(took))
 }
 
 // forwardUnbuffered forwards a response that is too long to buffer.
--- /dev/null
+++ b/daemon/proxy/comparison_test.go
@@ -0,0 +1,59 @@
+package proxy_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"ladderridge.example/core/routemap"
+	"ladderridge.example/daemon/proxy"
+	"ladderridge.example/daemon/storesync"
+)
+
+// answersAfter returns a script that answers after a time.
+func answersAfter(d time.Duration) script {
+	return func(c net.Conn, a arrival) bool {
+		time.Sleep(d)
+		return whole(200, "ok")(c, a)
+	}
+}
+
+// Guards against good versions that are taken back because their few requests open connections into
+// other data halls: the network's time is not the server's.
+func TestNetworkTimeDoesNotCountAgainstAVersion(t *testing.T) {
+	const work, roundTrip = 10 * time.Millisecond, 30 * time.Millisecond
+	for name, c := range map[string]struct {
+		work time.Duration
+		slow bool
+	}{"alike": {work, false}, "slow": {8 * work, true}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newFixture(t)
+				dial := b.engine.Channels.Dial
+				b.engine.Channels.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					if addr == "far" {
+						time.Sleep(roundTrip)
+					}
+					return dial(ctx, addr)
+				}
+				near, far := b.server("near", answersAfter(work)), b.server("far", answersAfter(c.work+roundTrip))
+				near.Hall, far.Hall = "here", "there"
+				ask := func() storesync.Observation {
+					b.send(t.Context(), proxy.Request{ID: "r", Path: "/again/x", Key: "k", Timeout: time.Second})
+					return b.known.lastObservation()
+				}
+				b.known.set(routemap.New(parts(1, "k")), near)
+				for range 20 {
+					ask()
+				}
+				b.known.set(routemap.New(parts(2, "k")), far)
+				for i := range 3 {
+					if f := ask(); f.Server == "" || f.FirstRatio > 2 != c.slow {
+						t.Errorf("answer %d: %+v", i, f)
+					}
+				}
+			})
+		})
+	}
+}
--- a/daemon/proxy/observe.go
+++ b/daemon/proxy/observe.go
@@ -37,7 +37,7 @@
 	if a.relayed() {
 		return
 	}
-	least := j.engine.references.get(j.referenceKey(a)).Relative(a.features(), time.Since(a.sent))
+	least := j.engine.references.get(j.serverTimeKey(a)).Relative(a.features(), a.serverTime(time.Since(a.sent)))
 	j.observeAbandonedWait(time.Since(a.sent), time.Now())
 	f := j.newObservation(a)
 	f.FirstRatio, f.Stage = least, storesync.Abandoned
@@ -62,6 +62,26 @@
 	return j.route.Name
 }
 
+// serverTimeKey returns the key of the times that servers account for.
+func (j *job) serverTimeKey(a *attempt) string { return j.referenceKey(a) + "/server" }
+
+// learnReference updates the reference times of the attempt's model if the version is not in roll-out.
+func (j *job) learnReference(a *attempt, took time.Duration) {
+	if !j.view.InRollout(j.service, a.server.Version) {
+		j.engine.references.update(j.referenceKey(a), func(r latency.Reference) latency.Reference { return r.With(a.features(), took) })
+	}
+}
+
+// serverTime returns the part of the time since an attempt was made that its server accounts for: not
+// that in which the connection was made, nor a round trip of the network. A new version is sent few
+// requests, which need new connections, and more of them into other halls than the old version's.
+func (a *attempt) serverTime(took time.Duration) time.Duration {
+	if !a.begun.IsZero() {
+		took -= a.begun.Sub(a.sent) + a.path.RoundTrip
+	}
+	return max(0, took)
+}
+
 // features returns what an attempt's duration depends on.
 func (a *attempt) features() latency.Features {
 	return latency.Features{Unique: blocks(a.prompt.UniqueTokens()), Uncached: a.shared, Load: float64(a.server.State.Requests())}
