proxy: answers before a daemon's reference is known count for their version

What callers saw: a slow version was judged by a part of its answers.

Cause: an answer is compared with the times that its daemon has seen on the route. Of a route's first eight answers at a daemon nothing was known, and the times of all answers until then were dropped: after a start of the daemons, or on a service with few requests, many of a new version's.

Change: such times are kept (64 for each kind at most) and reported when the reference is known, as the rest of an answer that was counted before. Answers that were given up on are kept the same way.

--- a/core/latency/reference.go
+++ b/core/latency/reference.go
@@ -76,17 +76,18 @@
 // Relative returns the ratio of an answer's latency to the prediction, or 0 if the
 // prediction is not known yet.
 func (r Reference) Relative(f Features, took time.Duration) float64 {
-	if !r.known() {
+	if !r.Known() {
 		return 0
 	}
 	return math.Exp(logLatency(took) - r.logExpected(f))
 }
 
-func (r Reference) known() bool { return r.products[0][0] >= minWeight }
+// Known reports whether enough answers have been seen for predictions.
+func (r Reference) Known() bool { return r.products[0][0] >= minWeight }
 
 // Expected returns the predicted latency in seconds, or 0 if it is not known yet.
 func (r Reference) Expected(f Features) float64 {
-	if !r.known() {
+	if !r.Known() {
 		return 0
 	}
 	return math.Exp(r.logExpected(f))
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -130,7 +130,7 @@
 	j.engine.latencies.update(a.latencyKey, func(e latency.Estimate) latency.Estimate { return e.With(j.request.size(), took, time.Now()) })
 	j.observeRunStart(a, took)
 	j.learnReference(a, took)
-	a.firstRatio = j.compareToReference(a, j.serverTimeKey(a), a.serverTime(took))
+	a.firstRatio = j.compareFirst(a, took)
 }
 
 // forwardUnbuffered forwards a response that is too long to buffer.
--- a/daemon/proxy/comparison_test.go
+++ b/daemon/proxy/comparison_test.go
@@ -57,3 +57,35 @@
 		})
 	}
 }
+
+// Guards against a slow version that is completed because the daemons have just started: answers that
+// come before a daemon has a reference must count once it has one.
+func TestAnswersBeforeTheReferenceCount(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("slow", answersAfter(100*time.Millisecond)))
+		ask := func() {
+			b.send(t.Context(), proxy.Request{ID: "r", Path: "/again/x", Key: "k", Timeout: time.Second})
+		}
+		ask()
+		b.known.set(routemap.New(parts(2, "k")), b.server("a", answersAfter(10*time.Millisecond)))
+		for range 12 {
+			ask()
+		}
+		answers, timed, slow := 0, 0, 0
+		for _, f := range b.known.observations() {
+			if f.Stage == storesync.Complete {
+				answers++
+			}
+			if f.FirstRatio > 0 {
+				timed++
+			}
+			if f.FirstRatio > 3 && f.Server == "slow" {
+				slow++
+			}
+		}
+		if answers != 13 || timed != answers || slow != 1 {
+			t.Errorf("%d answers, %d with a time, %d slow", answers, timed, slow)
+		}
+	})
+}
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -99,6 +99,8 @@
 	latencies *keyed[latency.Estimate]
 	// references has the response times of versions that are not in roll-out.
 	references *keyed[latency.Reference]
+	// comparison compares the times of answers with those of versions that are not in roll-out.
+	comparison *comparison
 	// runTimes estimates the times of runs at services with few slots, by service and model.
 	runTimes *keyed[estimate.Model]
 	// runs tracks the requests that are at servers.
@@ -122,7 +124,7 @@
 
 // New returns an engine without state.
 func New() *Engine {
-	return &Engine{latencies: newKeyed[latency.Estimate](), references: newKeyed[latency.Reference](), runTimes: newKeyed[estimate.Model](), runs: quarantine.NewTracker()}
+	return &Engine{latencies: newKeyed[latency.Estimate](), references: newKeyed[latency.Reference](), comparison: newComparison(), runTimes: newKeyed[estimate.Model](), runs: quarantine.NewTracker()}
 }
 
 // Report is the outcome of a request and its reasons, for logs and metrics.
--- a/daemon/proxy/observe.go
+++ b/daemon/proxy/observe.go
@@ -37,11 +37,15 @@
 	if a.relayed() {
 		return
 	}
-	least := j.engine.references.get(j.serverTimeKey(a)).Relative(a.features(), a.serverTime(time.Since(a.sent)))
-	j.observeAbandonedWait(time.Since(a.sent), time.Now())
+	waited := time.Since(a.sent)
+	j.observeAbandonedWait(waited, time.Now())
 	f := j.newObservation(a)
-	f.FirstRatio, f.Stage = least, storesync.Abandoned
-	j.engine.StoreSync.Observe(f)
+	f.Stage = storesync.Abandoned
+	observe := func(least float64) {
+		f.FirstRatio = least
+		j.engine.StoreSync.Observe(f)
+	}
+	observe(j.engine.comparison.compare(j.referenceKey(a), false, unratedAnswer{features: a.features(), took: a.serverTime(waited), rated: observe}))
 }
 
 // newObservation returns an observation with the origin of an attempt's response.
@@ -62,8 +66,23 @@
 	return j.route.Name
 }
 
-// serverTimeKey returns the key of the times that servers account for.
-func (j *job) serverTimeKey(a *attempt) string { return j.referenceKey(a) + "/server" }
+// features returns what an attempt's duration depends on.
+func (a *attempt) features() latency.Features {
+	return latency.Features{Unique: blocks(a.prompt.UniqueTokens()), Uncached: a.shared, Load: float64(a.server.State.Requests())}
+}
+
+// blocks converts a number of tokens to prompt blocks.
+func blocks(tokens int) float64 { return float64(max(0, tokens)) / fleet.BlockTokens }
+
+// computeBlockCost returns the load that a block of the prompt adds to a server for the current
+// model: 1 for the smallest model of a cascade, and for a larger one the ratio of its duration
+// to the smallest one's.
+func (j *job) computeBlockCost() float64 {
+	if len(j.route.Cascade) == 0 || j.step.Index == 0 {
+		return 1
+	}
+	return durationRatio(j.engine.references.get(j.service+"/"+j.model()), j.engine.references.get(j.service+"/"+j.route.Cascade[0]))
+}
 
 // learnReference updates the reference times of the attempt's model if the version is not in roll-out.
 func (j *job) learnReference(a *attempt, took time.Duration) {
@@ -82,31 +101,27 @@
 	return max(0, took)
 }
 
-// features returns what an attempt's duration depends on.
-func (a *attempt) features() latency.Features {
-	return latency.Features{Unique: blocks(a.prompt.UniqueTokens()), Uncached: a.shared, Load: float64(a.server.State.Requests())}
+// compareFirst compares the time to the first part of an answer with that of versions that are not in
+// roll-out. The ratio is 0 if that is not known yet.
+func (j *job) compareFirst(a *attempt, took time.Duration) float64 {
+	later := j.newObservation(a)
+	later.Stage = storesync.Remainder
+	return j.compare(a, j.referenceKey(a), a.serverTime(took), func(ratio float64) {
+		later.FirstRatio = ratio
+		j.engine.StoreSync.Observe(later)
+	})
 }
 
-// blocks converts a number of tokens to prompt blocks.
-func blocks(tokens int) float64 { return float64(max(0, tokens)) / fleet.BlockTokens }
-
-// computeBlockCost returns the load that a block of the prompt adds to a server for the current
-// model: 1 for the smallest model of a cascade, and for a larger one the ratio of its duration
-// to the smallest one's.
-func (j *job) computeBlockCost() float64 {
-	if len(j.route.Cascade) == 0 || j.step.Index == 0 {
-		return 1
-	}
-	return durationRatio(j.engine.references.get(j.service+"/"+j.model()), j.engine.references.get(j.service+"/"+j.route.Cascade[0]))
+// compareBetween is compareFirst for the interval between the events of a stream.
+func (j *job) compareBetween(a *attempt, took time.Duration) float64 {
+	later := j.newObservation(a)
+	later.Stage = storesync.Remainder
+	return j.compare(a, j.referenceKey(a)+"/between", took, func(ratio float64) {
+		later.BetweenRatio = ratio
+		j.engine.StoreSync.Observe(later)
+	})
 }
 
-// compareToReference returns a duration divided by the reference duration, 0 if that is
-// unknown. It updates the reference if the version is not in roll-out.
-func (j *job) compareToReference(a *attempt, kind string, took time.Duration) float64 {
-	f := a.features()
-	relative := j.engine.references.get(kind).Relative(f, took)
-	if !j.view.InRollout(j.service, a.server.Version) {
-		j.engine.references.update(kind, func(r latency.Reference) latency.Reference { return r.With(f, took) })
-	}
-	return relative
+func (j *job) compare(a *attempt, key string, took time.Duration, later func(ratio float64)) float64 {
+	return j.engine.comparison.compare(key, !j.view.InRollout(j.service, a.server.Version), unratedAnswer{features: a.features(), took: took, rated: later})
 }
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -196,5 +196,5 @@
 	if t.events < minTimedEvents {
 		return 0
 	}
-	return j.compareToReference(a, j.referenceKey(a)+"/between", t.last.Sub(t.first)/time.Duration(t.events-1))
+	return j.compareBetween(a, t.last.Sub(t.first)/time.Duration(t.events-1))
 }
