canary: a version is completed only on evidence for it

What callers saw (EXPOSURE): a version that answered several times slower was completed and kept.

Cause: a version was completed as soon as nothing spoke against it, however few answers there were: after three seconds with the order no number of answers was asked for, and the criteria against it are those of model servers, whose caches are empty at first (a log likelihood ratio of 16).

Change: Verdict.Unproven says why the answers do not show that the version is good. They must be likelier for a good version, by e, than for one with a fifth of slow answers or 15 more failures in 100, and by e^2 for 0.3 and more, or 40. Where servers cache prompts the present criteria stand, and 30 answers with known times are needed. An unproven version is rejected by the readers just before it would be opened to all sessions, and is never completed.

Tests that completed a version without a single answer now let the daemons observe answers; what they check is unchanged.

--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -201,6 +201,15 @@
 // slow, bad answers then go on for five seconds.
 const trialPhase = 2.0 / 3
 
+// openingLead is how long before a version is opened to all it must have been shown to be good: if it has
+// not, the daemons learn of its rejection in time.
+const openingLead = 350 * time.Millisecond
+
+// OpensSoon reports whether the version is about to be opened to all sessions, or is open.
+func (r Rollout) OpensSoon(now time.Time) bool {
+	return now.Sub(r.Since) >= finalStageStart(r.Order.Within)-openingLead
+}
+
 // Phase returns the fraction, from 0 to 1, of the time before the version is opened to all that
 // has passed.
 func (r Rollout) Phase(now time.Time) float64 {
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -53,6 +53,9 @@
 	// New holds the counts of the new version by server; the key "" holds those of servers that
 	// are not told apart.
 	New map[string]Counts
+	// Caching is set if the servers cache prompts: those of the new version have empty caches at
+	// first, so that its answers take longer.
+	Caching bool
 }
 
 // Answers returns the number of answers of the new version.
@@ -159,6 +162,9 @@
 	// Suspicion is the reason why the version may not be completed, or "". The evidence is weaker
 	// than for a rejection, but stronger than good versions produce.
 	Suspicion string
+	// Unproven is the reason why the answers so far do not show that the version is good, or "". Such
+	// a version may not be opened to all sessions, nor completed.
+	Unproven string
 	// ErrorBudgetSpent reports whether callers have met so many bad answers, from more than one
 	// server, that a suspicion is enough to reject the version.
 	ErrorBudgetSpent bool
@@ -207,6 +213,10 @@
 	if !rest.clear(combined) {
 		v.Suspicion = reason(combined, combined, suspectCriteria)
 	}
+	if v.Unproven = combined[""].unproven(e.Caching); slices.Contains(v.Ejected, worst) {
+		// That server is faulty; the others have to show that the version is good.
+		v.Unproven = rest[""].unproven(e.Caching)
+	}
 	v.ErrorBudgetSpent = v.Suspicion != "" && combined[""].badAnswers() >= errorBudget && rest[""].degraded()
 	if v.Suspicion != "" && combined[""].badAnswers() >= errorBudget && rest[""].candidate.Answers < minOtherAnswers && worst != "" && !slices.Contains(v.Ejected, worst) {
 		// Other servers get requests, to tell whether the server or the version is at fault.
@@ -331,10 +341,18 @@
 		f.pairs.slower, f.pairs.stdDev, toleratedShare, f.failures, f.latency, f.candidate.Answers, f.candidate.Failed, f.candidate.First.slowCount(), f.candidate.Between.slowCount(), f.old.Answers, f.old.Failed, f.old.First.slowCount(), f.old.Between.slowCount())
 }
 
+// maxFailureRate is the largest failure rate that is tested.
+const maxFailureRate = 0.99
+
+// failureRate estimates the failure rate from the counts and the prior.
+func (c Count) failureRate() float64 {
+	return max(minFailureRate, (float64(c.Failed)+priorFailureRate*priorAnswers)/(float64(c.Answers)+priorAnswers))
+}
+
 // failureRatio returns the log likelihood ratio of an increased failure rate against the old
 // version's.
 func failureRatio(candidate, old Count) float64 {
-	good := max(minFailureRate, (float64(old.Failed)+priorFailureRate*priorAnswers)/(float64(old.Answers)+priorAnswers))
+	good := old.failureRate()
 	highest := 0.0
 	for _, increase := range failureRateIncreases {
 		if good+increase < 1 {
--- a/daemon/storesync/planned_test.go
+++ b/daemon/storesync/planned_test.go
@@ -13,6 +13,7 @@
 func TestExitsOfAReplacedVersionAreNoEvidence(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		s, daemons := startRollout(t, 3, 10)
+		observeGoodAnswers(daemons, "v1", "v2")
 		suspects := []quarantine.Suspect{{Content: 1}}
 		daemons[0].RecordServerExit("old", suspects)
 		if n := daemons[0].PlannedExits.Load(); n != 0 {
--- a/daemon/storesync/restore_test.go
+++ b/daemon/storesync/restore_test.go
@@ -220,6 +220,7 @@
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
 				s, syncers := startRollout(t, 30, 10)
+				observeGoodAnswers(syncers, "v1", "v2")
 				copied := s.store.copyState()
 				if name == "running" {
 					s.store.mu.Lock()
--- a/daemon/storesync/rollout_driver.go
+++ b/daemon/storesync/rollout_driver.go
@@ -1,6 +1,7 @@
 package storesync
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -152,6 +153,7 @@
 		return
 	}
 	seen := sy.rollouts.evidence(service)
+	seen.Caching = sy.cachesPrompts(service)
 	verdict := sy.evaluate(seen, r, own, now)
 	next := canary.Progress{Version: version, SinceMS: sy.storeSince(service, now), Order: r.Order.Number, InitialShare: r.InitialShare}
 	switch {
@@ -164,20 +166,26 @@
 	default:
 		return
 	}
-	if next.State == canary.Completed && seen.Answers() == 0 && sy.Unreachable != nil && sy.Unreachable(now) {
-		// That nothing speaks against the version shows nothing if no request can reach it.
+	if next.State == canary.Completed && seen.Answers() == 0 && sy.unreachable(now) {
+		// The version has no answers because no request can reach it.
 		return
 	}
-	if next.State == canary.Completed && verdict.Suspicion != "" {
+	if why := cmp.Or(verdict.Suspicion, verdict.Unproven); next.State == canary.Completed && why != "" {
 		if now.Sub(sy.dueSince(service, next.State, now)) < sy.writeDelay(next.State) {
 			return
 		}
-		sy.withdraw(r, "not enough evidence that the version is good: "+verdict.Suspicion, own, now)
+		sy.withdraw(r, notProven+why, own, now)
 		next.State = canary.RolledBack
 	}
 	sy.writeInTurn(ctx, service, next, verdict.Summary, sy.dueSince(service, next.State, now), now)
 }
 
+// cachesPrompts reports whether the servers of a service cache prompts.
+func (sy *Syncer) cachesPrompts(service string) bool {
+	m := sy.view.Load().Map
+	return m != nil && m.Service(service).CacheTokens > 0
+}
+
 // dueSince returns since when a state of an order is due to be written.
 func (sy *Syncer) dueSince(service string, state canary.State, now time.Time) time.Time {
 	name := service + state.String()
@@ -211,12 +219,23 @@
 	switch {
 	case verdict.Rejection != "":
 		sy.withdraw(r, verdict.Rejection, own, now)
-	case (verdict.ErrorBudgetSpent || sy.trialSufficient(r, seen, now)) && sy.reading.Load() && sy.enoughEvidence(service, seen, now):
-		sy.withdraw(r, "not enough evidence that the version is good: "+verdict.Suspicion, own, now)
+	case !sy.reading.Load() || !sy.enoughEvidence(service, seen, now):
+	case verdict.ErrorBudgetSpent || sy.trialSufficient(r, seen, now):
+		sy.withdraw(r, notProven+verdict.Suspicion, own, now)
+	case verdict.Unproven != "" && r.OpensSoon(now) && !sy.unreachable(now):
+		sy.withdraw(r, notProven+verdict.Unproven, own, now)
 	}
 	return verdict
 }
 
+// notProven is the beginning of the reason for which a version is rejected that was not found faulty.
+const notProven = "not enough evidence that the version is good: "
+
+// unreachable reports whether this daemon reaches no server.
+func (sy *Syncer) unreachable(now time.Time) bool {
+	return sy.Unreachable != nil && sy.Unreachable(now)
+}
+
 // trialSufficient reports whether a version has been tried for long enough, or with enough
 // answers, that a lasting suspicion suffices to stop its use.
 func (sy *Syncer) trialSufficient(r canary.Rollout, seen canary.Evidence, now time.Time) bool {
--- a/daemon/storesync/rollout_test.go
+++ b/daemon/storesync/rollout_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// observeGoodAnswers lets daemons observe answers of two versions that take as long. A version that is
+// not shown to be good is not completed.
+func observeGoodAnswers(syncers []*storesync.Syncer, was, is string) {
+	const answers = 60
+	for i := range answers {
+		for _, version := range []string{was, is} {
+			syncers[i%len(syncers)].Observe(storesync.Observation{Service: "s", Version: version, Route: "r", FirstRatio: typicalRatio(i)})
+		}
+	}
+}
+
 // typicalRatio returns the relative latency of the i-th answer; a tenth of them take at least twice
 // the typical time.
 func typicalRatio(i int) float64 { return 0.4 * math.Pow(1.12, float64(i%20)) }
@@ -75,6 +86,7 @@
 				t.Fatal("the initial share of the new version is wrong")
 			}
 		}
+		observeGoodAnswers(syncers, "v1", "v2")
 		advance(20 * time.Second)
 		if p := s.storedProgress(); p.State != canary.Completed || p.Version != "v2" {
 			t.Fatalf("the state is %v", p)
@@ -111,7 +123,8 @@
 
 func TestLostWriteAnswersAndACutOffWriterDoNotStopARollout(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		s, _ := startRollout(t, 3, 20)
+		s, syncers := startRollout(t, 3, 20)
+		observeGoodAnswers(syncers[1:], "v1", "v2")
 		s.links["d0"].fail(errDown)
 		for _, id := range []string{"d1", "d2"} {
 			s.links[id].mu.Lock()
@@ -255,6 +268,35 @@
 	})
 }
 
+// Guards against slow versions that are completed because few answers, or none, speak against them: with
+// few requests, or after a restart of the daemons.
+func TestVersionWithFewAnswersIsNeitherOpenedNorCompleted(t *testing.T) {
+	for _, answers := range []int{0, 1, 6} {
+		t.Run(fmt.Sprint(answers), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				s, syncers := startRollout(t, 3, 20)
+				for i := range 60 {
+					syncers[i%3].Observe(storesync.Observation{Service: "s", Version: "v1", Route: "r", FirstRatio: typicalRatio(i)})
+					if i < answers {
+						syncers[i%3].Observe(storesync.Observation{Service: "s", Version: "v2", Route: "r", FirstRatio: 1})
+					}
+				}
+				for range 200 {
+					advance(100 * time.Millisecond)
+					for i, d := range syncers {
+						if prefersVersion(d, highestHash, "v2") {
+							t.Fatalf("daemon %d sends all sessions to the version", i)
+						}
+					}
+				}
+				if p := s.storedProgress(); p.State != canary.RolledBack {
+					t.Errorf("the state is %v", p)
+				}
+			})
+		})
+	}
+}
+
 // All daemons once lost their paths to the servers for the time of an order, and completed a version
 // that fails since nobody had an answer of it.
 func TestVersionThatNoRequestReachesIsNotCompleted(t *testing.T) {
@@ -428,6 +470,7 @@
 func TestActiveSessionsStayWhenOneOrderFollowsAnother(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		s, syncers := startRollout(t, 3, 20)
+		observeGoodAnswers(syncers, "v1", "v2")
 		advance(16500 * time.Millisecond)
 		syncers[1].RecordSession("s", lowestHash, "v2")
 		advance(2000 * time.Millisecond)
@@ -453,10 +496,13 @@
 func TestStatesOfASecondOrderAreWrittenInTurn(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		s, syncers := startRollout(t, 30, 10)
+		observeGoodAnswers(syncers, "v1", "v2")
 		advance(12 * time.Second)
 		s.store.set(gossip.Servers, "newer", "v3")
 		s.store.set(gossip.Operator, "order/s", `{"Version":"v3","Seconds":10}`)
-		advance(6 * time.Second)
+		advance(time.Second)
+		observeGoodAnswers(syncers, "v2", "v3")
+		advance(5 * time.Second)
 		all := map[string]*storesync.Syncer{}
 		for i, d := range syncers {
 			all[fmt.Sprint(i)] = d
