proxy: a stream without end is ended and taken up elsewhere

Cause: the size of one event was bounded, not how many events, comments, empty lines or repetitions of an event may follow each other.

Change: core/answer decides, as an immutable value, when a stream is no answer any more: with more events than twice the tokens that the request allows (and 16), or with more than 64 KB that carry the answer no further (keep-alive events, comments, events that the server has sent before). The attempt is then interrupted like a stream that breaks off: its connection is closed, the failure counts against the server, another one continues.

--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -62,7 +62,8 @@
 	noLimit = -1
 )
 
-var errHeadTooLong = errors.New("the head of the answer is too long")
+// ErrHeadTooLong is the cause of an interruption by a head without end.
+var ErrHeadTooLong = errors.New("the head of the answer is too long")
 
 // connReader reads from the connection, as many bytes as headLeft allows.
 type connReader struct{ c *persistentConn }
@@ -74,7 +75,7 @@
 	case noLimit:
 		return c.conn.Read(p)
 	case 0:
-		return 0, errHeadTooLong
+		return 0, ErrHeadTooLong
 	}
 	n, err := c.conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ladderridge.example/daemon/duties"
+	"ladderridge.example/daemon/proxy"
 )
 
 // namespace is the prefix of every metric.
@@ -41,6 +42,9 @@
 	counter("connections_reused_total", "Requests sent on kept connections.", func() float64 { return float64(g.channels.Reused.Load()) })
 	counter("surplus_answers_total", "Answers of servers that belonged to no request.", func() float64 { return float64(g.channels.Surplus.Load()) })
 	counter("continuations_dropped_total", "Answers of servers that were dropped since they were not the rest of a stream that a caller had received in part.", func() float64 { return float64(g.engine.NotContinued.Load()) })
+	for _, form := range proxy.EndlessForms() {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: "answers_endless_total", Help: "Answers of servers that were ended since they had no end, by what was sent without end.", ConstLabels: prometheus.Labels{"form": form}}, func() float64 { return float64(g.engine.Endless.Of(form)) }))
+	}
 	counter("refusals_unconfirmed_total", "Refused connections to servers that count as no exit, since no other daemon could tell whether the server or the path is at fault.", func() float64 { return float64(g.channels.Unconfirmed.Load()) })
 	counter("peer_sent_bytes_total", "Bytes sent to other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().SentBytes) })
 	counter("peer_received_bytes_total", "Bytes received from other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().ReceivedBytes) })
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -337,6 +337,7 @@
 		return
 	}
 	j.history = j.history.With(attempts.Unknown)
+	j.countEndless(a.err)
 	if j.live() {
 		j.recordFailure(a, a.err, now)
 	}
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -80,6 +80,8 @@
 	// NotContinued counts the responses that were dropped because they were not the rest of a stream that
 	// a caller had received in part.
 	NotContinued atomic.Int64
+	// Endless counts the answers that were ended by this daemon since they had no end, by form.
+	Endless EndlessCounts
 
 	// InFlight counts the requests in flight.
 	InFlight atomic.Int64
--- a/daemon/proxy/response.go
+++ b/daemon/proxy/response.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 
+	"ladderridge.example/core/answer"
 	"ladderridge.example/daemon/channel"
 )
 
@@ -104,15 +105,21 @@
 	joined bool
 	// last is the id of the last event that the server sent, or -1.
 	last int64
+	// sent is what the server has sent so far.
+	sent answer.Stream
 }
 
-func (w *callerStream) newRun() *streamRun {
-	return &streamRun{stream: w, joined: !w.begun, last: -1}
+func (w *callerStream) newRun(l answer.Limits) *streamRun {
+	return &streamRun{stream: w, joined: !w.begun, last: -1, sent: answer.NewStream(l)}
 }
 
 // forward forwards one event, unless the caller already has it, and optionally flushes the sink.
 func (r *streamRun) forward(ev event, flush bool) error {
 	w := r.stream
+	var err error
+	if r.sent, err = r.sent.With(answer.Event{ID: ev.id, Bytes: len(ev.raw), KeepAlive: ev.keepAlive}); err != nil {
+		return err
+	}
 	switch {
 	case ev.id < 0 && !r.joined && !ev.keepAlive:
 		return errUnnumberedEvent
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"ladderridge.example/core/answer"
 	"ladderridge.example/core/cascade"
 	"ladderridge.example/core/latency"
 )
@@ -38,7 +39,7 @@
 	defer j.finish(a)
 	j.version = a.server.Version
 	var t eventTiming
-	err := j.forwardEvents(ctx, a, w.newRun(), &t)
+	err := j.forwardEvents(ctx, a, w.newRun(answer.LimitsFor(j.request.MaxOutput)), &t)
 	switch {
 	case err == nil:
 		j.recordComplete(a)
@@ -49,6 +50,7 @@
 		j.reportAttempt(a, "caller gone")
 		return ClientGone{}
 	}
+	j.countEndless(err)
 	if t.events == 0 && (errors.Is(err, errServerTimeout) || ctx.Err() != nil) {
 		j.observeAbandoned(a)
 	}
