proxy: a failure without end is retried like a short one

Cause: a response that is longer than what is buffered was forwarded whatever its status, and the body of a failure was waited for as long as the request had left.

Change: where another attempt is allowed, a failure whose body is longer than what is buffered, takes more than 250 ms or finds no buffer space is dropped and retried like a short one, within attempts and budget. Where none is, it is passed on as before.

--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -57,17 +57,30 @@
 // request is retried.
 func (j *job) forwardBuffered(ctx context.Context, a *attempt, w unsent) (Outcome, Reason) {
 	defer j.finish(a)
+	// A failure is known by its status. If another server may answer, the caller need not wait for
+	// more of its body than is buffered.
+	dropped := a.reply.Status >= http.StatusInternalServerError && j.hasAttemptsAfter(j.history.Ran)
 	held, ok := j.engine.reserveBuffer(a.reply.Length)
 	if !ok {
+		if dropped {
+			return nil, j.dropFailure(a)
+		}
 		return j.forwardUnbuffered(a, w, nil), ""
 	}
 	defer j.engine.buffered.Add(-held)
+	var late func() bool
+	if dropped {
+		timer := time.AfterFunc(failureBodyTimeout, a.cancel)
+		late = func() bool { return !timer.Stop() }
+	}
 	body, err := io.ReadAll(io.LimitReader(a.reply, maxBufferedResponse+1))
-	if err != nil {
+	switch {
+	case dropped && (late() || len(body) > maxBufferedResponse):
+		return nil, j.dropFailure(a)
+	case err != nil:
 		j.recordInterruption(a, err)
 		return nil, Failed
-	}
-	if len(body) > maxBufferedResponse {
+	case len(body) > maxBufferedResponse:
 		return j.forwardUnbuffered(a, w, body), ""
 	}
 	took := time.Since(a.sent)
@@ -89,6 +102,18 @@
 	return w.complete(r), ""
 }
 
+// failureBodyTimeout is how long the body of a failure is waited for if another server may answer.
+const failureBodyTimeout = 250 * time.Millisecond
+
+// dropFailure ends an attempt whose response is a failure with a body that is too long or slow, and
+// returns the reason for the retry.
+func (j *job) dropFailure(a *attempt) Reason {
+	j.engine.Endless.count(endlessFailure)
+	j.recordFailedResponse(a)
+	j.reportAttempt(a, fmt.Sprintf("status %d, body without end", a.reply.Status))
+	return Failed
+}
+
 // recordFailedResponse records a response that says that the server has failed.
 func (j *job) recordFailedResponse(a *attempt) {
 	a.server.State.Failed()
--- a/daemon/proxy/endless_test.go
+++ b/daemon/proxy/endless_test.go
@@ -96,3 +96,33 @@
 		})
 	}
 }
+
+// Guards against callers that get a failure without end until their deadline: it is retried like a
+// short one.
+func TestFailureWithoutEndIsRetried(t *testing.T) {
+	for form, next := range map[string]func(int) string{
+		"at once": func(int) string { return strings.Repeat("x", 64<<10) },
+		"slowly":  func(int) string { time.Sleep(10 * time.Millisecond); return "x" },
+	} {
+		for name, head := range map[string]string{"with a length": "Content-Length: 1000000000\r\n", "without": "Connection: close\r\n"} {
+			t.Run(form+" "+name, func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					b := newFixture(t)
+					var sent atomic.Int64
+					arrived := func() { b.known.set(routemap.New(parts(2, "k")), b.server("b", whole(200, "good"))) }
+					failing := endless(arrived, func(id string) string { return "HTTP/1.1 500 X\r\nId: " + id + "\r\n" + head + "\r\n" }, next, &sent)
+					b.known.set(routemap.New(parts(1, "k")), b.server("a", failing))
+					got := b.send(t.Context(), proxy.Request{ID: "r", Path: "/again/x", Key: "k", Timeout: 2 * time.Second})
+					if got.status != 200 || got.body.String() != "good" || got.took > time.Second {
+						t.Errorf("status %d, %d bytes, after %v", got.status, got.body.Len(), got.took)
+					}
+					if n := b.engine.Endless.Of("failure"); n != 1 {
+						t.Errorf("%d counted", n)
+					}
+					// The failing server notices the closed connection with its next byte.
+					time.Sleep(time.Second)
+				})
+			})
+		}
+	}
+}
