--- a/soak/backend.go
+++ b/soak/backend.go
@@ -34,6 +34,7 @@
 	fault     standin.RunnerFault
 	// continuations is how the server answers requests for the rest of a stream.
 	continuations standin.ContinuationFault
+	endless       standin.Endless
 	present       bool
 	// announcement is what the server currently announces in its answers, except for its rate limit.
 	announcement standin.Announcement
@@ -106,6 +107,7 @@
 	}
 	r.Play(b.fault)
 	r.PlayContinuations(b.continuations)
+	r.PlayEndless(b.endless)
 	b.runner, b.present = r, true
 	b.applyAnnouncement(standin.Announcement{}, "")
 	return b.register(false)
@@ -145,6 +147,14 @@
 	b.runner.PlayContinuations(f)
 }
 
+// setEndless sets which requests the server answers with bytes without end.
+func (b *backend) setEndless(e standin.Endless) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.endless = e
+	b.runner.PlayEndless(e)
+}
+
 // entryTTL is how long the store entry of a crashed server remains.
 const entryTTL = 1500 * time.Millisecond
 
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -18,11 +18,13 @@
 type cluster struct {
 	seed uint64
 	// brittle gives the servers few slots and a queue, as brittle servers need.
-	brittle  bool
-	recorder *recorder
-	store    *standin.Store
-	server   *httptest.Server
-	daemons  []*daemon
+	brittle bool
+	// slowVersions has bad versions be slow rather than fail.
+	slowVersions bool
+	recorder     *recorder
+	store        *standin.Store
+	server       *httptest.Server
+	daemons      []*daemon
 	// backends lists the backend servers; those that serve models come first.
 	backends []*backend
 	// preferred is the daemon that most new connections go to, nil for none.
@@ -74,7 +76,7 @@
 
 func newCluster(o Options, p Plan) (*cluster, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &cluster{seed: o.Seed, brittle: o.BrittleServers, recorder: newRecorder(), store: standin.NewStore(), cancel: cancel, config: initialConfig()}
+	s := &cluster{seed: o.Seed, brittle: o.BrittleServers, slowVersions: o.SlowVersions, recorder: newRecorder(), store: standin.NewStore(), cancel: cancel, config: initialConfig()}
 	s.server = httptest.NewServer(s.store)
 	if err := s.build(ctx, o, p); err != nil {
 		s.close()
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -25,6 +25,11 @@
 		interrupter.start(ctx)
 		defer interrupter.stop()
 	}
+	if o.EndlessAnswers {
+		endless := newEndlessServers(s, o.Seed)
+		endless.start(ctx)
+		defer endless.stop()
+	}
 	var running sync.WaitGroup
 	for _, f := range p.Faults {
 		clock.Wait(ctx, time.Until(started.Add(f.At)))
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -44,6 +44,9 @@
 	// FailContinuations is not drawn at random; Options.FailedContinuations enables it.
 	FailContinuations FaultKind = "streams break off and are not continued"
 
+	// EndlessAnswers is not drawn at random; Options.EndlessAnswers enables it.
+	EndlessAnswers FaultKind = "servers answer without end"
+
 	// Faults of backend servers and of the connections to them.
 	SlowServer    FaultKind = "server is delayed"
 	ResetServer   FaultKind = "server's connections are reset"
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -24,7 +24,7 @@
 // Rollout is a roll-out as the operator observes it.
 type Rollout struct {
 	Version string
-	// Bad reports whether the new version fails all requests.
+	// Bad reports whether the new version fails all requests, or answers many several times slower.
 	Bad bool
 	At  time.Time
 	// State is the final state that the daemons wrote to the store, Settled when it was
@@ -90,7 +90,10 @@
 			s.recorder.found("SOAK", err.Error())
 			return nil
 		}
-		if bad {
+		switch {
+		case bad && s.slowVersions:
+			b.setFault(standin.Slowed)
+		case bad:
 			b.setFault(standin.Failing)
 		}
 		s.backends = append(s.backends, b)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,6 +68,11 @@
 	// FailedContinuations has streams break off while the servers answer requests for the rest of a
 	// stream with something else.
 	FailedContinuations bool
+	// EndlessAnswers has some servers send bytes without end in place of answers.
+	EndlessAnswers bool
+	// SlowVersions has the bad versions that are rolled out answer every second request several times
+	// slower, in place of failing all.
+	SlowVersions bool
 	// LyingServer makes one server violate a guarantee, which the checks must detect.
 	LyingServer bool
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// TestShortRunWithEndlessAnswers has servers send bytes without end.
+func TestShortRunWithEndlessAnswers(t *testing.T) {
+	report := run(t, soak.Options{Seed: 9, Daemons: 3, Faults: -1, Length: 8 * time.Second, EndlessAnswers: true})
+	if len(report.Findings) > 0 {
+		t.Error(report)
+	}
+}
+
+// TestShortRunWithASlowVersion has an operator bring in a version of which many answers are several times
+// slower.
+func TestShortRunWithASlowVersion(t *testing.T) {
+	report := run(t, soak.Options{Seed: 18, Daemons: 3, Length: 6 * time.Second, SlowVersions: true})
+	if len(report.Findings) > 0 {
+		t.Error(report)
+	}
+}
+
 // skewOptions returns the options of a run without faults in which most new connections go to one daemon.
 func skewOptions(seed uint64, daemons int, length time.Duration) soak.Options {
 	return soak.Options{Seed: seed, Daemons: daemons, Faults: -1, Length: length, Bounds: true, SkewedConnections: true, Workers: 60}
@@ -210,7 +227,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			o := soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag, BrittleServers: extras && *brittleFlag, FailedContinuations: extras && seed%3 == 0}
+			o := soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag, BrittleServers: extras && *brittleFlag, FailedContinuations: extras && seed%3 == 0, EndlessAnswers: extras && seed%4 == 1, SlowVersions: seed%2 == 0}
 			if *skewFlag {
 				o = skewOptions(seed, *daemonsFlag, 2*length)
 			}
