backend: a chat stream that sends no events is ended

What callers saw: nothing until their deadline, while the stream of comments or empty lines of one model server took a processor of the daemon.

Cause: the reader of chat streams skips all lines but those with data, without a bound.

Change: the same limit from core/answer, 64 KB between two events. The attempt fails and is retried or continued like one that breaks off.

--- a/daemon/backend/stream.go
+++ b/daemon/backend/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"ladderridge.example/core/answer"
 	"ladderridge.example/daemon/wire"
 )
 
@@ -16,13 +17,14 @@
 // Stream reads server-sent events.
 type Stream struct {
 	scanner *bufio.Scanner
+	sent    answer.Stream
 }
 
 // NewStream returns a stream that reads events from body.
 func NewStream(body io.Reader) *Stream {
 	s := bufio.NewScanner(body)
 	s.Buffer(make([]byte, 0, 4<<10), maxLine)
-	return &Stream{scanner: s}
+	return &Stream{scanner: s, sent: answer.NewStream(answer.LimitsFor(0))}
 }
 
 var (
@@ -36,6 +38,10 @@
 	for s.scanner.Scan() {
 		line := bytes.TrimSuffix(s.scanner.Bytes(), []byte("\r"))
 		rest, ok := bytes.CutPrefix(line, dataField)
+		var err error
+		if s.sent, err = s.sent.With(answer.Event{ID: -1, Bytes: len(line) + 1, KeepAlive: !ok}); err != nil {
+			return nil, false, merry.Wrap(err)
+		}
 		if !ok {
 			// Skip other fields, comments and the empty line between events.
 			continue
