canary: a version that is slow on a third of its servers is not completed

What callers saw: a third of the answers slow after a version was completed of which one server in three is slow.

Cause: a server that is bad by itself is set aside as an outlier, and the others were asked to show that the version is good, however few they were.

Change: the others speak for the version only if at least three of them have answered; otherwise all answers count, as callers see them.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -213,8 +213,8 @@
 	if !rest.clear(combined) {
 		v.Suspicion = reason(combined, combined, suspectCriteria)
 	}
-	if v.Unproven = combined[""].unproven(e.Caching); slices.Contains(v.Ejected, worst) {
-		// That server is faulty; the others have to show that the version is good.
+	if v.Unproven = combined[""].unproven(e.Caching); slices.Contains(v.Ejected, worst) && len(e.New) > minSampleServers {
+		// That server is faulty, and so many others answered that they have to show that the version is good.
 		v.Unproven = rest[""].unproven(e.Caching)
 	}
 	v.ErrorBudgetSpent = v.Suspicion != "" && combined[""].badAnswers() >= errorBudget && rest[""].degraded()
--- a/core/canary/proof_test.go
+++ b/core/canary/proof_test.go
@@ -75,3 +75,30 @@
 		}
 	}
 }
+
+// Guards against versions that are slow on a part of their servers and completed because each of these
+// is set aside as an outlier: with three servers, a third of the callers gets slow answers.
+func TestVersionThatIsSlowOnAPartOfItsServersIsNotCompleted(t *testing.T) {
+	const draws, servers = 300, 3
+	for _, slow := range []int{1, 2} {
+		for _, answers := range []int{12, 40, 120} {
+			rng, done := rand.New(rand.NewPCG(uint64(answers), uint64(slow))), 0
+			for range draws {
+				e := canary.Evidence{Old: shortAnswers(rng, 300, 0, 1), New: map[string]canary.Counts{}}
+				for i := range servers {
+					factor := 1.0
+					if i < slow {
+						factor = 8
+					}
+					e.New[fmt.Sprint(i)] = shortAnswers(rng, answers/servers, 1, factor)
+				}
+				if v := e.Judge(); v.Suspicion == "" && v.Unproven == "" && v.Rejection == "" {
+					done++
+				}
+			}
+			if got := float64(done) / draws; got > 0.05 {
+				t.Errorf("%d answers, %d of %d servers slow: %.3f were completed", answers, slow, servers, got)
+			}
+		}
+	}
+}
