proxy: answers that wait for a reference do not hold their requests

What callers would have seen: a daemon that keeps the bodies of up to 64 requests for each route and model with few requests, by: what is called when the reference is known held the whole job.

Change: it holds the observation and the receiver alone.

--- a/daemon/proxy/comparison.go
+++ b/daemon/proxy/comparison.go
@@ -20,7 +20,8 @@
 // maxUnrated is how many answers are kept for each kind; a reference takes fewer.
 const maxUnrated = 64
 
-// unratedAnswer is an answer's time. rated is called with its ratio if that becomes known later.
+// unratedAnswer is an answer's time. rated is called with its ratio if that becomes known later; it must
+// not hold the request, whose body may be long.
 type unratedAnswer struct {
 	features latency.Features
 	took     time.Duration
--- a/daemon/proxy/comparison_test.go
+++ b/daemon/proxy/comparison_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/proxy"
@@ -89,3 +92,30 @@
 		}
 	})
 }
+
+// Guards against bodies of requests that stay in memory on routes with few requests.
+func TestUnratedAnswersDoNotHoldTheirRequests(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		b.known.set(routemap.New(parts(1, "k")), b.server("a", answersAfter(10*time.Millisecond)))
+		var sent []weak.Pointer[proxy.Request]
+		for range 5 {
+			r := &proxy.Request{ID: "r", Host: "h", Path: "/again/x", Target: "/again/x", Key: "k", Method: http.MethodPost, Timeout: time.Second, Arrived: time.Now(), LastEvent: -1}
+			sent = append(sent, weak.Make(r))
+			if out := b.engine.Serve(t.Context(), r, &response{}); out != (proxy.Answered{Status: 200}) {
+				t.Fatal(out)
+			}
+		}
+		b.reports = nil
+		runtime.GC()
+		held := 0
+		for _, r := range sent {
+			if r.Value() != nil {
+				held++
+			}
+		}
+		if held > 1 {
+			t.Errorf("%d of %d requests are held", held, len(sent))
+		}
+	})
+}
--- a/daemon/proxy/observe.go
+++ b/daemon/proxy/observe.go
@@ -39,11 +39,11 @@
 	}
 	waited := time.Since(a.sent)
 	j.observeAbandonedWait(waited, time.Now())
-	f := j.newObservation(a)
+	f, store := j.newObservation(a), j.engine.StoreSync
 	f.Stage = storesync.Abandoned
 	observe := func(least float64) {
 		f.FirstRatio = least
-		j.engine.StoreSync.Observe(f)
+		store.Observe(f)
 	}
 	observe(j.engine.comparison.compare(j.referenceKey(a), false, unratedAnswer{features: a.features(), took: a.serverTime(waited), rated: observe}))
 }
@@ -104,21 +104,21 @@
 // compareFirst compares the time to the first part of an answer with that of versions that are not in
 // roll-out. The ratio is 0 if that is not known yet.
 func (j *job) compareFirst(a *attempt, took time.Duration) float64 {
-	later := j.newObservation(a)
+	later, store := j.newObservation(a), j.engine.StoreSync
 	later.Stage = storesync.Remainder
 	return j.compare(a, j.referenceKey(a), a.serverTime(took), func(ratio float64) {
 		later.FirstRatio = ratio
-		j.engine.StoreSync.Observe(later)
+		store.Observe(later)
 	})
 }
 
 // compareBetween is compareFirst for the interval between the events of a stream.
 func (j *job) compareBetween(a *attempt, took time.Duration) float64 {
-	later := j.newObservation(a)
+	later, store := j.newObservation(a), j.engine.StoreSync
 	later.Stage = storesync.Remainder
 	return j.compare(a, j.referenceKey(a)+"/between", took, func(ratio float64) {
 		later.BetweenRatio = ratio
-		j.engine.StoreSync.Observe(later)
+		store.Observe(later)
 	})
 }
 
