storesync: a version is not opened by daemons that have just started

Cause: no decision is taken until a process knows an order for three seconds or has 30 answers, and the opening does not wait for that.

Change: an unproven version is rejected before its opening by a reader that has known the order for two evidence intervals, in which every daemon reports. A process that starts later than that before the opening still opens it (1.4 s).

TestVersionIsNotOpenedByDaemonsWithoutEvidence: opened before.

--- a/daemon/storesync/rollout_driver.go
+++ b/daemon/storesync/rollout_driver.go
@@ -219,15 +219,21 @@
 	switch {
 	case verdict.Rejection != "":
 		sy.withdraw(r, verdict.Rejection, own, now)
-	case !sy.reading.Load() || !sy.enoughEvidence(service, seen, now):
-	case verdict.ErrorBudgetSpent || sy.trialSufficient(r, seen, now):
+	case !sy.reading.Load():
+	case sy.enoughEvidence(service, seen, now) && (verdict.ErrorBudgetSpent || sy.trialSufficient(r, seen, now)):
 		sy.withdraw(r, notProven+verdict.Suspicion, own, now)
-	case verdict.Unproven != "" && r.OpensSoon(now) && !sy.unreachable(now):
+	case verdict.Unproven != "" && r.OpensSoon(now) && sy.heardOthers(service, now) && !sy.unreachable(now):
 		sy.withdraw(r, notProven+verdict.Unproven, own, now)
 	}
 	return verdict
 }
 
+// heardOthers reports whether this process has known the order for so long that every daemon has reported
+// what it has seen.
+func (sy *Syncer) heardOthers(service string, now time.Time) bool {
+	return now.Sub(sy.rollouts.knownSince[service]) >= minSuspicionAge
+}
+
 // notProven is the beginning of the reason for which a version is rejected that was not found faulty.
 const notProven = "not enough evidence that the version is good: "
 
--- a/daemon/storesync/rollout_test.go
+++ b/daemon/storesync/rollout_test.go
@@ -297,6 +297,38 @@
 	}
 }
 
+// Guards against a version that is opened to all sessions by daemons that have just started and have no
+// evidence of it.
+func TestVersionIsNotOpenedByDaemonsWithoutEvidence(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, before := startRollout(t, 3, 20)
+		observeGoodAnswers(before, "v1", "v2")
+		advance(15700 * time.Millisecond)
+		for i := range before {
+			id := fmt.Sprintf("d%d", i)
+			s.network.mu.Lock()
+			delete(s.network.syncers, id)
+			s.network.mu.Unlock()
+			s.links[id].fail(errDown)
+		}
+		var after []*storesync.Syncer
+		for i := range 3 {
+			after = append(after, s.startDaemon(fmt.Sprintf("e%d", i)))
+		}
+		for range 100 {
+			advance(50 * time.Millisecond)
+			for i, d := range after {
+				if prefersVersion(d, highestHash, "v2") {
+					t.Fatalf("daemon %d sends all sessions to the version", i)
+				}
+			}
+		}
+		if p := s.storedProgress(); p.State != canary.RolledBack {
+			t.Errorf("the state is %v", p)
+		}
+	})
+}
+
 // All daemons once lost their paths to the servers for the time of an order, and completed a version
 // that fails since nobody had an answer of it.
 func TestVersionThatNoRequestReachesIsNotCompleted(t *testing.T) {
