--- a/daemon/storesync/rollout_driver.go
+++ b/daemon/storesync/rollout_driver.go
@@ -220,6 +220,7 @@
 	case verdict.Rejection != "":
 		sy.withdraw(r, verdict.Rejection, own, now)
 	case !sy.reading.Load():
+		// Other daemons have little more than their own observations.
 	case sy.enoughEvidence(service, seen, now) && (verdict.ErrorBudgetSpent || sy.trialSufficient(r, seen, now)):
 		sy.withdraw(r, notProven+verdict.Suspicion, own, now)
 	case verdict.Unproven != "" && r.OpensSoon(now) && sy.heardOthers(service, now) && !sy.unreachable(now):
