answer, proxy: an unused list, and what a dropped failure is called

Found on the last reading: nothing asks for the kinds of errors, and a failure that was dropped for want of buffer space was said to have no end. No decision changes.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -18,9 +18,6 @@
 	NoProgress
 )
 
-// Kinds are all kinds of errors.
-var Kinds = []Kind{TooManyEvents, NoProgress}
-
 func (k Kind) String() string { return [...]string{"too many events", "no progress"}[k] }
 
 // Error is an error of this package.
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -110,7 +110,7 @@
 func (j *job) dropFailure(a *attempt) Reason {
 	j.engine.Endless.count(endlessFailure)
 	j.recordFailedResponse(a)
-	j.reportAttempt(a, fmt.Sprintf("status %d, body without end", a.reply.Status))
+	j.reportAttempt(a, fmt.Sprintf("status %d, body too long, too slow or without buffer space", a.reply.Status))
 	return Failed
 }
 
