storesync: who confirmed the configuration, and what delayed that, in log and metrics

A request's line has config_by from 2 s on. A daemon logs when its configuration becomes older than config.in_force_within and when it is confirmed again, with the failed and slow exchanges and the delay of its periodic work since. Counters: config_old_total, config_exchanges_slow_total.

--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -65,6 +65,8 @@
 	gauge("halls_emptied", "Data halls whose servers get nothing.", func() float64 { return float64(len(g.syncer.View().Drained)) })
 	gauge("requests_open", "Requests under way.", func() float64 { return float64(g.engine.InFlight.Load()) })
 	gauge("config_age_seconds", "How long ago the configuration was confirmed.", func() float64 { return g.syncer.View().ConfigAge(time.Now()).Seconds() })
+	counter("config_old_total", "Times that the configuration became older than config.in_force_within.", func() float64 { return float64(g.syncer.OldConfigurations.Load()) })
+	counter("config_exchanges_slow_total", "Exchanges about the configuration with the store or another daemon that took longer than half a second.", func() float64 { return float64(g.syncer.SlowExchanges.Load()) })
 	gauge("config_number", "The configuration in force.", func() float64 {
 		if v := g.syncer.View(); v.Map != nil {
 			return float64(v.Map.Number)
--- a/daemon/gateway/report.go
+++ b/daemon/gateway/report.go
@@ -177,6 +177,9 @@
 	}
 }
 
+// confirmationLogAge is the age of the configuration from which on a request's line says who confirmed it.
+const confirmationLogAge = 2 * time.Second
+
 // logRequest writes the log line of a finished request.
 func (r *reporter) logRequest(rep proxy.Report, name, reason string) {
 	e := r.log.Info()
@@ -188,6 +191,9 @@
 		Str("version", rep.Version).Str("model", rep.Model).Str("server", rep.Server).
 		Uint64("config", rep.Config).Int64("config_age_ms", rep.ConfigAge.Milliseconds()).
 		Str("session", strconv.FormatUint(rep.Session, 16)).Str("rollout", rep.Rollout).Bool("escalated", rep.Escalated).Int64("took_ms", rep.Took.Milliseconds()).Int64("first_ms", rep.FirstByte.Milliseconds())
+	if rep.ConfigAge > confirmationLogAge {
+		e = e.Str("config_by", rep.ConfirmedBy)
+	}
 	if len(rep.Attempts) > 0 {
 		e = e.Str("tries", attemptsText(rep.Attempts))
 	}
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -149,9 +149,11 @@
 	Content quarantine.Fingerprint
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []quarantine.Part
-	// Config is the number of the configuration, ConfigAge its age.
-	Config    uint64
-	ConfigAge time.Duration
+	// Config is the number of the configuration, ConfigAge its age, ConfirmedBy the daemon that confirmed
+	// it, or "store".
+	Config      uint64
+	ConfigAge   time.Duration
+	ConfirmedBy string
 	// Attempts are the attempts in order, with their results.
 	Attempts []AttemptReport
 	// Escalated reports whether a smaller model's response was dropped for a larger model.
@@ -300,7 +302,7 @@
 	if !j.view.Confirmed() {
 		return Refused{Reason: Stale, RetryAfter: staleRetry}
 	}
-	j.report.Config, j.report.ConfigAge = j.view.Map.Number, j.view.ConfigAge(now)
+	j.report.Config, j.report.ConfigAge, j.report.ConfirmedBy = j.view.Map.Number, j.view.ConfigAge(now), j.view.ConfirmedBy
 	route, ok := j.view.Map.Match(j.request.Host, j.request.Path)
 	if !ok {
 		return Refused{Reason: NoRoute}
--- a/daemon/storesync/follow.go
+++ b/daemon/storesync/follow.go
@@ -49,14 +49,17 @@
 	settleDelay = 2*tickInterval + 50*time.Millisecond
 )
 
-// pollWait is how long the store holds a call about the configuration.
-func (sy *Syncer) pollWait() time.Duration {
+// inForceWithin is the time in which a configuration must be in force everywhere.
+func (sy *Syncer) inForceWithin() time.Duration {
 	if sy.InForceWithin <= 0 {
-		return defaultInForce / holdDivisor
+		return defaultInForce
 	}
-	return sy.InForceWithin / holdDivisor
+	return sy.InForceWithin
 }
 
+// pollWait is how long the store holds a call about the configuration.
+func (sy *Syncer) pollWait() time.Duration { return sy.inForceWithin() / holdDivisor }
+
 // follower keeps one topic up to date from the store.
 type follower struct {
 	topic gossip.Topic
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -23,6 +23,7 @@
 		// The daemon may have restarted and not know the connection.
 		sy.Peers.CloseConnections(id)
 	}
+	sy.trace.failed += len(newlySilent) + len(still)
 	for _, id := range newlySilent {
 		sy.Log.Warn().Str("reader", id).Msg("storesync: reader of this hall does not answer")
 	}
@@ -256,6 +257,8 @@
 	}
 	sentAt, ok := sy.pendingRequests[m.Nonce]
 	if m.Nonce != 0 && (!ok || now.Sub(sentAt) > responseTimeout) {
+		sy.trace.slow++
+		sy.SlowExchanges.Add(1)
 		return
 	}
 	if ok && sy.Usage != nil {
@@ -269,6 +272,7 @@
 	}
 	for _, update := range m.Updates {
 		if update.Topic == gossip.Operator {
+			sy.traceExchange(from, sentAt, now, false)
 			age := now.Sub(sentAt.Add(-time.Duration(update.AgeMS) * time.Millisecond))
 			sy.readers.recordAnswer(from, age, m.StoreUnreachable, now)
 			sy.updateSource(from, !m.StoreUnreachable && age <= sy.readers.maxUsableAge)
--- a/daemon/storesync/suspend.go
+++ b/daemon/storesync/suspend.go
@@ -24,6 +24,7 @@
 		t.confirmed = t.confirmed.Add(-d)
 	}
 	sy.storeAnsweredAt = sy.storeAnsweredAt.Add(-d)
+	sy.trace.at = sy.trace.at.Add(-d)
 	for id, until := range sy.lapsed {
 		sy.lapsed[id] = until.Add(-d)
 	}
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -104,6 +104,10 @@
 	Recoveries atomic.Int64
 	// Calls counts calls to the store.
 	Calls atomic.Int64
+	// SlowExchanges counts exchanges about the configuration that took longer than half a second,
+	// OldConfigurations the times that the configuration became older than InForceWithin.
+	SlowExchanges     atomic.Int64
+	OldConfigurations atomic.Int64
 	// Suspensions counts the suspensions of the VM.
 	Suspensions atomic.Int64
 	// CorruptedRows counts received rows that could not be decoded.
@@ -159,7 +163,10 @@
 	deferReading atomic.Bool
 	startedAt    time.Time
 	readers      *readers
-	followers    []*follower
+	trace        confirmationTrace
+	// tickedAt is when the periodic work last ran.
+	tickedAt  time.Time
+	followers []*follower
 	// subscribers are the daemons that this one reads the store for, by the time of their last
 	// request.
 	subscribers map[string]time.Time
@@ -419,11 +426,17 @@
 	} else {
 		gone, newer = t.applyPage(e.page, e.at, now)
 	}
+	if e.topic == gossip.Operator {
+		sy.traceExchange("store", e.at, now, false)
+	}
 	sy.applyTopicChange(e.topic, gone, newer, now)
 }
 
 // handleStoreError handles a failed call to the store.
 func (sy *Syncer) handleStoreError(e storeAnswer, t *topicState, now time.Time) {
+	if e.topic == gossip.Operator {
+		sy.traceExchange("store", e.at, now, true)
+	}
 	if isKind(e.err, EraChanged) {
 		sy.Log.Info().Str("topic", string(e.topic)).Stringer("version", t.version).Err(e.err).Msg("storesync: era of the store has changed; all rows are read again")
 		return
@@ -499,7 +512,7 @@
 // publishView publishes a view of the current state.
 func (sy *Syncer) publishView() {
 	v := *sy.view.Load()
-	v.ConfigAt = sy.topics[gossip.Operator].confirmed
+	v.ConfigAt, v.ConfirmedBy = sy.topics[gossip.Operator].confirmed, sy.trace.by
 	v.ServersAt = sy.topics[gossip.Servers].confirmed
 	v.Daemons = sy.daemons()
 	v.Topics = sy.topicStatus()
@@ -511,6 +524,7 @@
 // tick performs the periodic work.
 func (sy *Syncer) tick(ctx context.Context, now time.Time) {
 	sy.detectSuspension(now)
+	sy.traceTick(now)
 	for id, until := range sy.lapsed {
 		if now.After(until) {
 			delete(sy.lapsed, id)
--- a/daemon/storesync/view.go
+++ b/daemon/storesync/view.go
@@ -26,6 +26,8 @@
 	// asked it, confirmed the configuration and the servers.
 	ConfigAt  time.Time
 	ServersAt time.Time
+	// ConfirmedBy is the daemon that confirmed the configuration, or "store".
+	ConfirmedBy string
 	// Daemons is the number of daemons including this one. It is 0 while their list is unknown.
 	Daemons int
 	// Sharers are the daemons that share the rate limits of servers.
