storesync: failing tests of slow exchanges and a lost reader

The harness delays messages to a daemon, loses unsolicited updates, blocks the goroutines that read the store, and gives up reads whose context ends before their delayed answer, which it ignored before.

--- a/daemon/storesync/harness_test.go
+++ b/daemon/storesync/harness_test.go
@@ -138,6 +138,8 @@
 	answerDelay time.Duration
 	// unresponsive leaves calls to Read and Follow unanswered; Write and Put still work.
 	unresponsive bool
+	// stalled blocks the goroutines that call Read and Follow until it is closed, whatever their contexts.
+	stalled chan struct{}
 	// loseWrites applies writes, but returns an error for them.
 	loseWrites bool
 	// suspended is how long the daemon's VM has been suspended, in nanoseconds.
@@ -176,6 +178,42 @@
 	return l.down, l.answerDelay, l.loseWrites
 }
 
+// delayAnswers delays the answers to Read and Follow.
+func (l *link) delayAnswers(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answerDelay = d
+}
+
+// stall blocks the goroutines that read the store until resume is called.
+func (l *link) stall() (resume func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stalled := make(chan struct{})
+	l.stalled = stalled
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		close(stalled)
+		l.stalled = nil
+	}
+}
+
+// answer returns a page after the delay of the link, or an error if the caller gives up before.
+func (l *link) answer(ctx context.Context, p storesync.Page, delay time.Duration) (storesync.Page, error) {
+	clock.Wait(ctx, delay)
+	l.mu.Lock()
+	stalled := l.stalled
+	l.mu.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
+	if ctx.Err() != nil {
+		return storesync.Page{}, waitForCancel(ctx)
+	}
+	return p, nil
+}
+
 var errDown = &storesync.Error{Op: "call", Kind: storesync.Unavailable, Err: errors.New("down")}
 
 func (l *link) Read(ctx context.Context, topic gossip.Topic) (storesync.Page, error) {
@@ -191,8 +229,7 @@
 	p := l.since(topic, 0)
 	p.Removed = nil
 	l.fakeStore.mu.Unlock()
-	time.Sleep(delay)
-	return p, nil
+	return l.answer(ctx, p, delay)
 }
 
 func (l *link) Follow(ctx context.Context, topic gossip.Topic, after revision.Revision, wait time.Duration) (storesync.Page, error) {
@@ -216,14 +253,12 @@
 			return storesync.Page{}, &storesync.Error{Op: "follow", Kind: storesync.HistoryLost}
 		}
 		if len(p.Rows)+len(p.Removed) > 0 {
-			time.Sleep(delay)
-			return p, nil
+			return l.answer(ctx, p, delay)
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			time.Sleep(delay)
-			return p, nil
+			return l.answer(ctx, p, delay)
 		case <-ctx.Done():
 			return storesync.Page{}, &storesync.Error{Op: "follow", Kind: storesync.Unavailable, Err: ctx.Err()}
 		}
@@ -347,6 +382,10 @@
 	delayed  map[string][]func()
 	// muted marks daemons whose outgoing messages are dropped.
 	muted map[string]bool
+	// latency is how much later the messages to a daemon arrive, by its ID.
+	latency map[string]time.Duration
+	// losesUpdates marks daemons that receive no responses but those to their requests.
+	losesUpdates map[string]bool
 }
 
 type sender struct {
@@ -359,6 +398,9 @@
 	defer s.network.mu.Unlock()
 	if response, ok := m.(gossip.Response); ok {
 		s.network.sessions += len(response.Sessions)
+		if response.Nonce == 0 && s.network.losesUpdates[id] {
+			return
+		}
 	}
 	d := s.network.syncers[id]
 	if d == nil || s.network.muted[s.from] {
@@ -369,6 +411,10 @@
 		s.network.delayed[id] = append(s.network.delayed[id], deliver)
 		return
 	}
+	if latency := s.network.latency[id]; latency > 0 {
+		time.AfterFunc(latency, deliver)
+		return
+	}
 	deliver()
 }
 
@@ -392,6 +438,8 @@
 	links        map[string]*link
 	// firstStart is passed to the daemons: all of them start for the first time.
 	firstStart bool
+	// inForceWithin is passed to the daemons.
+	inForceWithin time.Duration
 	// figures are the figures of a daemon, by its ID.
 	figures map[string]map[string]storesync.Figures
 	// newDecoder returns the decoder of a daemon; if nil, all use decoder.
@@ -426,7 +474,7 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	return &cluster{t: t, store: newFakeStore(), links: map[string]*link{}, network: &network{
-		syncers: map[string]*storesync.Syncer{}, delaying: map[string]bool{}, delayed: map[string][]func(){}, muted: map[string]bool{},
+		syncers: map[string]*storesync.Syncer{}, delaying: map[string]bool{}, delayed: map[string][]func(){}, muted: map[string]bool{}, latency: map[string]time.Duration{}, losesUpdates: map[string]bool{},
 	}}
 }
 
@@ -449,6 +497,7 @@
 	d.Log = log.Logger{Level: log.PanicLevel}
 	d.ColdOverage, d.ColdSlack = 1.5, 5
 	d.Figures, d.Unreachable, d.OnServerExit = s.figures[id], s.unreachable, s.onServerExit
+	d.InForceWithin = s.inForceWithin
 	d.FirstStart, d.Seed = s.firstStart, xxhash.Sum64String(id)
 	s.network.mu.Lock()
 	s.network.syncers[id] = d
