storesync: each daemon verifies its configuration with the store before it is too old

What a daemon knows came from the reader of its hall alone, and the times until it looked elsewhere (1.05 s for an answer, 1.2 or 1.7 s of age, turns of up to 1.25 s, a tick, a call) add up to 3.5 s where a change must be in force within 2 s, and to 4.0 s where it is 3 s, without any step that waits. A read that took 0.9 s was given up, however often it had been before, so that a slow VM never got an answer.

A daemon whose configuration is older than a sound reader lets it become (half of config.in_force_within and 0.6 s) asks the store itself what has changed in the operator topic. That is one small call, answered at once, on a connection of its own, since kept ones may be dead without notice. Up to three calls may wait: a call that is slow is not given up for the next one, and its answer counts from when it began. Which daemon reads the other topics is decided as before, by an age that leaves this out; but only a daemon that the store has just answered starts to read, so that an unresponsive store is called no more often than before (the bounds of TestUnresponsiveStoreIsNot- CalledByAll and of the starts hold unchanged).

core/contact keeps what a daemon has observed of its path to the store, as an immutable value.

--- a/daemon/storesync/age.go
+++ b/daemon/storesync/age.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"ladderridge.example/core/gossip"
 )
 
 // How the configuration was confirmed and what has delayed that, for logs and metrics.
@@ -38,7 +36,7 @@
 		tr.slow++
 		sy.SlowExchanges.Add(1)
 	}
-	if at := sy.topics[gossip.Operator].confirmed; at.After(tr.at) {
+	if at := sy.configConfirmed(); at.After(tr.at) {
 		if tr.reported {
 			sy.Log.Warn().Str("by", by).Dur("took", took).Dur("old_for", now.Sub(tr.at)).Int("failed", tr.failed).Int("slow", tr.slow).Dur("delay", tr.delay).Msg("storesync: configuration confirmed again")
 		}
--- a/daemon/storesync/harness_test.go
+++ b/daemon/storesync/harness_test.go
@@ -265,6 +265,10 @@
 	}
 }
 
+func (l *link) Verify(ctx context.Context, topic gossip.Topic, after revision.Revision) (storesync.Page, error) {
+	return l.Follow(ctx, topic, after, time.Millisecond)
+}
+
 func (l *link) Write(_ context.Context, topic gossip.Topic, key string, data []byte, was revision.Revision) error {
 	down, _, loseAnswer := l.faults()
 	if down != nil {
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"ladderridge.example/core/contact"
 	"ladderridge.example/core/gossip"
 	"ladderridge.example/core/revision"
 )
@@ -54,6 +55,10 @@
 	}
 	age := now.Sub(sy.topics[gossip.Operator].confirmed)
 	reads := sy.readers.mayRead(age, now)
+	if !sy.reading.Load() && !sy.readers.isFirst() && now.Sub(sy.contact.AnsweredAt()) > sy.readers.maxUsableAge {
+		// It reads once the store has answered its verification.
+		reads = false
+	}
 	sy.passive.Store(sy.readers.passive(now))
 	reader, ok := sy.readers.reader()
 	if sy.reading.Load() && sy.readers.hadReader && !ok {
@@ -256,6 +261,9 @@
 		sy.handleStoreFound(from, now)
 	}
 	sentAt, ok := sy.pendingRequests[m.Nonce]
+	if ok {
+		sy.contact = sy.contact.With(contact.Heard{Start: sentAt, End: now})
+	}
 	if m.Nonce != 0 && (!ok || now.Sub(sentAt) > responseTimeout) {
 		sy.trace.slow++
 		sy.SlowExchanges.Add(1)
--- a/daemon/storesync/store.go
+++ b/daemon/storesync/store.go
@@ -59,6 +59,9 @@
 	// Follow returns the rows that have changed since a version, as soon as there are any, and
 	// at the latest after wait.
 	Follow(ctx context.Context, topic gossip.Topic, after revision.Revision, wait time.Duration) (Page, error)
+	// Verify returns the rows that have changed since a version at once, over a connection of its
+	// own: kept connections may have been interrupted without notice.
+	Verify(ctx context.Context, topic gossip.Topic, after revision.Revision) (Page, error)
 	// Write sets a row if its version is still was. Number 0 means that the row does not exist.
 	Write(ctx context.Context, topic gossip.Topic, key string, data []byte, was revision.Revision) error
 	// Put sets a row unconditionally.
--- a/daemon/storesync/suspend.go
+++ b/daemon/storesync/suspend.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ladderridge.example/core/contact"
 	"ladderridge.example/daemon/suspend"
 )
 
@@ -25,6 +26,7 @@
 	}
 	sy.storeAnsweredAt = sy.storeAnsweredAt.Add(-d)
 	sy.trace.at = sy.trace.at.Add(-d)
+	sy.verification.confirmed, sy.contact = sy.verification.confirmed.Add(-d), contact.State{}
 	for id, until := range sy.lapsed {
 		sy.lapsed[id] = until.Add(-d)
 	}
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -17,6 +17,7 @@
 
 	"ladderridge.example/core/canary"
 	"ladderridge.example/core/clock"
+	"ladderridge.example/core/contact"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/gossip"
 	"ladderridge.example/core/notice"
@@ -102,8 +103,9 @@
 	// again.
 	Outages    atomic.Int64
 	Recoveries atomic.Int64
-	// Calls counts calls to the store.
-	Calls atomic.Int64
+	// Calls counts calls to the store, Verifications those that verify the configuration.
+	Calls         atomic.Int64
+	Verifications atomic.Int64
 	// SlowExchanges counts exchanges about the configuration that took longer than half a second,
 	// OldConfigurations the times that the configuration became older than InForceWithin.
 	SlowExchanges     atomic.Int64
@@ -164,6 +166,9 @@
 	startedAt    time.Time
 	readers      *readers
 	trace        confirmationTrace
+	verification verification
+	// contact is what this daemon has observed of its path to the store.
+	contact contact.State
 	// tickedAt is when the periodic work last ran.
 	tickedAt  time.Time
 	followers []*follower
@@ -379,6 +384,8 @@
 		sy.rollouts.observe(e.observation, time.Now())
 	case writeDone:
 		sy.handleWriteDone(e)
+	case verified:
+		sy.handleVerified(e, time.Now())
 	case crashObserved:
 		sy.handleCrash(e, time.Now())
 	case limitObserved:
@@ -405,6 +412,7 @@
 		return
 	}
 	if e.topic == gossip.Operator {
+		sy.contact = sy.contact.With(contact.Answered{Start: e.at, End: now})
 		sy.storeUnavailable.Store(false)
 		sy.storeAnsweredAt = e.at
 		if sy.readers.hadReader && now.Sub(t.confirmed) > sy.readers.maxUsableAge {
@@ -436,6 +444,7 @@
 func (sy *Syncer) handleStoreError(e storeAnswer, t *topicState, now time.Time) {
 	if e.topic == gossip.Operator {
 		sy.traceExchange("store", e.at, now, true)
+		sy.recordCallFailed(e, now)
 	}
 	if isKind(e.err, EraChanged) {
 		sy.Log.Info().Str("topic", string(e.topic)).Stringer("version", t.version).Err(e.err).Msg("storesync: era of the store has changed; all rows are read again")
@@ -512,7 +521,7 @@
 // publishView publishes a view of the current state.
 func (sy *Syncer) publishView() {
 	v := *sy.view.Load()
-	v.ConfigAt, v.ConfirmedBy = sy.topics[gossip.Operator].confirmed, sy.trace.by
+	v.ConfigAt, v.ConfirmedBy, v.Contact = sy.configConfirmed(), sy.trace.by, sy.contact
 	v.ServersAt = sy.topics[gossip.Servers].confirmed
 	v.Daemons = sy.daemons()
 	v.Topics = sy.topicStatus()
@@ -524,6 +533,9 @@
 // tick performs the periodic work.
 func (sy *Syncer) tick(ctx context.Context, now time.Time) {
 	sy.detectSuspension(now)
+	if !sy.tickedAt.IsZero() {
+		sy.contact = sy.contact.With(contact.Delayed{Start: sy.tickedAt.Add(tickInterval), End: now})
+	}
 	sy.traceTick(now)
 	for id, until := range sy.lapsed {
 		if now.After(until) {
@@ -531,6 +543,7 @@
 			sy.readServers(now)
 		}
 	}
+	sy.verify(ctx, now)
 	sy.queryReader(now)
 	sy.endFirstStart(now)
 	sy.queryPeers(now)
--- a/daemon/storesync/view.go
+++ b/daemon/storesync/view.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ladderridge.example/core/canary"
+	"ladderridge.example/core/contact"
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/gossip"
 	"ladderridge.example/core/quarantine"
@@ -28,6 +29,8 @@
 	ServersAt time.Time
 	// ConfirmedBy is the daemon that confirmed the configuration, or "store".
 	ConfirmedBy string
+	// Contact is what the daemon has observed of its path to the store.
+	Contact contact.State
 	// Daemons is the number of daemons including this one. It is 0 while their list is unknown.
 	Daemons int
 	// Sharers are the daemons that share the rate limits of servers.
