proxy: a request goes out by the latest configuration

The configuration was looked at before the connection was opened. It is now compared once more when the connection is there: if its number has changed and it no longer routes the request to the service, or no longer has the key, nothing is sent, and the request is routed anew. Streams of which the caller has a part go on, as before.

--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -14,6 +14,7 @@
 	"ladderridge.example/core/quarantine"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/relay"
+	"ladderridge.example/daemon/storesync"
 )
 
 // attemptResult is the result of an attempt.
@@ -131,6 +132,20 @@
 	return j.authenticate(now)
 }
 
+// routedBy reports whether a later view still routes the request to the service, for the reasons that
+// recheck gives.
+func (j *job) routedBy(v *storesync.View) bool {
+	if j.streaming || v.Map.Number == j.view.Map.Number {
+		return true
+	}
+	route, ok := v.Map.Match(j.request.Host, j.request.Path)
+	if !ok || !route.Serves(j.service) {
+		return false
+	}
+	_, known := v.Map.Organisation(j.request.Key)
+	return known || route.Anonymous || !v.Map.NeedsKeys()
+}
+
 // model returns the model of the current cascade step, or "" if the caller has chosen one.
 func (j *job) model() string {
 	if len(j.route.Cascade) == 0 {
@@ -295,6 +310,9 @@
 // errQuarantined stops a request that was quarantined while it waited for its connection.
 var errQuarantined = errors.New("request is quarantined")
 
+// errOutdated stops a request that the latest configuration no longer routes to the service.
+var errOutdated = errors.New("configuration has changed")
+
 // errNotOpen stops a request to a server that has meanwhile reported that it takes no more.
 var errNotOpen = errors.New("server takes no new requests")
 
@@ -303,6 +321,9 @@
 // responses to other requests.
 func (j *job) admit(a *attempt) error {
 	now := time.Now()
+	if !j.routedBy(j.engine.StoreSync.View()) {
+		return errOutdated
+	}
 	if !a.server.Open(now) || !a.server.State.Admit(a.sent, now) {
 		return errNotOpen
 	}
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -228,6 +228,8 @@
 	// with an error or were busy, which are chosen only if there is no other.
 	avoid  []fleet.Incarnation
 	failed []fleet.Incarnation
+	// streaming is set once the caller has received a part of a stream.
+	streaming bool
 	// reserved is the server already chosen for the next attempt, or nil.
 	reserved *fleet.Server
 	// timedOutHalls are other halls with a server that could not be reached or broke off, and
--- a/daemon/proxy/resume.go
+++ b/daemon/proxy/resume.go
@@ -11,6 +11,7 @@
 // sendStream sends a stream to the caller: the events of a response and, when it breaks off, the rest
 // from other servers, as far as that is allowed.
 func (j *job) sendStream(ctx context.Context, a *attempt, w *callerStream) sentOutcome {
+	j.streaming = true
 	for {
 		if out := j.forwardRun(ctx, a, w); out != nil {
 			return out
