proxy: an old configuration routes nothing while the store can be reached

The age of the configuration was known, but it was compared with the time for which keys pass only (4.75 s there), and with nothing for routes without a key.

A request is refused (503, not run, "configuration too old", to return after 0.5 s) if the configuration is older than config.in_force_within: a newer one may have to be in force. The age counts from when the request arrives, which is no earlier than the caller sent it; retries are not refused for it. Such a daemon is not ready either.

A daemon that has lost its path to the store goes on, as before, with keys for as long as they pass: its own call to the store was refused, or timed out while its periodic work ran in time and another daemon answered within 0.3 s, or nobody at all has answered for one and a half times config.in_force_within. A late answer of the store shows that the path is slow, not lost.

TestOldConfigurationRoutesNoRequestsInTouchWithTheStore: without the check, requests with and without a key are served at 3.5 s of age, and an unknown route is answered with 404.

--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -139,7 +139,7 @@
 		return "stopping"
 	case !v.Ready():
 		return "no configuration yet"
-	case v.ConfigAge(now) > g.settings.Load().MaxKeyAge():
+	case v.ConfigAge(now) > g.settings.Load().MaxKeyAge() || !v.InForce(now):
 		return "the configuration is too old"
 	}
 	return ""
--- a/daemon/proxy/config_test.go
+++ b/daemon/proxy/config_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"ladderridge.example/core/contact"
 	"ladderridge.example/core/routemap"
 	"ladderridge.example/daemon/proxy"
 )
@@ -41,3 +42,32 @@
 		})
 	}
 }
+
+// Requests without a key were routed by a configuration of any age, those with a known key by one that was
+// older than a change may take to be in force.
+func TestOldConfigurationRoutesNoRequestsInTouchWithTheStore(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		open := parts(1, "k")
+		open.Routes[1].Anonymous = true
+		b.known.set(routemap.New(open), b.server("a", whole(200, "ok")))
+		b.known.view.InForceWithin = 3 * time.Second
+		send := func(path, key string) proxy.Outcome {
+			return b.send(t.Context(), proxy.Request{ID: "r", Path: path, Key: key, Timeout: time.Second}).outcome
+		}
+		time.Sleep(3 * time.Second)
+		if out := send("/again/x", ""); out != (proxy.Answered{Status: 200}) {
+			t.Errorf("recent configuration: %v", out)
+		}
+		time.Sleep(time.Second / 2)
+		for path, key := range map[string]string{"/again/x": "", "/once/x": "k", "/nowhere/x": "k"} {
+			if out, ok := send(path, key).(proxy.Refused); !ok || out.Reason != proxy.Stale || out.RetryAfter <= 0 {
+				t.Errorf("old configuration, %s: %v", path, out)
+			}
+		}
+		b.known.view.Contact = contact.State{}.With(contact.CallFailed{Start: time.Now(), End: time.Now()})
+		if out := send("/again/x", ""); out != (proxy.Answered{Status: 200}) {
+			t.Errorf("old configuration without a path to the store: %v", out)
+		}
+	})
+}
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -301,8 +301,8 @@
 	if !j.view.Ready() {
 		return Refused{Reason: NotReady, RetryAfter: notReadyRetry}
 	}
-	if !j.view.Confirmed() {
-		return Refused{Reason: Stale, RetryAfter: staleRetry}
+	if out := j.checkCurrent(now); out != nil {
+		return out
 	}
 	j.report.Config, j.report.ConfigAge, j.report.ConfirmedBy = j.view.Map.Number, j.view.ConfigAge(now), j.view.ConfirmedBy
 	route, ok := j.view.Map.Match(j.request.Host, j.request.Path)
@@ -359,6 +359,16 @@
 // refreshView takes the latest view.
 func (j *job) refreshView() { j.view = j.engine.StoreSync.View() }
 
+// checkCurrent refuses a request if a newer configuration than that of the view may have to be in
+// force.
+func (j *job) checkCurrent(now time.Time) Outcome {
+	if j.view.Confirmed() && j.view.InForce(now) {
+		return nil
+	}
+	j.report.Config, j.report.ConfigAge = j.view.Map.Number, j.view.ConfigAge(now)
+	return Refused{Reason: Stale, RetryAfter: staleRetry}
+}
+
 // authenticate finds the organisation of the key. A key is accepted only if the configuration
 // that allows it was confirmed recently, or if no newer one is available and operators let known
 // keys outlive the store for that long.
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -341,6 +341,7 @@
 	sy.suspendedTotal = sy.SuspendClock.Now()
 	v := *sy.view.Load()
 	v.Regions, v.SuspendClock, v.SuspendedTotal = sy.Regions, sy.SuspendClock, sy.suspendedTotal
+	v.InForceWithin = sy.inForceWithin()
 	sy.view.Store(&v)
 	sy.random = sy.draws("keeper")
 	sy.nonce = sy.random.Uint64()
--- a/daemon/storesync/view.go
+++ b/daemon/storesync/view.go
@@ -29,6 +29,9 @@
 	ServersAt time.Time
 	// ConfirmedBy is the daemon that confirmed the configuration, or "store".
 	ConfirmedBy string
+	// InForceWithin is the time in which a configuration must be in force everywhere. 0 means
+	// any time.
+	InForceWithin time.Duration
 	// Contact is what the daemon has observed of its path to the store.
 	Contact contact.State
 	// Daemons is the number of daemons including this one. It is 0 while their list is unknown.
@@ -95,6 +98,13 @@
 	return now.Sub(v.ConfigAt) + v.suspendedSinceView()
 }
 
+// InForce reports whether requests may be routed by the configuration: no newer one has to be in
+// force, as far as a daemon in touch with the store can know. One that has lost its path to the store
+// keeps using the configuration that it has.
+func (v *View) InForce(now time.Time) bool {
+	return v.InForceWithin == 0 || v.ConfigAge(now) <= v.InForceWithin || v.Contact.Lost(now, v.InForceWithin+v.InForceWithin/2)
+}
+
 // Ready reports whether the view has a configuration and a list of servers.
 func (v *View) Ready() bool { return v.Map != nil && v.Servers != nil }
 
