--- a/daemon/storesync/readers.go
+++ b/daemon/storesync/readers.go
@@ -19,12 +19,14 @@
 // within allTurnsWithin, whatever their number. A daemon that gets an answer from the store
 // announces it to its hall, and the others ask it at once.
 //
-// The configuration of a daemon is therefore at most 3.5 s old as long as the store serves one
-// daemon of its hall and the configuration must be in force within the default time. This is
-// the sum of maxUsableAge, 1.2 s, until it looks for another reader; 0.65 s by which the state
-// of the daemon that tries the store may be newer, so that its turn comes later (a call and the
-// batch delay after it); allTurnsWithin, 1.25 s; and 0.4 s for two ticks, the call and the
-// request that follows.
+// A daemon begins to read in its turn once the store has answered its verification of the
+// configuration (verify.go). That verification, not the turns, bounds the age of the configuration.
+// What a daemon that the store does not serve has is at most 3.5 s old as long as the store serves
+// one daemon of its hall and the configuration must be in force within the default time: the sum of
+// maxUsableAge, 1.2 s, until it looks for another reader; 0.65 s by which the state of the daemon
+// that tries the store may be newer, so that its turn comes later (a call and the batch delay after
+// it); allTurnsWithin, 1.25 s; and 0.4 s for two ticks, the call and the request that follows. The
+// sum has no part for steps that wait; View.InForce is what holds then.
 const (
 	// queryInterval is the time between two requests to the reader of the hall. The state of a
 	// daemon is older than that of the reader by up to this time.
