storesync: readers that are lost together leave no old configuration

TestReaderThatVanishesLeavesNoOldConfiguration has halls in which two, or four fifths, fall silent at once.

--- a/daemon/storesync/config_age_test.go
+++ b/daemon/storesync/config_age_test.go
@@ -100,12 +100,16 @@
 	s.network.latency[id] = delay
 }
 
-// Whenever the reader of a hall is lost, the others have each change in time. The times of the steps until
+// Whenever readers of a hall are lost, one or several, the others have each change in time. The times of the steps until
 // another one reads the store added up to more than the time in force.
 func TestReaderThatVanishesLeavesNoOldConfiguration(t *testing.T) {
 	for _, inForce := range []time.Duration{2 * time.Second, 3 * time.Second} {
 		for _, size := range []int{2, 6, 20, 60} {
-			for _, loss := range []string{"silent", "without the store", "not asking"} {
+			losses := []string{"silent", "without the store", "not asking"}
+			if size > 2 {
+				losses = append(losses, "two silent", "most silent")
+			}
+			for _, loss := range losses {
 				t.Run(fmt.Sprintf("%v/%d/%s", inForce, size, loss), func(t *testing.T) {
 					t.Parallel()
 					inBubble(t, func(t *testing.T) { checkLostReader(t, inForce, size, loss) })
@@ -122,18 +126,24 @@
 	s.inForceWithin = inForce
 	s.writeConfig(1, "k")
 	all := s.startHall(size)
-	first := firstReader(all)
+	lost := slices.SortedFunc(maps.Keys(all), compareReadOrder)[:lostOf(loss, size)]
 	random := rand.New(rand.NewPCG(82, uint64(size)))
 	var oldest, late []time.Duration
 	for i := range *draws {
 		advance(8*time.Second + time.Duration(random.Int64N(int64(time.Second))))
 		others := maps.Clone(all)
-		delete(others, first)
-		var restore func()
-		time.AfterFunc(lossAt, func() { restore = s.lose(first, all[first], loss) })
+		maps.DeleteFunc(others, func(id string, _ *storesync.Syncer) bool { return slices.Contains(lost, id) })
+		var restore []func()
+		time.AfterFunc(lossAt, func() {
+			for _, id := range lost {
+				restore = append(restore, s.lose(id, all[id], loss))
+			}
+		})
 		w := configWatch{daemons: others}
 		w.watch(s, inForce+4*time.Second, time.Duration(random.Int64N(int64(inForce))), uint64(i+2))
-		restore()
+		for _, f := range restore {
+			f()
+		}
 		oldest, late = append(oldest, w.oldest), append(late, w.late)
 	}
 	slices.Sort(oldest)
@@ -145,10 +155,22 @@
 	}
 }
 
+// lostOf returns how many of the daemons of a hall are lost, in the order in which they read the store.
+func lostOf(loss string, size int) int {
+	switch loss {
+	case "two silent":
+		return 2
+	case "most silent":
+		return size * 4 / 5
+	default:
+		return 1
+	}
+}
+
 // lose makes a reader fall silent, lose the store, or answer the others without asking the store.
 func (s *cluster) lose(id string, d *storesync.Syncer, loss string) (restore func()) {
 	switch loss {
-	case "silent":
+	case "silent", "two silent", "most silent":
 		s.network.dropIncoming(id)
 		s.network.dropOutgoing(id)
 	case "without the store":
