contact: a past outage does not excuse an old configuration

After an outage of the store, daemons that others inform took their path for lost until their next own call, minutes later. If exchanges became slow by then, they routed by a configuration older than config.in_force_within while their first verification was under way.

A failed call was forgotten only when the store answered a later one. A daemon that its reader informs makes none. Failures of calls that began before the configuration was last confirmed, by whomever, are now forgotten: they say nothing about the path since. A daemon that is confirmed by others and cut from the store is refused or times out again at its next call.

--- a/core/contact/contact.go
+++ b/core/contact/contact.go
@@ -13,7 +13,7 @@
 	MaxDelay = 200 * time.Millisecond
 )
 
-// Event is something that a daemon has observed: CallFailed, Answered, Heard or Delayed.
+// Event is something that a daemon has observed: CallFailed, Answered, Confirmed, Heard or Delayed.
 type Event interface{ event() }
 
 // CallFailed is a call to the store that this daemon made and that failed.
@@ -27,6 +27,10 @@
 // Answered is an answer of the store to a call that began at Start.
 type Answered struct{ Start, End time.Time }
 
+// Confirmed means that the configuration was current at a time, according to the store or another
+// daemon. A daemon that others inform makes no calls that would be answered.
+type Confirmed struct{ At time.Time }
+
 // Heard is an answer of another daemon to a request that was sent at Start.
 type Heard struct{ Start, End time.Time }
 
@@ -35,6 +39,7 @@
 
 func (CallFailed) event() {}
 func (Answered) event()   {}
+func (Confirmed) event()  {}
 func (Heard) event()      {}
 func (Delayed) event()    {}
 
@@ -70,7 +75,11 @@
 	case Answered:
 		s.answered, s.answeredAt = latest(s.answered, e.Start), latest(s.answeredAt, e.End)
 		if !e.Start.Before(s.lastFailed) {
-			s.failingSince, s.lastFailed, s.refused = time.Time{}, time.Time{}, false
+			s = s.withoutFailures()
+		}
+	case Confirmed:
+		if e.At.After(s.lastFailed) {
+			s = s.withoutFailures()
 		}
 	case Heard:
 		s.heardAt = latest(s.heardAt, e.End)
@@ -85,6 +94,11 @@
 	return s
 }
 
+func (s State) withoutFailures() State {
+	s.failingSince, s.lastFailed, s.refused = time.Time{}, time.Time{}, false
+	return s
+}
+
 // AnsweredAt is the start of the latest call that the store has answered.
 func (s State) AnsweredAt() time.Time { return s.answered }
 
--- a/daemon/storesync/contact_test.go
+++ b/daemon/storesync/contact_test.go
@@ -2,15 +2,17 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
 
 // A hall that has lost the store goes on with its configuration. One whose exchanges are slow must not:
-// changes may be in force elsewhere.
+// changes may be in force elsewhere. Daemons that others had informed since an outage took a slow path for a
+// lost one for good.
 func TestOldConfigurationIsUsedOnlyWithoutAPathToTheStore(t *testing.T) {
 	for _, size := range []int{1, 2, 6, 20} {
-		for _, fault := range []string{"refused", "silent", "slow"} {
+		for _, fault := range []string{"refused", "silent", "slow", "slow after an outage"} {
 			t.Run(fmt.Sprintf("%d/%s", size, fault), func(t *testing.T) {
 				t.Parallel()
 				inBubble(t, func(t *testing.T) { checkOldConfiguration(t, size, fault) })
@@ -27,13 +29,21 @@
 	s.writeConfig(1, "k")
 	all := s.startHall(size)
 	advance(10 * time.Second)
+	if fault == "slow after an outage" {
+		for _, down := range []error{errDown, nil} {
+			for id := range all {
+				s.links[id].fail(down)
+			}
+			advance(10 * time.Second)
+		}
+	}
 	for id := range all {
 		switch fault {
 		case "refused":
 			s.links[id].fail(errDown)
 		case "silent":
 			s.links[id].setUnresponsive(true)
-		case "slow":
+		case "slow", "slow after an outage":
 			s.slowDown(id, 1200*time.Millisecond)
 		}
 	}
@@ -50,8 +60,9 @@
 			}
 		}
 	}
+	slow := strings.HasPrefix(fault, "slow")
 	for id := range all {
-		if fault == "slow" && used[id] > 0 {
+		if slow && used[id] > 0 {
 			t.Errorf("%s routes by an old configuration for %v", id, used[id])
 		}
 		allowed := 500 * time.Millisecond
@@ -59,7 +70,7 @@
 			// It hears nobody else.
 			allowed = inForce
 		}
-		if fault != "slow" && unused[id] > allowed {
+		if !slow && unused[id] > allowed {
 			t.Errorf("%s routes nothing for %v, by an old configuration for %v", id, unused[id], used[id])
 		}
 	}
--- a/daemon/storesync/verify.go
+++ b/daemon/storesync/verify.go
@@ -73,6 +73,7 @@
 	if !t.known || sy.deferReading.Load() {
 		return
 	}
+	sy.contact = sy.contact.With(contact.Confirmed{At: sy.configConfirmed()})
 	if now.Sub(sy.configConfirmed()) <= sy.verifyAge() {
 		v.next, v.pause = time.Time{}, verifyPause
 		if sy.passive.Load() {
