contact: a call that takes two round trips is not a lost path

Where a round trip takes 0.25 to 0.3 s, the answer of another daemon counted as prompt, while a verification, which opens a connection first, took 0.5 to 0.6 s and counted as timed out. The daemon took its path for lost and routed by an old configuration until the late answer.

PromptAnswer is 200 ms, less than half of verifyTimeout.

--- a/core/contact/contact.go
+++ b/core/contact/contact.go
@@ -7,8 +7,9 @@
 
 const (
 	// PromptAnswer is the longest time that the answer of another daemon takes on a VM that has
-	// processor time and bandwidth to spare.
-	PromptAnswer = 300 * time.Millisecond
+	// processor time and bandwidth to spare. It must be less than half of the time after which a call
+	// to the store fails: opening a connection and asking take two round trips.
+	PromptAnswer = 200 * time.Millisecond
 	// MaxDelay is how late the periodic work of a daemon may run on such a VM.
 	MaxDelay = 200 * time.Millisecond
 )
--- a/daemon/storesync/contact_test.go
+++ b/daemon/storesync/contact_test.go
@@ -8,11 +8,11 @@
 )
 
 // A hall that has lost the store goes on with its configuration. One whose exchanges are slow must not:
-// changes may be in force elsewhere. Daemons that others had informed since an outage took a slow path for a
-// lost one for good.
+// changes may be in force elsewhere. A slow path was taken for a lost one after a past outage, and where other
+// daemons answer within one round trip while a call to the store takes two.
 func TestOldConfigurationIsUsedOnlyWithoutAPathToTheStore(t *testing.T) {
 	for _, size := range []int{1, 2, 6, 20} {
-		for _, fault := range []string{"refused", "silent", "slow", "slow after an outage"} {
+		for _, fault := range []string{"refused", "silent", "slow", "slow after an outage", "slow by two round trips"} {
 			t.Run(fmt.Sprintf("%d/%s", size, fault), func(t *testing.T) {
 				t.Parallel()
 				inBubble(t, func(t *testing.T) { checkOldConfiguration(t, size, fault) })
@@ -45,6 +45,10 @@
 			s.links[id].setUnresponsive(true)
 		case "slow", "slow after an outage":
 			s.slowDown(id, 1200*time.Millisecond)
+		case "slow by two round trips":
+			const roundTrip = 300 * time.Millisecond
+			s.slowDown(id, roundTrip/2)
+			s.links[id].delayAnswers(2 * roundTrip)
 		}
 	}
 	used, unused := map[string]time.Duration{}, map[string]time.Duration{}
