storesync: a daemon that answered long ago is not taken for the reader

A daemon that had begun to read the store was interrupted each time.

A daemon counts as the reader only if it has answered within answerTimeout. Until then several are asked at once, and the store is read in turn, as after a start.

--- a/daemon/storesync/readers.go
+++ b/daemon/storesync/readers.go
@@ -74,8 +74,8 @@
 	// awaiting is since when the answer of a daemon is due.
 	awaiting map[string]time.Time
 	asked    map[string]time.Time
-	// answered are the daemons that have answered since they were last silent.
-	answered map[string]bool
+	// answeredAt is when daemons last answered since they were last silent.
+	answeredAt map[string]time.Time
 	// hadReader is set once a daemon has sent a recent enough state. lastAnswerAt is when any
 	// daemon last answered.
 	hadReader    bool
@@ -85,7 +85,7 @@
 }
 
 func newReaders() *readers {
-	return &readers{silent: map[string]time.Time{}, stale: map[string]bool{}, awaiting: map[string]time.Time{}, asked: map[string]time.Time{}, answered: map[string]bool{}}
+	return &readers{silent: map[string]time.Time{}, stale: map[string]bool{}, awaiting: map[string]time.Time{}, asked: map[string]time.Time{}, answeredAt: map[string]time.Time{}}
 }
 
 // rank orders the daemons for reading: by capacity, largest first, then by hash.
@@ -123,6 +123,13 @@
 	return !slices.ContainsFunc(r.preceding, func(m Member) bool { return !r.isSilent(m.ID) })
 }
 
+// settled reports whether a daemon has answered so recently that it counts as the reader. One that
+// answered long ago, while another one was the reader, may be gone.
+func (r *readers) settled(id string, now time.Time) bool {
+	at, ok := r.answeredAt[id]
+	return ok && now.Sub(at) <= answerTimeout
+}
+
 func (r *readers) isSilent(id string) bool {
 	_, silent := r.silent[id]
 	return silent
@@ -134,7 +141,7 @@
 	if r.hadReader && now.Sub(r.lastAnswerAt) > aloneTimeout {
 		return true
 	}
-	if m, ok := r.reader(); ok && r.answered[m.ID] {
+	if m, ok := r.reader(); ok && r.settled(m.ID, now) {
 		return false
 	}
 	answering, between := r.countPreceding(now)
@@ -187,7 +194,7 @@
 // reader.
 func (r *readers) queryTargets(age time.Duration, now time.Time) []Member {
 	reader, ok := r.reader()
-	settled := ok && r.answered[reader.ID]
+	settled := ok && r.settled(reader.ID, now)
 	takers := r.turnTakers(age)
 	var out []Member
 	for _, m := range r.preceding {
@@ -237,7 +244,7 @@
 	r.lastAnswerAt = now
 	delete(r.awaiting, id)
 	delete(r.silent, id)
-	r.answered[id] = true
+	r.answeredAt[id] = now
 	r.stale[id] = unreachable || age > r.maxUsableAge
 	r.hadReader = r.hadReader || !r.stale[id]
 }
@@ -247,14 +254,14 @@
 func (r *readers) expire(now time.Time) (newlySilent, still []string) {
 	for id, since := range r.awaiting {
 		timeout := answerTimeout
-		if !r.answered[id] {
+		if _, answered := r.answeredAt[id]; !answered {
 			timeout = firstAnswerTimeout
 		}
 		if now.Sub(since) < timeout {
 			continue
 		}
 		delete(r.awaiting, id)
-		delete(r.answered, id)
+		delete(r.answeredAt, id)
 		if r.isSilent(id) {
 			still = append(still, id)
 			continue
