storesync: a read of all rows that has timed out gets more time

After a time-out the next one gets twice the time, up to 3.6 s; after an answer 0.9 s as before. Calls that wait for changes keep their time: a change of the configuration is found by its verification.

--- a/daemon/storesync/follow.go
+++ b/daemon/storesync/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,8 +24,10 @@
 	// longPollWait is how long the store holds the other calls. Their topics need no frequent
 	// confirmation, and a failure of the call about the configuration ends them.
 	longPollWait = 6 * time.Second
-	// callTimeout is added to the hold time before a call counts as failed.
-	callTimeout = 900 * time.Millisecond
+	// callTimeout is added to the hold time before a call counts as failed. A read of all rows that
+	// has timed out gets twice the time next, up to maxReadTimeout: they may be many, and the VM slow.
+	callTimeout    = 900 * time.Millisecond
+	maxReadTimeout = 4 * callTimeout
 	// minBackoff and maxBackoff bound the pause after a failed call, which doubles with each
 	// failure. The pause is drawn at random between half of it and all of it.
 	minBackoff = 150 * time.Millisecond
@@ -67,6 +70,8 @@
 	// changes.
 	pollWait   time.Duration
 	batchDelay time.Duration
+	// readTimeout is the time for a read of all rows. The goroutine that follows the topic owns it.
+	readTimeout time.Duration
 	// delay is the time between the start and the first call.
 	delay time.Duration
 	// enabled reports whether the topic is to be followed now.
@@ -174,9 +179,16 @@
 func (sy *Syncer) fetch(ctx context.Context, f *follower, known bool, after revision.Revision, hold time.Duration) (Page, bool, error) {
 	sy.Calls.Add(1)
 	if !known {
-		ctx, cancel := f.begin(ctx, callTimeout)
+		f.readTimeout = max(f.readTimeout, callTimeout)
+		ctx, cancel := f.begin(ctx, f.readTimeout)
 		defer cancel()
 		page, err := sy.Store.Read(ctx, f.topic)
+		switch {
+		case err == nil:
+			f.readTimeout = callTimeout
+		case errors.Is(err, context.DeadlineExceeded):
+			f.readTimeout = min(2*f.readTimeout, maxReadTimeout)
+		}
 		return page, true, err
 	}
 	ctx, cancel := f.begin(ctx, hold+callTimeout)
