storesync: a daemon that the store answers need not wait for its turn twice

Where the store serves one daemon of a hall of 20, others had a configuration older than 3.5 s. A daemon other than the first reads the store only within maxUsableAge (1.2 s) of an answer to its verification, and verifies again only after verifyAge (1.6 s): if its turn came in between, it was delayed until the next verification.

The answer now counts for verifyAge and verifyTimeout, so that the next verification begins before it expires.

--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -55,8 +55,9 @@
 	}
 	age := now.Sub(sy.topics[gossip.Operator].confirmed)
 	reads := sy.readers.mayRead(age, now)
-	if !sy.reading.Load() && !sy.readers.isFirst() && now.Sub(sy.contact.AnsweredAt()) > sy.readers.maxUsableAge {
-		// It reads once the store has answered its verification.
+	if !sy.reading.Load() && !sy.readers.isFirst() && now.Sub(sy.contact.AnsweredAt()) > sy.verifyAge()+verifyTimeout {
+		// It reads once the store has answered its verification. While the store answers, the next
+		// one begins within this time.
 		reads = false
 	}
 	sy.passive.Store(sy.readers.passive(now))
