storesync: test late responses that were not delivered before

The second part of TestDelayedResponseConfirmsNothing delivered the responses of the first part once more. Their request times had been used by then, so that the age could not fall: the test passed without any limit on the age of a response (tried by removing it).

--- a/daemon/storesync/syncer_test.go
+++ b/daemon/storesync/syncer_test.go
@@ -129,10 +129,15 @@
 				t.Fatalf("a delayed response changed the age of the configuration to %v, it was %v", after, before)
 			}
 		}
-		s.writeConfig(2, "k")
+		s.network.mu.Lock()
+		undelivered := s.network.delayed["a"][len(delayed):]
+		s.network.mu.Unlock()
+		if len(undelivered) == 0 {
+			t.Fatal("no further message was delayed")
+		}
 		advance(storesync.ResponseTimeout)
 		before = a.View().ConfigAge(time.Now())
-		for _, deliver := range delayed {
+		for _, deliver := range undelivered {
 			deliver()
 		}
 		advance(0)
