--- a/core/contact/contact.go
+++ b/core/contact/contact.go
@@ -19,7 +19,7 @@
 
 // CallFailed is a call to the store that this daemon made and that failed.
 type CallFailed struct {
-	Start, End time.Time
+	Start time.Time
 	// TimedOut is set if there was no answer. Otherwise the network or the store has refused
 	// the call.
 	TimedOut bool
--- a/core/contact/contact_test.go
+++ b/core/contact/contact_test.go
@@ -14,7 +14,7 @@
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	failed := func(from, to int) contact.Event {
-		return contact.CallFailed{Start: at(from), End: at(to), TimedOut: true}
+		return contact.CallFailed{Start: at(from), TimedOut: true}
 	}
 	heard := func(from, to int) contact.Event { return contact.Heard{Start: at(from), End: at(to)} }
 	for name, c := range map[string]struct {
@@ -23,10 +23,10 @@
 		lost   bool
 	}{
 		"nothing has failed":                {nil, 5000, false},
-		"refused":                           {[]contact.Event{contact.CallFailed{Start: at(0), End: at(1)}}, 2, true},
-		"refused, then answered":            {[]contact.Event{contact.CallFailed{Start: at(0), End: at(1)}, contact.Answered{Start: at(5), End: at(9)}}, 10, false},
-		"refused, then confirmed":           {[]contact.Event{contact.CallFailed{Start: at(0), End: at(1)}, contact.Confirmed{At: at(5)}}, 10, false},
-		"confirmed, then refused":           {[]contact.Event{contact.Confirmed{At: at(-5)}, contact.CallFailed{Start: at(0), End: at(1)}}, 10, true},
+		"refused":                           {[]contact.Event{contact.CallFailed{Start: at(0)}}, 2, true},
+		"refused, then answered":            {[]contact.Event{contact.CallFailed{Start: at(0)}, contact.Answered{Start: at(5), End: at(9)}}, 10, false},
+		"refused, then confirmed":           {[]contact.Event{contact.CallFailed{Start: at(0)}, contact.Confirmed{At: at(5)}}, 10, false},
+		"confirmed, then refused":           {[]contact.Event{contact.Confirmed{At: at(-5)}, contact.CallFailed{Start: at(0)}}, 10, true},
 		"timed out, others prompt":          {[]contact.Event{failed(0, 500), heard(100, 120)}, 500, true},
 		"timed out, others slow":            {[]contact.Event{failed(0, 500), heard(100, 480)}, 2900, false},
 		"timed out, others prompt before":   {[]contact.Event{heard(-100, -80), failed(0, 500)}, 500, false},
--- a/daemon/proxy/config_test.go
+++ b/daemon/proxy/config_test.go
@@ -65,7 +65,7 @@
 				t.Errorf("old configuration, %s: %v", path, out)
 			}
 		}
-		b.known.view.Contact = contact.State{}.With(contact.CallFailed{Start: time.Now(), End: time.Now()})
+		b.known.view.Contact = contact.State{}.With(contact.CallFailed{Start: time.Now()})
 		if out := send("/again/x", ""); out != (proxy.Answered{Status: 200}) {
 			t.Errorf("old configuration without a path to the store: %v", out)
 		}
--- a/daemon/storesync/age.go
+++ b/daemon/storesync/age.go
@@ -1,8 +1,6 @@
 package storesync
 
-import (
-	"time"
-)
+import "time"
 
 // How the configuration was confirmed and what has delayed that, for logs and metrics.
 
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -266,8 +266,6 @@
 		sy.contact = sy.contact.With(contact.Heard{Start: sentAt, End: now})
 	}
 	if m.Nonce != 0 && (!ok || now.Sub(sentAt) > responseTimeout) {
-		sy.trace.slow++
-		sy.SlowExchanges.Add(1)
 		return
 	}
 	if ok && sy.Usage != nil {
--- a/daemon/storesync/verify.go
+++ b/daemon/storesync/verify.go
@@ -107,7 +107,7 @@
 // handleVerified handles the outcome of a verification.
 func (sy *Syncer) handleVerified(e verified, now time.Time) {
 	if e.late {
-		sy.contact = sy.contact.With(contact.CallFailed{Start: e.at, End: now, TimedOut: true})
+		sy.contact = sy.contact.With(contact.CallFailed{Start: e.at, TimedOut: true})
 		return
 	}
 	sy.verification.waiting--
@@ -137,5 +137,5 @@
 		sy.contact = sy.contact.With(contact.Answered{Start: e.at, End: now})
 		return
 	}
-	sy.contact = sy.contact.With(contact.CallFailed{Start: e.at, End: now, TimedOut: errors.Is(e.err, context.DeadlineExceeded)})
+	sy.contact = sy.contact.With(contact.CallFailed{Start: e.at, TimedOut: errors.Is(e.err, context.DeadlineExceeded)})
 }
