storesync: a silent call about one topic delays no change

While only the reader's connection for the servers went silent, and that for the configuration lived, a hall used a removed server until the call about the servers ran out of time: 6.9 s after its start.

Every answer of the store names the newest version of the whole store. If an answer about the operator topic shows a later one than the last call about another topic returned, and that call has not returned 0.9 s later, the call is ended and made again: the store answers at once if the topic has changed. That is at most one more call a topic for a write to another table, and at most one in 0.9 s however many writes there are. Calls at rest stay the same as long as the store's version does.

A call to the store that ran out of time, or was ended, closes the idle connections: the next call used another one that might be silent as well.

--- a/daemon/storesync/follow.go
+++ b/daemon/storesync/follow.go
@@ -24,6 +24,8 @@
 	// longPollWait is how long the store holds the other calls. Their topics need no frequent
 	// confirmation, and a failure of the call about the configuration ends them.
 	longPollWait = 6 * time.Second
+	// unheld is the hold time of a call that is to return at once.
+	unheld = time.Millisecond
 	// callTimeout is added to the hold time before a call counts as failed. A read of all rows that
 	// has timed out gets twice the time next, up to maxReadTimeout: they may be many, and the VM slow.
 	callTimeout    = 900 * time.Millisecond
@@ -77,10 +79,51 @@
 	// enabled reports whether the topic is to be followed now.
 	enabled func() bool
 
+	// returned is the latest version that a call has returned. newer is a later version of the
+	// store, if one is known, and newerAt when it was first seen. The syncer's goroutine owns them.
+	returned revision.Revision
+	newer    revision.Revision
+	newerAt  time.Time
+
 	mu     sync.Mutex
 	cancel context.CancelFunc
-	// stopped is set if interrupt ended the current call.
-	stopped bool
+	// heldSince is the start of the current call if the store may hold it, or zero.
+	heldSince time.Time
+	// stopped is set if the current call was interrupted, nextHold is then the hold time of the next.
+	stopped  bool
+	nextHold time.Duration
+}
+
+// maxUnseen is how long a call may go on after the store is known to have a newer version than the
+// last call returned. A change to the topic is returned sooner.
+const maxUnseen = 900 * time.Millisecond
+
+// recordReturned records the version that a call about the topic has returned.
+func (f *follower) recordReturned(version revision.Revision) {
+	f.returned = revision.Latest(f.returned, version)
+	if !f.newer.After(f.returned) {
+		f.newerAt = time.Time{}
+	}
+}
+
+// recordNewest records the version of the whole store that a call about another topic has returned.
+func (f *follower) recordNewest(version revision.Revision, now time.Time) {
+	if f.newerAt.IsZero() && version.After(f.returned) {
+		f.newer, f.newerAt = version, now
+	}
+}
+
+// interruptUnseen ends the current call if it should have returned a newer version of the store by
+// now, had the topic changed. The answer may be lost. The next call returns at once if the topic has
+// changed.
+func (f *follower) interruptUnseen(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel == nil || f.heldSince.IsZero() || f.newerAt.IsZero() || now.Sub(latest(f.newerAt, f.heldSince)) < maxUnseen {
+		return
+	}
+	f.returned, f.newerAt = f.newer, time.Time{}
+	f.stop(f.pollWait)
 }
 
 // interrupt ends the current call. The next call finds out whether the store answers.
@@ -88,25 +131,34 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancel != nil {
-		f.stopped = true
-		f.cancel()
+		f.stop(unheld)
 	}
 }
 
-func (f *follower) begin(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// stop ends the current call. The store may hold the next one for nextHold.
+func (f *follower) stop(nextHold time.Duration) {
+	f.stopped, f.nextHold = true, nextHold
+	f.cancel()
+}
+
+// begin starts a call that the store may hold for a time, and that has the given time for its answer.
+func (f *follower) begin(ctx context.Context, hold, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, hold+timeout)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel, f.stopped = cancel, false
+	f.cancel, f.stopped, f.heldSince = cancel, false, time.Time{}
+	if hold > unheld {
+		f.heldSince = time.Now()
+	}
 	return ctx, cancel
 }
 
-// end clears the current call and reports whether interrupt ended it.
-func (f *follower) end() bool {
+// end clears the current call and reports whether it was interrupted, and the hold time of the next.
+func (f *follower) end() (stopped bool, nextHold time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = nil
-	return f.stopped
+	return f.stopped, f.nextHold
 }
 
 // follow keeps a topic up to date while it is enabled.
@@ -129,7 +181,7 @@
 			continue
 		}
 		if f.topic != gossip.Operator && sy.storeUnavailable.Load() {
-			hold = time.Millisecond
+			hold = unheld
 			clock.Wait(ctx, tickInterval/2)
 			continue
 		}
@@ -138,8 +190,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if f.end() && err != nil {
-			hold = time.Millisecond
+		if stopped, nextHold := f.end(); stopped && err != nil {
+			hold = nextHold
 			continue
 		}
 		sy.deliver(ctx, storeAnswer{topic: f.topic, page: page, full: full, at: at, suspendedTotal: suspended, err: err})
@@ -148,7 +200,7 @@
 			pause = sy.backOff(ctx, pause, random)
 			// The next call returns at once: its answer shows that the store is available
 			// again.
-			hold = time.Millisecond
+			hold = unheld
 			continue
 		}
 		known, after, pause, hold = true, page.Version, minBackoff, f.pollWait
@@ -180,7 +232,7 @@
 	sy.Calls.Add(1)
 	if !known {
 		f.readTimeout = max(f.readTimeout, callTimeout)
-		ctx, cancel := f.begin(ctx, f.readTimeout)
+		ctx, cancel := f.begin(ctx, 0, f.readTimeout)
 		defer cancel()
 		page, err := sy.Store.Read(ctx, f.topic)
 		switch {
@@ -191,7 +243,7 @@
 		}
 		return page, true, err
 	}
-	ctx, cancel := f.begin(ctx, hold+callTimeout)
+	ctx, cancel := f.begin(ctx, hold, callTimeout)
 	defer cancel()
 	page, err := sy.Store.Follow(ctx, f.topic, after, hold)
 	return page, false, err
--- a/daemon/storesync/harness_test.go
+++ b/daemon/storesync/harness_test.go
@@ -138,6 +138,9 @@
 	answerDelay time.Duration
 	// unresponsive leaves calls to Read and Follow unanswered; Write and Put still work.
 	unresponsive bool
+	// silent is the topic whose calls to Follow get no answer until one of them is given up, as on a
+	// connection that delivers nothing any more.
+	silent gossip.Topic
 	// stalled blocks the goroutines that call Read and Follow until it is closed, whatever their contexts.
 	stalled chan struct{}
 	// loseWrites applies writes, but returns an error for them.
@@ -178,6 +181,26 @@
 	return l.down, l.answerDelay, l.loseWrites
 }
 
+// silence leaves the call about a topic without an answer until it is given up.
+func (l *link) silence(topic gossip.Topic) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = topic
+}
+
+// waitWhileSilent blocks until the caller gives up if the topic is silent.
+func (l *link) waitWhileSilent(ctx context.Context, topic gossip.Topic) error {
+	l.mu.Lock()
+	silent := l.silent == topic
+	l.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	err := waitForCancel(ctx)
+	l.silence("")
+	return err
+}
+
 // delayAnswers delays the answers to Read and Follow.
 func (l *link) delayAnswers(d time.Duration) {
 	l.mu.Lock()
@@ -246,6 +269,9 @@
 		if l.isUnresponsive() {
 			return storesync.Page{}, waitForCancel(ctx)
 		}
+		if err := l.waitWhileSilent(ctx, topic); err != nil {
+			return storesync.Page{}, err
+		}
 		if otherEra {
 			return storesync.Page{}, &storesync.Error{Op: "follow", Kind: storesync.EraChanged}
 		}
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -425,6 +425,7 @@
 		sy.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.unavailableSince)).Stringer("version", e.page.Version).Msg("storesync: store available again")
 		t.unavailableSince, t.recoveredAt = time.Time{}, now
 	}
+	sy.recordStoreVersion(e.topic, e.page.Version, now)
 	t.served, t.lostAtPeer = true, 0
 	sy.rollouts.clock(e.page.ClockMS, now)
 	var gone []string
@@ -441,6 +442,18 @@
 	sy.applyTopicChange(e.topic, gone, newer, now)
 }
 
+// recordStoreVersion records the version of the store in an answer. All topics share one counter.
+func (sy *Syncer) recordStoreVersion(topic gossip.Topic, version revision.Revision, now time.Time) {
+	for _, f := range sy.followers {
+		switch {
+		case f.topic == topic:
+			f.recordReturned(version)
+		case topic == gossip.Operator:
+			f.recordNewest(version, now)
+		}
+	}
+}
+
 // handleStoreError handles a failed call to the store.
 func (sy *Syncer) handleStoreError(e storeAnswer, t *topicState, now time.Time) {
 	if e.topic == gossip.Operator {
@@ -544,6 +557,9 @@
 			sy.readServers(now)
 		}
 	}
+	for _, f := range sy.followers {
+		f.interruptUnseen(now)
+	}
 	sy.verify(ctx, now)
 	sy.queryReader(now)
 	sy.endFirstStart(now)
