storesync: a short failure of one daemon keeps no removed server

After one failed call of a reader to the store, its hall went on using servers that were removed in the next two seconds, for up to two seconds: their entries were taken for ones that had expired because the store was away. The other daemons took that over from the reader with the age of its recovery. A daemon that stopped reading after a failure did the same.

Entries expire after three reports that the store did not accept, so after more than two seconds. They are now kept only if reads have failed for at least a second, counted from the first failure, which may be known 1.4 s after the store became unavailable. That holds for the recovery, for daemons that stop reading, and while reads still fail.

There is no test of its own for a daemon that stops reading.

--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -109,9 +109,7 @@
 	}
 	now := time.Now()
 	for _, t := range sy.topics {
-		if !t.unavailableSince.IsZero() {
-			t.unavailableSince, t.recoveredAt = time.Time{}, now
-		}
+		t.endOutage(now)
 	}
 }
 
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -35,6 +35,10 @@
 	// relistTimeout is how long a server may take to be listed again after the store was
 	// unavailable. The documentation of the platform gives about two seconds.
 	relistTimeout = 2000 * time.Millisecond
+	// minOutage is how long reads must fail until entries of running servers may have expired. That
+	// takes three reports that the store does not accept; the first failure of a read is known up to
+	// pollWait and callTimeout after the store became unavailable.
+	minOutage = time.Second
 	// eventBacklog bounds the event queue of the syncer.
 	eventBacklog = 4096
 )
@@ -423,7 +427,7 @@
 	if !t.unavailableSince.IsZero() {
 		sy.Recoveries.Add(1)
 		sy.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.unavailableSince)).Stringer("version", e.page.Version).Msg("storesync: store available again")
-		t.unavailableSince, t.recoveredAt = time.Time{}, now
+		t.endOutage(now)
 	}
 	sy.recordStoreVersion(e.topic, e.page.Version, now)
 	t.served, t.lostAtPeer = true, 0
@@ -517,12 +521,13 @@
 	sy.publishView()
 }
 
-// recordLapsed records servers whose entries are gone. While the store is unavailable, entries
-// of running servers expire. They get relistTimeout after its recovery to be listed again.
+// recordLapsed records servers whose entries are gone. While the store is unavailable for at least
+// minOutage, entries of running servers expire. They get relistTimeout after its recovery to be listed
+// again.
 func (sy *Syncer) recordLapsed(gone []string, now time.Time) {
 	t := sy.topics[gossip.Servers]
 	until := t.recoveredAt.Add(relistTimeout)
-	if !t.unavailableSince.IsZero() {
+	if t.longUnavailable(now) {
 		until = now.Add(relistTimeout)
 	}
 	for _, id := range gone {
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -17,7 +17,7 @@
 	confirmed time.Time
 	known     bool
 	// unavailableSince is since when the reads of this daemon fail, or zero. recoveredAt is
-	// when they last succeeded again.
+	// when they last succeeded again after they had failed for at least minOutage.
 	unavailableSince time.Time
 	recoveredAt      time.Time
 	// sum is the hash of the rows. history has the latest changes, oldest first.
@@ -252,6 +252,19 @@
 	return gone, len(rows) > 0 || len(gone) > 0
 }
 
+// longUnavailable reports whether reads have failed for so long that entries may have expired.
+func (t *topicState) longUnavailable(now time.Time) bool {
+	return !t.unavailableSince.IsZero() && now.Sub(t.unavailableSince) >= minOutage
+}
+
+// endOutage records that reads succeed again, or that others read for this daemon.
+func (t *topicState) endOutage(now time.Time) {
+	if t.longUnavailable(now) {
+		t.recoveredAt = now
+	}
+	t.unavailableSince = time.Time{}
+}
+
 func (t *topicState) confirm(at time.Time) {
 	if at.After(t.confirmed) {
 		t.confirmed = at
