proxy: nothing is sent to a server that left the list while connecting

Between the choice of a server and the request lies its connection, which may take up to a second. A server that was removed or began to leave in that time, or whose hall was drained, received the request all the same.

All versions of a server in the lists share one state. It now records whether the latest list lacks the server or has it as leaving; storesync sets that where it builds lists, for the changed servers only if few have changed. When the connection is there, that and the drained halls of the latest view are checked, and the request is routed anew. A stream of which the caller has a part is continued at another server, as before.

TestSlowConnectionSendsNothingToAServerOutOfUse, before: the server gets the request in both cases; it passes. TestStateKnowsWhetherItsServerIsWithdrawn, before: the state knows of neither a leaving nor a removed server, on either path; it passes. storesync, proxy and fleet pass with -race; storesync and platform also without.

--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ladderridge.example/core/brittle"
@@ -16,6 +17,8 @@
 	PrefixCache *prefixcache.Cache
 	// Notices holds what the server has announced about itself in its answers.
 	Notices *notice.Tracker
+	// withdrawn is set while the latest list lacks the server or has it as leaving.
+	withdrawn atomic.Bool
 
 	mu       sync.Mutex
 	inFlight int
@@ -81,6 +84,13 @@
 	return &ServerState{PrefixCache: prefixcache.NewCache(), Notices: &notice.Tracker{}, slowness: 1, hall: hall}
 }
 
+// SetWithdrawn records whether the latest list lacks the server or has it as leaving.
+func (s *ServerState) SetWithdrawn(withdrawn bool) { s.withdrawn.Store(withdrawn) }
+
+// Withdrawn reports whether the latest list lacks the server or has it as leaving. A request holds
+// the server of an earlier list.
+func (s *ServerState) Withdrawn() bool { return s.withdrawn.Load() }
+
 // InFlight returns the number of this daemon's requests in flight at the server.
 func (s *ServerState) InFlight() int {
 	s.mu.Lock()
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -313,17 +313,21 @@
 // errOutdated stops a request that the latest configuration no longer routes to the service.
 var errOutdated = errors.New("configuration has changed")
 
-// errNotOpen stops a request to a server that has meanwhile reported that it takes no more.
+// errNotOpen stops a request to a server that takes no more according to its reports, or is no longer
+// in use according to the latest view.
 var errNotOpen = errors.New("server takes no new requests")
 
 // admit checks the server again once the connection is established. Connecting may take long,
-// above all on a slow VM, and the server may meanwhile have reported a limit or back-off in
-// responses to other requests.
+// above all on a slow VM. Meanwhile the server may have reported a limit or back-off in responses to
+// other requests, been removed or begun to leave, or its hall may have been drained.
 func (j *job) admit(a *attempt) error {
-	now := time.Now()
-	if !j.routedBy(j.engine.StoreSync.View()) {
+	now, view := time.Now(), j.engine.StoreSync.View()
+	if !j.routedBy(view) {
 		return errOutdated
 	}
+	if _, drained := view.Drained[a.server.Hall]; drained || a.server.State.Withdrawn() {
+		return errNotOpen
+	}
 	if !a.server.Open(now) || !a.server.State.Admit(a.sent, now) {
 		return errNotOpen
 	}
--- a/daemon/storesync/changes.go
+++ b/daemon/storesync/changes.go
@@ -82,6 +82,7 @@
 		return false
 	}
 	sy.atAddress[next.server.Addr]++
+	next.server.State.SetWithdrawn(next.server.Leaving)
 	c.added = append(c.added, next.server)
 	if old != nil && old.Born != next.server.Born {
 		c.restarted = append(c.restarted, serverRestart{was: old, is: next.server})
@@ -116,6 +117,7 @@
 	if s == nil {
 		return
 	}
+	s.State.SetWithdrawn(true)
 	i := s.Incarnation()
 	if s.State.Notices.Active(now) && len(sy.unlisted) < maxUnlisted {
 		sy.unlisted[i] = unlisted{notices: s.State.Notices, since: now}
--- a/daemon/storesync/harness_test.go
+++ b/daemon/storesync/harness_test.go
@@ -362,7 +362,7 @@
 
 // Server reads VERSION, VERSION@HALL or VERSION@HALL@COLD, where COLD is a duration, optionally
 // followed by #BORN, the start time of the server. The address is the id, or what follows =
-// in the id. A row that begins with ! is corrupted.
+// in the id. A row that begins with ! is corrupted, the version "leaving" is of a server that leaves.
 func (decoder) Server(row gossip.Row) (fleet.Server, error) {
 	s := fleet.Server{ID: row.Key, Service: "s", Addr: row.Key}
 	if _, addr, ok := strings.Cut(row.Key, "="); ok {
@@ -381,6 +381,7 @@
 	var cold string
 	s.Version, s.Hall, _ = strings.Cut(data, "@")
 	s.Hall, cold, _ = strings.Cut(s.Hall, "@")
+	s.Leaving = s.Version == "leaving"
 	if cold != "" {
 		var err error
 		if s.ColdFor, err = time.ParseDuration(cold); err != nil {
--- a/daemon/storesync/read.go
+++ b/daemon/storesync/read.go
@@ -201,6 +201,12 @@
 	kept := make(map[fleet.Incarnation]*fleet.ServerState, len(servers))
 	for _, s := range servers {
 		kept[s.Incarnation()] = s.State
+		s.State.SetWithdrawn(s.Leaving)
+	}
+	for i, state := range sy.states {
+		if kept[i] != state {
+			state.SetWithdrawn(true)
+		}
 	}
 	sy.keepNotices(kept, now)
 	sy.states = kept
