--- a/daemon/storesync/age.go
+++ b/daemon/storesync/age.go
@@ -23,14 +23,14 @@
 }
 
 // traceExchange records an exchange about the configuration with the store or another daemon that began
-// at start.
-func (sy *Syncer) traceExchange(by string, start, now time.Time, failed bool) {
+// at start. held is how long the other end may have held the answer.
+func (sy *Syncer) traceExchange(by string, start, now time.Time, held time.Duration, failed bool) {
 	tr := &sy.trace
 	took := now.Sub(start)
 	if failed {
 		tr.failed++
 	}
-	if took > slowExchange {
+	if took > held+slowExchange {
 		tr.slow++
 		sy.SlowExchanges.Add(1)
 	}
--- a/daemon/storesync/follow.go
+++ b/daemon/storesync/follow.go
@@ -87,7 +87,9 @@
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
-	// heldSince is the start of the current call if the store may hold it, or zero.
+	// readsAll is set if the current call reads all rows. heldSince is its start if the store may
+	// hold it, or zero.
+	readsAll  bool
 	heldSince time.Time
 	// stopped is set if the current call was interrupted, nextHold is then the hold time of the next.
 	stopped  bool
@@ -135,6 +137,15 @@
 	}
 }
 
+// interruptHeld ends the current call unless it reads all rows, which has a time-out of its own.
+func (f *follower) interruptHeld() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil && !f.readsAll {
+		f.stop(unheld)
+	}
+}
+
 // stop ends the current call. The store may hold the next one for nextHold.
 func (f *follower) stop(nextHold time.Duration) {
 	f.stopped, f.nextHold = true, nextHold
@@ -146,7 +157,7 @@
 	ctx, cancel := context.WithTimeout(ctx, hold+timeout)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel, f.stopped, f.heldSince = cancel, false, time.Time{}
+	f.cancel, f.stopped, f.readsAll, f.heldSince = cancel, false, hold == 0, time.Time{}
 	if hold > unheld {
 		f.heldSince = time.Now()
 	}
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -277,7 +277,7 @@
 	}
 	for _, update := range m.Updates {
 		if update.Topic == gossip.Operator {
-			sy.traceExchange(from, sentAt, now, false)
+			sy.traceExchange(from, sentAt, now, 0, false)
 			age := now.Sub(sentAt.Add(-time.Duration(update.AgeMS) * time.Millisecond))
 			sy.readers.recordAnswer(from, age, m.StoreUnreachable, now)
 			sy.updateSource(from, !m.StoreUnreachable && age <= sy.readers.maxUsableAge)
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -441,7 +441,7 @@
 		gone, newer = t.applyPage(e.page, e.at, now)
 	}
 	if e.topic == gossip.Operator {
-		sy.traceExchange("store", e.at, now, false)
+		sy.traceExchange("store", e.at, now, sy.pollWait(), false)
 	}
 	sy.applyTopicChange(e.topic, gone, newer, now)
 }
@@ -461,7 +461,7 @@
 // handleStoreError handles a failed call to the store.
 func (sy *Syncer) handleStoreError(e storeAnswer, t *topicState, now time.Time) {
 	if e.topic == gossip.Operator {
-		sy.traceExchange("store", e.at, now, true)
+		sy.traceExchange("store", e.at, now, sy.pollWait(), true)
 		sy.recordCallFailed(e, now)
 	}
 	if isKind(e.err, EraChanged) {
@@ -490,7 +490,7 @@
 		if f.topic == gossip.Operator {
 			continue
 		}
-		f.interrupt()
+		f.interruptHeld()
 		if t := sy.topics[f.topic]; t.unavailableSince.IsZero() {
 			t.unavailableSince = now
 		}
--- a/daemon/storesync/verify.go
+++ b/daemon/storesync/verify.go
@@ -111,12 +111,14 @@
 		return
 	}
 	sy.verification.waiting--
-	defer func() { sy.traceExchange("store", e.at, now, e.err != nil) }()
+	defer func() { sy.traceExchange("store", e.at, now, 0, e.err != nil) }()
 	if e.err != nil {
 		sy.recordCallFailed(e.storeAnswer, now)
 		return
 	}
 	sy.contact = sy.contact.With(contact.Answered{Start: e.at, End: now})
+	// The other topics may be read, however slow the calls about the configuration are.
+	sy.storeUnavailable.Store(false)
 	t := sy.topics[gossip.Operator]
 	if e.page.Version.Era != t.version.Era || e.page.Version.Before(e.after) {
 		// The store was restored. Only a read of all rows tells what it has.
