--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/ladderridged ] && [ -x target/review-standin2 ] || { echo "build first"; exit 2; }
-exec target/review-standin2 unsigned review/5
+exec target/review-standin2 endless review/5
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(s *site, trouble bool) (int, error){
 	"unsigned": unsigned,
 	"unframed": unframed,
+	"endless":  endless,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/unsigned.go
+++ b/review/standin2/unsigned.go
@@ -4,13 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
 
 // unsigned: a faulty server sends, in place of two in a hundred of its answers, bytes that form no answer:
 // they carry neither the id of the request nor a signature. Rule MIXED: no consumer may get a success
-// without the signature of a server.
+// without the signature of a server. Rule REFUSED: a request that may not be repeated gets no 503 if it has run.
 func unsigned(s *site, trouble bool) (int, error) {
 	const (
 		spoiled = 0.02
@@ -22,8 +23,8 @@
 		return 0, err
 	}
 	for _, r := range append(plain, engines...) {
-		// Each fifth answer ends its connection, as servers do now and then.
-		r.closeShare = 0.2
+		// Each fourth answer ends its connection, as servers do now and then.
+		r.closeShare = 0.25
 	}
 	for _, r := range []*runner{plain[0], engines[0]} {
 		rng := rand.New(rand.NewPCG(1, uint64(len(r.service))))
@@ -35,7 +36,8 @@
 				return false
 			}
 			s.record.printf("server %s sends bytes that form no answer in place of that to %s", r.id, id)
-			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 12\r\n\r\nout of order")
+			status := []string{"200 OK", "503 Service Unavailable"}[rng.IntN(2)]
+			_, _ = fmt.Fprint(c, "HTTP/1.1 "+status+"\r\nContent-Type: text/html\r\nContent-Length: 12\r\n\r\nout of order")
 			return true
 		}
 	}
@@ -45,14 +47,14 @@
 	}
 	time.Sleep(2 * time.Second)
 	const (
-		length   = 50 * time.Second
+		length   = 75 * time.Second
 		interval = 12500 * time.Microsecond
 	)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	sent, served, bad := 0, 0, 0
+	sent, served, bad, refused := 0, 0, 0, 0
 	for begun := time.Now(); time.Since(begun) < length; time.Sleep(interval) {
-		c := []call{checkout(), release(), chat(5 * time.Second)}[sent%3]
+		c := []call{checkout(), release(), checkout(), release(), chat(5 * time.Second)}[sent%5]
 		d := s.daemons[rand.IntN(len(s.daemons))]
 		sent++
 		wg.Add(1)
@@ -63,6 +65,14 @@
 			s.record.printf("request %s: %s", c.id, o.text())
 			mu.Lock()
 			defer mu.Unlock()
+			if o.status == http.StatusServiceUnavailable && c.method == http.MethodPost {
+				for _, r := range plain {
+					if r.ran(c.id) > 0 {
+						refused++
+						s.record.say("REFUSED: request %s ran at %s and got %s", c.id, r.id, o.text())
+					}
+				}
+			}
 			if o.status/100 == 2 && o.whole {
 				served++
 				if o.header.Get("X-Response-Signature") == "" {
@@ -73,9 +83,9 @@
 		}()
 	}
 	wg.Wait()
-	s.record.say("%d sent, %d answered with success, %d of them without a signature", sent, served, bad)
+	s.record.say("%d sent, %d answered with success, %d of them without a signature; %d that had run got a 503", sent, served, bad, refused)
 	if served < sent/2 {
 		return 0, fmt.Errorf("only %d of %d were served", served, sent)
 	}
-	return bad, nil
+	return bad + refused, nil
 }
