--- a/review/standin2/unsigned.go
+++ b/review/standin2/unsigned.go
@@ -10,7 +10,7 @@
 )
 
 // unsigned: a faulty server sends, in place of two in a hundred of its answers, bytes that form no answer:
-// they carry neither the id of the request nor a signature. Rule MIXED: no consumer may get a success
+// they carry no signature, and two thirds of them no id of the request. Rule MIXED: no consumer may get a success
 // without the signature of a server. Rule REFUSED: a request that may not be repeated gets no 503 if it has run.
 func unsigned(s *site, trouble bool) (int, error) {
 	const (
@@ -36,8 +36,8 @@
 				return false
 			}
 			s.record.printf("server %s sends bytes that form no answer in place of that to %s", r.id, id)
-			status := []string{"200 OK", "503 Service Unavailable"}[rng.IntN(2)]
-			_, _ = fmt.Fprint(c, "HTTP/1.1 "+status+"\r\nContent-Type: text/html\r\nContent-Length: 12\r\n\r\nout of order")
+			head := []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Service Unavailable\r\n", "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n"}[rng.IntN(3)]
+			_, _ = fmt.Fprint(c, head+"Content-Type: text/html\r\nContent-Length: 12\r\n\r\nout of order")
 			return true
 		}
 	}
