--- a/review/standin2/endless.go
+++ b/review/standin2/endless.go
@@ -16,8 +16,8 @@
 func endless(s *site, trouble bool) (int, error) {
 	const (
 		spoiled = 0.02
-		// The fault lasts for six seconds and comes again after one.
-		windowOfSix, roundOfSix = 6 * time.Second, 7 * time.Second
+		// The fault lasts for 5.5 s, as in the site file, and comes again after one second.
+		faultLength, faultPeriod = 5500 * time.Millisecond, 6500 * time.Millisecond
 	)
 	_, engines, err := standardServers(s)
 	if err != nil {
@@ -28,7 +28,7 @@
 	var rngMu sync.Mutex
 	engines[0].spoil = func(c net.Conn, id string) bool {
 		rngMu.Lock()
-		spoil := trouble && time.Since(s.base)%roundOfSix < windowOfSix && rng.Float64() < spoiled
+		spoil := trouble && time.Since(s.base)%faultPeriod < faultLength && rng.Float64() < spoiled
 		rngMu.Unlock()
 		if !spoil {
 			return false
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -34,8 +34,10 @@
 	// returns false to answer as usual.
 	spoil func(c net.Conn, id string) bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// inFlight are the requests that run or wait; working has room for those that run.
 	inFlight int
+	working  chan struct{}
 	runs     map[string]int
 }
 
@@ -77,18 +79,38 @@
 // body is the whole body of a plain answer: 800 bytes that only this server gives to this request.
 func (r *runner) body(id string) string { return strings.Repeat(r.id+"/"+id+" ", 800)[:800] }
 
-func (r *runner) begin(id string) bool {
+// queuePerSlot is how many requests may wait for each slot.
+const queuePerSlot = 4
+
+// enter waits for a slot, and reports whether there is one before the deadline. Beyond the queue a request is
+// turned away at once.
+func (r *runner) enter(id string, deadline time.Time) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.inFlight >= r.slots+4*r.slots {
+	if r.working == nil {
+		r.working = make(chan struct{}, r.slots)
+	}
+	if r.inFlight >= r.slots*(1+queuePerSlot) {
+		r.mu.Unlock()
 		return false
 	}
 	r.inFlight++
-	r.runs[id]++
-	return true
+	r.mu.Unlock()
+	select {
+	case r.working <- struct{}{}:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.runs[id]++
+		return true
+	case <-time.After(time.Until(deadline)):
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.inFlight--
+		return false
+	}
 }
 
-func (r *runner) end() {
+func (r *runner) leave() {
+	<-r.working
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inFlight--
@@ -118,13 +140,17 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.id)
 			continue
 		}
-		if !r.begin(id) {
+		deadline := time.Now().Add(time.Hour)
+		if ms, err := strconv.Atoi(q.Header.Get("X-Deadline-Ms")); err == nil {
+			deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+		}
+		if !r.enter(id, deadline) {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 			continue
 		}
 		r.say("request %s runs at %s", id, r.id)
-		open := r.answer(c, q, id)
-		r.end()
+		open := r.answer(c, q, id, deadline)
+		r.leave()
 		if !open {
 			return
 		}
@@ -132,8 +158,14 @@
 }
 
 // answer answers a request that runs, and reports whether the connection stays open.
-func (r *runner) answer(c net.Conn, q *http.Request, id string) bool {
-	time.Sleep(r.work)
+//
+// At its deadline a request ends with a 504, or with its channel if the answer has begun.
+func (r *runner) answer(c net.Conn, q *http.Request, id string, deadline time.Time) bool {
+	time.Sleep(min(r.work, time.Until(deadline)))
+	if !time.Now().Before(deadline) {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 504 Gateway Timeout\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nContent-Length: 0\r\n\r\n", id, r.proof(id))
+		return err == nil
+	}
 	if r.spoil != nil && r.spoil(c, id) {
 		return false
 	}
@@ -145,11 +177,11 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, r.proof(id), last, len(body), body)
 		return err == nil && !ends
 	}
-	return r.stream(c, q, id)
+	return r.stream(c, q, id, deadline)
 }
 
 // stream sends the events of a stream after the last one that the caller has.
-func (r *runner) stream(c net.Conn, q *http.Request, id string) bool {
+func (r *runner) stream(c net.Conn, q *http.Request, id string, deadline time.Time) bool {
 	first := 1
 	if n, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
@@ -167,6 +199,10 @@
 	}
 	_, err := io.WriteString(c, head)
 	for i := first; err == nil && i <= r.events; i++ {
+		if !time.Now().Before(deadline) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, id)
 		if framed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/review/standin2/unsigned.go
+++ b/review/standin2/unsigned.go
@@ -15,8 +15,8 @@
 func unsigned(s *site, trouble bool) (int, error) {
 	const (
 		spoiled = 0.02
-		// The fault lasts for six seconds and comes again after one.
-		windowOfSix, roundOfSix = 6 * time.Second, 7 * time.Second
+		// The fault lasts for 5.5 s, as in the site file, and comes again after one second.
+		faultLength, faultPeriod = 5500 * time.Millisecond, 6500 * time.Millisecond
 	)
 	plain, engines, err := standardServers(s)
 	if err != nil {
@@ -32,7 +32,7 @@
 		r.spoil = func(c net.Conn, id string) bool {
 			mu.Lock()
 			defer mu.Unlock()
-			if !trouble || time.Since(s.base)%roundOfSix >= windowOfSix || rng.Float64() >= spoiled {
+			if !trouble || time.Since(s.base)%faultPeriod >= faultLength || rng.Float64() >= spoiled {
 				return false
 			}
 			s.record.printf("server %s sends bytes that form no answer in place of that to %s", r.id, id)
