proxy: a stream ends only on the word of a server that knows its last event

Cause: two absent facts counted as statements. (1) That a run was found to be no answer was treated like a broken connection, so the events of it that the caller has stayed valid and were continued. (2) The regular end of a continuation without any event counted as the end of the stream, though the server that sends it knows nothing of the events before; the same for a caller that resumes by itself. With (2) alone, 15 false events that are broken off complete an answer of ten.

Change: core/answer.Run is what one server sends of a stream, an immutable value that decides what follows: Complete, Continue or Abandon. Complete needs the last event from the server that ends. An end without any event is confirmed by one more attempt that asks for the last event again; a server that does not send it settles that the stream is abandoned. Bytes that show that a server sends no answer (too many events, no progress, an event out of sequence or too long, broken chunks) abandon the stream if the caller has one of its events. Otherwise another server continues, as before. The head of a stream is sent with its first event, so that a response without one is retried like any other. Broken chunks have an error kind of their own (Malformed).

--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -31,6 +31,9 @@
 	// headLeft is how many bytes may be received until the head of the next
 	// answer is complete, or noLimit.
 	headLeft int
+	// readErr is the error of the last read from the connection: without one, an
+	// answer that cannot be parsed is malformed.
+	readErr error
 	// openedAt is when the connection was established, or zero if unknown.
 	openedAt time.Time
 	// written counts the bytes sent to the server.
@@ -73,13 +76,25 @@
 	c := r.c
 	switch c.headLeft {
 	case noLimit:
-		return c.conn.Read(p)
 	case 0:
 		return 0, ErrHeadTooLong
+	default:
+		p = p[:min(len(p), c.headLeft)]
 	}
-	n, err := c.conn.Read(p[:min(len(p), c.headLeft)])
-	c.headLeft -= n
-	return n, err
+	var n int
+	n, c.readErr = c.conn.Read(p)
+	if c.headLeft != noLimit {
+		c.headLeft -= n
+	}
+	return n, c.readErr
+}
+
+// interruption classifies an error of reading the body of an answer.
+func (c *persistentConn) interruption() Kind {
+	if c.readErr == nil {
+		return Malformed
+	}
+	return Interrupted
 }
 
 // Write counts the bytes that it writes; it implements io.Writer.
--- a/daemon/channel/error.go
+++ b/daemon/channel/error.go
@@ -24,6 +24,9 @@
 	// Interrupted means that the answer broke off or never came: the request may
 	// have run.
 	Interrupted Kind = "answer broken"
+	// Malformed means that the body of the answer is not framed as HTTP has it, on
+	// a connection that is intact: the request may have run.
+	Malformed Kind = "answer malformed"
 	// Mismatched means that an answer to another request came.
 	Mismatched Kind = "answer to another request"
 )
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -389,7 +389,7 @@
 		return n, io.EOF
 	case err != nil:
 		r.recordClose(err)
-		return n, &Error{Op: "read answer", Kind: Interrupted, Err: merry.Wrap(err)}
+		return n, &Error{Op: "read answer", Kind: r.conn.interruption(), Err: merry.Wrap(err)}
 	}
 	return n, nil
 }
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -154,11 +154,11 @@
 	return j.route.Cascade[min(j.step.Index, len(j.route.Cascade)-1)]
 }
 
-// open sends the request to a server, to be answered after the event with the id lastEvent, and reads
+// open sends the request to a server, to be answered after the events that the caller has, and reads
 // the response head. It aborts the attempt after timeout, if that is set and the retry budget allows
 // another attempt.
-func (j *job) open(ctx context.Context, s *fleet.Server, timeout time.Duration, lastEvent int64) *attempt {
-	a := &attempt{server: s, model: j.model(), sent: time.Now(), lastEvent: lastEvent}
+func (j *job) open(ctx context.Context, s *fleet.Server, timeout time.Duration) *attempt {
+	a := &attempt{server: s, model: j.model(), sent: time.Now(), lastEvent: j.received.After()}
 	a.latencyKey = j.latencyKeyOf(a.model)
 	j.report.Server, j.report.Version, j.report.Model = s.ID, s.Version, a.model
 	ctx, a.cancel = context.WithCancel(ctx)
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ladderridge.example/core/answer"
 	attempts "ladderridge.example/core/attempt"
 	"ladderridge.example/core/cascade"
 	"ladderridge.example/core/estimate"
@@ -181,7 +182,7 @@
 func (e *Engine) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
 	e.InFlight.Add(1)
 	defer e.InFlight.Add(-1)
-	j := &job{engine: e, request: r, suspendedBefore: e.SuspendClock.Now(), report: Report{Request: r}, clientGone: func() bool { return ctx.Err() != nil }}
+	j := &job{engine: e, request: r, suspendedBefore: e.SuspendClock.Now(), report: Report{Request: r}, received: answer.ReceivedUpTo(r.LastEvent), clientGone: func() bool { return ctx.Err() != nil }}
 	out := j.serve(ctx, unsent{sink})
 	if _, complete := out.(Answered); j.clientGone() && !complete {
 		out = ClientGone{}
@@ -230,6 +231,8 @@
 	failed []fleet.Incarnation
 	// streaming is set once the caller has received a part of a stream.
 	streaming bool
+	// received is what the caller has of a stream.
+	received answer.Received
 	// reserved is the server already chosen for the next attempt, or nil.
 	reserved *fleet.Server
 	// timedOutHalls are other halls with a server that could not be reached or broke off, and
--- a/daemon/proxy/resume.go
+++ b/daemon/proxy/resume.go
@@ -6,29 +6,46 @@
 	"io"
 	"net/http"
 	"time"
+
+	"ladderridge.example/core/answer"
 )
 
-// sendStream sends a stream to the caller: the events of a response and, when it breaks off, the rest
-// from other servers, as far as that is allowed.
-func (j *job) sendStream(ctx context.Context, a *attempt, w *callerStream) sentOutcome {
+// sendStream sends a stream to the caller: the first event, the further events of its response and, when
+// it breaks off, the rest from other servers, as far as that is allowed. end is the end of the response, if
+// it has no event that the caller lacks.
+func (j *job) sendStream(ctx context.Context, r *streamResponse, first event, end *streamEnd, w *callerStream) sentOutcome {
 	j.streaming = true
-	for {
-		if out := j.forwardRun(ctx, a, w); out != nil {
-			return out
+	for ev := first; ; {
+		if end == nil {
+			if end = j.forwardEvents(ctx, r, ev, w); end == nil {
+				j.reportAttempt(r.attempt, "caller gone")
+				j.finish(r.attempt)
+				return ClientGone{}
+			}
+		}
+		j.endResponse(ctx, r, end)
+		reason := Failed
+		switch end.next.(type) {
+		case answer.Complete:
+			return Answered{Status: w.head.status}
+		case answer.Abandon:
+			return Interrupted{Reason: reason}
+		case answer.Continue:
 		}
-		next, reason := j.resume(ctx, w)
-		if next == nil {
+		var a *attempt
+		if a, reason = j.resume(ctx, w); a == nil {
 			return Interrupted{Reason: reason}
 		}
-		a = next
 		j.observeWait(time.Since(a.sent), time.Now())
+		r = j.readStream(a)
+		ev, end = j.receive(ctx, r)
 	}
 }
 
 // resume makes attempts until one continues the stream, or returns the reason why there is none.
 func (j *job) resume(ctx context.Context, w *callerStream) (*attempt, Reason) {
 	reason := Failed
-	for !w.unnumbered && j.mayRetry(ctx) {
+	for j.mayRetry(ctx) {
 		s, ok := j.nextServer(ctx)
 		if !ok {
 			return nil, j.withoutServer(reason)
@@ -36,7 +53,7 @@
 		if barred, ok := j.barred(); ok {
 			return nil, barred
 		}
-		a := j.open(ctx, s, j.continuationTimeout(), w.lastEvent)
+		a := j.open(ctx, s, j.continuationTimeout())
 		if reason, ok = j.checkContinuation(a, w); ok {
 			return a, ""
 		}
--- a/daemon/proxy/run.go
+++ b/daemon/proxy/run.go
@@ -24,7 +24,7 @@
 		if barred, ok := j.barred(); ok {
 			return j.giveUp(ctx, w, barred)
 		}
-		a := j.open(ctx, s, j.headTimeout(), j.request.LastEvent)
+		a := j.open(ctx, s, j.headTimeout())
 		var out Outcome
 		if out, reason = j.handleAttempt(ctx, a, w); out != nil {
 			return out
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -9,7 +9,9 @@
 
 	"ladderridge.example/core/answer"
 	"ladderridge.example/core/cascade"
+	"ladderridge.example/core/fault"
 	"ladderridge.example/core/latency"
+	"ladderridge.example/daemon/channel"
 )
 
 // stream sends a stream to the caller, or drops its first response for a larger model's. Without an
@@ -25,37 +27,117 @@
 		j.report.Escalated = true
 		return nil, Overloaded
 	}
-	started, err := w.beginStream(a.reply, j.engine.Dialect.ResponseHeaders(a.reply.Header), j.request.LastEvent)
-	if err != nil {
-		j.finish(a)
-		return ClientGone{}, ""
+	r := j.readStream(a)
+	ev, end := j.receive(ctx, r)
+	if end != nil {
+		if _, complete := end.next.(answer.Complete); !complete {
+			j.endResponse(ctx, r, end)
+			if _, abandoned := end.next.(answer.Abandon); abandoned {
+				return j.giveUp(ctx, w, Failed), ""
+			}
+			return nil, Failed
+		}
 	}
-	return j.sendStream(ctx, a, started), ""
+	started := w.beginStream(a.reply, j.engine.Dialect.ResponseHeaders(a.reply.Header))
+	return j.sendStream(ctx, r, ev, end, started), ""
 }
 
-// forwardRun forwards one server's events to the caller. Without an outcome the response has broken
-// off.
-func (j *job) forwardRun(ctx context.Context, a *attempt, w *callerStream) sentOutcome {
-	defer j.finish(a)
+// streamResponse is one server's response to a request for a stream.
+type streamResponse struct {
+	attempt *attempt
+	events  *eventReader
+	// timer limits the wait for the next event.
+	timer  *attemptTimer
+	timing eventTiming
+	run    answer.Run
+}
+
+// readStream prepares to read the events of a response.
+func (j *job) readStream(a *attempt) *streamResponse {
 	j.version = a.server.Version
-	var t eventTiming
-	err := j.forwardEvents(ctx, a, w.newRun(answer.LimitsFor(j.request.MaxOutput)), &t)
+	return &streamResponse{
+		attempt: a, events: newEventReader(a.reply), timer: j.startTimer(a, j.firstEventTimeout()),
+		run: answer.NewRun(answer.LimitsFor(j.request.MaxOutput), j.received),
+	}
+}
+
+// streamEnd is the end of a response: what follows, and an error unless the stream is complete.
+type streamEnd struct {
+	next answer.Next
+	err  error
+}
+
+// receive reads the next event that the caller is to receive, or the end of the response.
+func (j *job) receive(ctx context.Context, r *streamResponse) (event, *streamEnd) {
+	for {
+		ev, err := r.events.next()
+		if err != nil {
+			return ev, j.readEnd(r, err)
+		}
+		r.timer.reset(j.streamIdleTimeout())
+		if r.timing.events == 0 {
+			j.recordFirstPart(r.attempt, time.Since(r.attempt.sent))
+			j.observeFirstPart(r.attempt)
+		}
+		r.timing.event(time.Now())
+		var forward bool
+		if r.run, forward, err = r.run.With(answer.Event{ID: ev.id, Bytes: len(ev.raw), KeepAlive: ev.keepAlive}); err != nil {
+			return ev, &streamEnd{next: r.run.Refuted(), err: err}
+		}
+		if ctx.Err() != nil {
+			return ev, &streamEnd{next: r.run.Interrupted(), err: ctx.Err()}
+		}
+		if forward {
+			return ev, nil
+		}
+	}
+}
+
+// readEnd returns how a response ends whose next event could not be read.
+func (j *job) readEnd(r *streamResponse, err error) *streamEnd {
 	switch {
-	case err == nil:
+	case errors.Is(err, io.EOF):
+		var end streamEnd
+		r.run, end.next, end.err = r.run.Ended()
+		return &end
+	case r.timer.stop():
+		j.markPaid()
+		return &streamEnd{next: r.run.Interrupted(), err: errServerTimeout}
+	case errors.Is(err, errEventTooLong), fault.Is(err, channel.Malformed):
+		return &streamEnd{next: r.run.Refuted(), err: err}
+	}
+	return &streamEnd{next: r.run.Interrupted(), err: err}
+}
+
+// forwardEvents sends an event and those that follow it to the caller and returns the end of the response,
+// or nil if the caller is gone.
+func (j *job) forwardEvents(ctx context.Context, r *streamResponse, ev event, w *callerStream) (end *streamEnd) {
+	for end == nil {
+		if w.write(ev, !r.events.buffered()) != nil {
+			return nil
+		}
+		ev, end = j.receive(ctx, r)
+	}
+	return end
+}
+
+// endResponse records the end of a response and ends its attempt.
+func (j *job) endResponse(ctx context.Context, r *streamResponse, end *streamEnd) {
+	a := r.attempt
+	defer j.finish(a)
+	r.timer.stop()
+	j.received = r.run.Received()
+	if end.err == nil {
 		j.recordComplete(a)
-		j.observeEnd(a, &t)
+		j.observeEnd(a, &r.timing)
 		j.reportAttempt(a, "whole")
-		return Answered{Status: a.reply.Status}
-	case errors.Is(err, errClientGone):
-		j.reportAttempt(a, "caller gone")
-		return ClientGone{}
+		return
 	}
-	j.countEndless(err)
-	if t.events == 0 && (errors.Is(err, errServerTimeout) || ctx.Err() != nil) {
+	j.countEndless(end.err)
+	if r.timing.events == 0 && (errors.Is(end.err, errServerTimeout) || ctx.Err() != nil) {
 		j.observeAbandoned(a)
 	}
-	j.recordInterruption(a, err)
-	return nil
+	j.recordInterruption(a, end.err)
 }
 
 // observeEnd records the times of a complete stream.
@@ -142,38 +224,6 @@
 	return j.engine.latencies.get(j.latencyKeyOf(j.model())).Typical(j.request.size(), now)
 }
 
-// forwardEvents forwards events until the regular end of the stream.
-func (j *job) forwardEvents(ctx context.Context, a *attempt, run *streamRun, timing *eventTiming) error {
-	events := newEventReader(a.reply)
-	timer := j.startTimer(a, j.firstEventTimeout())
-	defer timer.stop()
-	for {
-		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			return run.end()
-		}
-		if err != nil {
-			if timer.stop() {
-				j.markPaid()
-				return errServerTimeout
-			}
-			return err
-		}
-		timer.reset(j.streamIdleTimeout())
-		if timing.events == 0 {
-			j.recordFirstPart(a, time.Since(a.sent))
-			j.observeFirstPart(a)
-		}
-		timing.event(time.Now())
-		if err := run.forward(ev, !events.buffered()); err != nil {
-			return err
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-}
-
 // eventTiming measures the intervals between the events of one stream.
 type eventTiming struct {
 	first  time.Time
