proxy: one decision says what a response is, and absent facts are not taken as said

Cause: what a response is was decided in five places by two readers of its head, each by what it lacks: no id on a connection that counted as new was ours (one through another daemon always counted as new), a success without a signature was a success, status 421 and a final 408, 429 or 503 were promises without the header that says "not run", and a failure without an id was kept and passed on. Streams asked more of a continuation than of a first answer.

Change: core/verdict.Classify turns a head into one of five sealed kinds. Answer (id and signature, below 500) and Failure (id, 500 and above) are the only ones with a status for the caller; a Decline needs the header that says so, or a 421 that names another server; an Invalid response may have run, is passed on to nobody and asks for no back-off; a Surplus one is read past. The proxy can write a head only from a Forwardable one. A refusal by status alone becomes a failure of which nothing is promised; another server answers if the request may run twice. A success on a streaming route that is no event stream is retried. responses_invalid_total counts by reason, and an invalid response counts against its server and version, not as an answer to its content.

A 400 that says "not run" without an id passes on a new direct connection.

--- a/daemon/channel/path_test.go
+++ b/daemon/channel/path_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -115,6 +116,30 @@
 	return path, time.Since(start), err
 }
 
+// Guards against bytes of an earlier request that count as the answer to the first one on a connection through another
+// daemon, which may have used its connection to the server before.
+func TestOnlyNewDirectConnectionsCountAsUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &wire{}
+		p := newPathPool(t, w)
+		used := func(addr string) (unused bool) {
+			x := request(addr, "a")
+			x.Surplus = func(_ int, _ http.Header, first bool) bool { unused = first; return false }
+			if _, err := exchange(t, p, x); err != nil {
+				t.Fatal(err)
+			}
+			return unused
+		}
+		if first, second := used("a"), used("a"); !first || second {
+			t.Errorf("unused: a new connection %v, a kept one %v", first, second)
+		}
+		w.set(syscall.ECONNREFUSED, false)
+		if used("b") || w.relayed.Load() == 0 {
+			t.Errorf("a connection through another daemon counts as unused; %d asked", w.relayed.Load())
+		}
+	})
+}
+
 // A calm day must make no hop, and a request must not spend its deadline on finding out that its
 // path is cut.
 func TestRequestsPassThroughAnotherDaemonWhileThePathIsCut(t *testing.T) {
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -80,10 +80,10 @@
 	// BeforeSend, if set, is called once the connection is established, just
 	// before the first byte is sent; its error stops the request.
 	BeforeSend func(Path) error
-	// Matches reports whether the head of an answer belongs to this request;
-	// nil accepts any answer. reused is set on a connection that has carried
-	// other requests.
-	Matches func(h http.Header, reused bool) bool
+	// Surplus reports whether an answer with that head belongs to an earlier
+	// request, so that the one to this request may follow; nil means that none
+	// does. unused is set on a connection that carries its first request.
+	Surplus func(status int, h http.Header, unused bool) bool
 }
 
 // Pool keeps idle connections to servers for further requests.
@@ -317,7 +317,7 @@
 		// A server may answer before it has read a long body.
 		go func() { r.sent <- writeResult{err: c.writeRequest(x)} }()
 	}
-	if err := r.head(x, path.Reused); err != nil {
+	if err := r.head(x, !path.Reused && path.Via == ""); err != nil {
 		r.Close()
 		if !path.Reused {
 			r.recordClose(err)
@@ -358,14 +358,15 @@
 	closed   bool
 }
 
-// head reads the head of the answer to a request.
-func (r *Reply) head(x Request, reused bool) error {
+// head reads the head of the answer to a request. A connection through another
+// daemon may have carried requests of that daemon, so it never counts as unused.
+func (r *Reply) head(x Request, unused bool) error {
 	for range maxSurplusAnswers + 1 {
 		resp, err := r.conn.readHead(x.Method) //nolint:bodyclose // The Reply owns the body.
 		if err != nil {
 			return &Error{Op: opExchange, Kind: Interrupted, Err: merry.Wrap(err)}
 		}
-		if x.Matches == nil || x.Matches(resp.Header, reused) {
+		if x.Surplus == nil || !x.Surplus(resp.StatusCode, resp.Header, unused) {
 			r.Status, r.Header, r.Length, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 			r.conn.keepAlive = keepAliveTimeout(resp.Header)
 			r.SelfDelimited = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
--- a/daemon/channel/pool_test.go
+++ b/daemon/channel/pool_test.go
@@ -62,7 +62,7 @@
 func request(addr, id string) channel.Request {
 	return channel.Request{
 		Endpoint: channel.Endpoint{Addr: addr}, Method: http.MethodPost, Target: "/a?b=c", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
+		Surplus: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") != id },
 	}
 }
 
@@ -198,7 +198,9 @@
 			p := newPool()
 			for _, id := range []string{"a", "b"} {
 				x := request(addr, id)
-				x.Matches = func(h http.Header, reused bool) bool { return h.Get("Id") == id || h.Get("Id") == "" && !reused }
+				x.Surplus = func(_ int, h http.Header, unused bool) bool {
+					return h.Get("Id") != id && (h.Get("Id") != "" || !unused)
+				}
 				got, err := exchange(t, p, x)
 				if id == "b" && name == "without an end" {
 					if !fault.Is(err, channel.Mismatched) {
@@ -259,7 +261,7 @@
 				_, _ = io.WriteString(c, script)
 			})
 			x := request(addr, "a")
-			x.Matches = nil
+			x.Surplus = nil
 			_, err := exchange(t, newPool(), x)
 			if !fault.Is(err, channel.Interrupted) {
 				t.Errorf("the error is %v", err)
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"ladderridge.example/core/verdict"
 	"ladderridge.example/daemon/duties"
 	"ladderridge.example/daemon/proxy"
 )
@@ -45,6 +46,9 @@
 	for _, form := range proxy.EndlessForms() {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: "answers_endless_total", Help: "Answers of servers that were ended since they had no end, by what was sent without end.", ConstLabels: prometheus.Labels{"form": form}}, func() float64 { return float64(g.engine.Endless.Of(form)) }))
 	}
+	for _, reason := range verdict.Reasons() {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: "responses_invalid_total", Help: "Responses of servers that were no answers, by reason.", ConstLabels: prometheus.Labels{"reason": reason.String()}}, func() float64 { return float64(g.engine.Invalid.Of(reason)) }))
+	}
 	counter("refusals_unconfirmed_total", "Refused connections to servers that count as no exit, since no other daemon could tell whether the server or the path is at fault.", func() float64 { return float64(g.channels.Unconfirmed.Load()) })
 	counter("peer_sent_bytes_total", "Bytes sent to other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().SentBytes) })
 	counter("peer_received_bytes_total", "Bytes received from other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().ReceivedBytes) })
--- a/daemon/proxy/attempt.go
+++ b/daemon/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/prefixcache"
 	"ladderridge.example/core/quarantine"
+	"ladderridge.example/core/verdict"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/relay"
 	"ladderridge.example/daemon/storesync"
@@ -35,6 +36,8 @@
 	model  string
 	reply  *channel.Reply
 	head   Head
+	// kind is what the response is, nil if there is none.
+	kind   verdict.Kind
 	result attemptResult
 	err    error
 	sent   time.Time
@@ -203,7 +206,7 @@
 	}
 	x := channel.Request{
 		Endpoint: j.endpoint(a), Method: r.Method, Target: r.Target, Host: r.Host, Header: j.engine.Dialect.Compose(attempt),
-		Body: r.Body, SendLength: r.HasBody, NonRepeatable: !j.route.MayRepeat(), Matches: func(h http.Header, reused bool) bool { return j.engine.Dialect.Matches(r.ID, h, reused) },
+		Body: r.Body, SendLength: r.HasBody, NonRepeatable: !j.route.MayRepeat(), Surplus: func(status int, h http.Header, unused bool) bool { return !j.classify(a, status, h, unused) },
 		BeforeSend: func(path channel.Path) error { a.path = path; return j.admit(a) },
 	}
 	return x
@@ -225,6 +228,17 @@
 // urgency returns the rank of the request, from 0 to 9.
 func (j *job) urgency() int { return min(9, max(0, j.route.RankFor(j.organisation))) }
 
+// classify reports whether a response with that head is the one to the attempt, and records what it is.
+func (j *job) classify(a *attempt, status int, h http.Header, unused bool) bool {
+	head := j.engine.Dialect.ParseHead(j.request.ID, a.server.ID, status, h)
+	kind := verdict.Classify(head.Response, unused)
+	if _, surplus := kind.(verdict.Surplus); surplus {
+		return false
+	}
+	a.head, a.kind = head, kind
+	return true
+}
+
 // evaluate determines the result of an attempt.
 func (j *job) evaluate(a *attempt) {
 	now := time.Now()
@@ -232,23 +246,14 @@
 		j.evaluateError(a, now)
 		return
 	}
-	a.head = j.engine.Dialect.ParseHead(a.reply.Status, a.reply.Header)
+	if invalid, ok := a.kind.(verdict.Invalid); ok {
+		j.evaluateInvalid(a, invalid)
+		return
+	}
 	j.observeNotice(a, now)
 	j.observeRejectionBound(a, now)
-	if a.head.NotRun {
-		a.result, a.complete = declined, true
-		j.history = j.history.With(attempts.NotRun)
-		j.avoid = append(j.avoid, a.server.Incarnation())
-		switch {
-		case a.head.WrongServer:
-			a.server.State.Unreachable(now)
-		case a.head.Notice.Backoff == 0:
-			a.server.State.Declined(now)
-			a.server.State.Rejected(now)
-			if j.engine.Permits != nil {
-				j.engine.Permits.Declined(j.service)
-			}
-		}
+	if decline, ok := a.kind.(verdict.Decline); ok {
+		j.evaluateDecline(a, decline, now)
 		return
 	}
 	a.result = answered
@@ -260,6 +265,32 @@
 	}
 }
 
+// evaluateInvalid evaluates a response that is no answer. It counts against the server and its version,
+// and what it says about the server is ignored.
+func (j *job) evaluateInvalid(a *attempt, invalid verdict.Invalid) {
+	a.result, a.err, a.head = unknown, invalid.Err(), Head{}
+	j.history = j.history.With(attempts.Unknown)
+	j.engine.Invalid.count(invalid.Reason)
+	j.recordFailedResponse(a)
+}
+
+// evaluateDecline evaluates a response that says that the server has not run the request.
+func (j *job) evaluateDecline(a *attempt, decline verdict.Decline, now time.Time) {
+	a.result, a.complete = declined, true
+	j.history = j.history.With(attempts.NotRun)
+	j.avoid = append(j.avoid, a.server.Incarnation())
+	switch {
+	case decline.WrongServer:
+		a.server.State.Unreachable(now)
+	case a.head.Notice.Backoff == 0:
+		a.server.State.Declined(now)
+		a.server.State.Rejected(now)
+		if j.engine.Permits != nil {
+			j.engine.Permits.Declined(j.service)
+		}
+	}
+}
+
 // count counts the request for its organisation when a server first accepts it: usage reports
 // count requests, not attempts.
 func (j *job) count() {
@@ -273,7 +304,7 @@
 // says so, but a rejection without it may come from an intermediary.
 func (j *job) observeRejectionBound(a *attempt, now time.Time) {
 	n := a.head.Notice
-	if n.MalformedRejections != "" || (n.Rejections == 0 && (a.head.NotRun || a.head.WrongServer)) {
+	if n.MalformedRejections != "" || (n.Rejections == 0 && !a.kind.MayHaveRun()) {
 		return
 	}
 	if a.server.ObserveRejectionBound(n.Rejections, a.sent, now) && j.engine.OnRejectionBound != nil {
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/latency"
+	"ladderridge.example/core/verdict"
 	"ladderridge.example/daemon/relay"
 )
 
@@ -46,26 +46,26 @@
 	return bytes, true
 }
 
-// bufferedResponse is a server's complete response, with the headers that the caller gets.
+// bufferedResponse is a server's complete response.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	head responseHead
+	body []byte
 }
 
 // forwardBuffered reads a response to its end and forwards it, or returns the reason why the
 // request is retried.
-func (j *job) forwardBuffered(ctx context.Context, a *attempt, w unsent) (Outcome, Reason) {
+func (j *job) forwardBuffered(ctx context.Context, a *attempt, f verdict.Forwardable, w unsent) (Outcome, Reason) {
 	defer j.finish(a)
 	// A failure is known by its status. If another server may answer, the caller need not wait for
 	// more of its body than is buffered.
-	dropped := a.reply.Status >= http.StatusInternalServerError && j.hasAttemptsAfter(j.history.Ran)
+	_, failed := f.(verdict.Failure)
+	dropped := failed && j.hasAttemptsAfter(j.history.Ran)
 	held, ok := j.engine.reserveBuffer(a.reply.Length)
 	if !ok {
 		if dropped {
 			return nil, j.dropFailure(a)
 		}
-		return j.forwardUnbuffered(a, w, nil), ""
+		return j.forwardUnbuffered(a, f, w, nil), ""
 	}
 	defer j.engine.buffered.Add(-held)
 	var late func() bool
@@ -81,14 +81,14 @@
 		j.recordInterruption(a, err)
 		return nil, Failed
 	case len(body) > maxBufferedResponse:
-		return j.forwardUnbuffered(a, w, body), ""
+		return j.forwardUnbuffered(a, f, w, body), ""
 	}
 	took := time.Since(a.sent)
 	a.complete = a.reply.SelfDelimited
-	r := &bufferedResponse{status: a.reply.Status, header: j.engine.Dialect.ResponseHeaders(a.reply.Header), body: body}
-	if r.status >= http.StatusInternalServerError {
+	r := &bufferedResponse{head: j.responseHead(a, f), body: body}
+	if failed {
 		j.recordFailedResponse(a)
-		j.reportAttempt(a, fmt.Sprintf("status %d", r.status))
+		j.reportAttempt(a, fmt.Sprintf("status %d", f.Status()))
 		j.failedResponse = r
 		if ctx.Err() != nil {
 			return w.complete(r), ""
@@ -98,7 +98,7 @@
 	j.recordComplete(a)
 	j.recordFirstPart(a, took)
 	j.observeResponse(a, false)
-	j.reportAttempt(a, fmt.Sprintf("status %d", r.status))
+	j.reportAttempt(a, fmt.Sprintf("status %d", f.Status()))
 	return w.complete(r), ""
 }
 
@@ -159,8 +159,8 @@
 }
 
 // forwardUnbuffered forwards a response that is too long to buffer.
-func (j *job) forwardUnbuffered(a *attempt, w unsent, begun []byte) sentOutcome {
-	out, err := w.copy(a.reply.Status, j.engine.Dialect.ResponseHeaders(a.reply.Header), a.reply.Length, begun, a.reply)
+func (j *job) forwardUnbuffered(a *attempt, f verdict.Forwardable, w unsent, begun []byte) sentOutcome {
+	out, err := w.copy(j.responseHead(a, f), a.reply.Length, begun, a.reply)
 	if err != nil {
 		j.reportAttempt(a, err.Error())
 		return out
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -83,6 +83,8 @@
 	NotContinued atomic.Int64
 	// Endless counts the answers that were ended by this daemon since they had no end, by form.
 	Endless EndlessCounts
+	// Invalid counts the responses of servers that were no answers, by reason.
+	Invalid InvalidCounts
 
 	// InFlight counts the requests in flight.
 	InFlight atomic.Int64
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -23,6 +23,7 @@
 	"ladderridge.example/core/quota"
 	"ladderridge.example/core/retry"
 	"ladderridge.example/core/routemap"
+	"ladderridge.example/core/verdict"
 	"ladderridge.example/daemon/channel"
 	"ladderridge.example/daemon/proxy"
 	"ladderridge.example/daemon/storesync"
@@ -42,18 +43,21 @@
 	return h
 }
 
-func (dialect) Matches(id string, h http.Header, _ bool) bool {
-	return h.Get("Id") == "" || h.Get("Id") == id
-}
-
-func (dialect) ParseHead(_ int, h http.Header) proxy.Head {
-	head := proxy.Head{NotRun: h.Get("Declined") != ""}
+func (dialect) ParseHead(id, _ string, status int, h http.Header) proxy.Head {
+	head := proxy.Head{Response: verdict.Head{Status: status, Subject: verdict.This, Signed: h.Get("Unsigned") == "", NotRun: h.Get("Declined") != "", Encoded: h.Get("Content-Encoding") != ""}}
+	switch h.Get("Id") {
+	case id:
+	case "":
+		head.Response.Subject = verdict.Nobody
+	default:
+		head.Response.Subject = verdict.Another
+	}
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		head.Confidence, head.Confident = n, true
 	}
 	head.Notice = notice.Notice{Leaving: h.Get("Leaving") != "", Backoff: notice.ParseSeconds(h.Get("Rest")), Limit: notice.ParseRates(h.Values("Limit"))}
 	head.Notice.Rejections = notice.ParseRates(h.Values("Brittle")).Rate
-	head.Notice.Limit.Lifted = len(h.Values("Limit")) == 0 && !head.NotRun
+	head.Notice.Limit.Lifted = len(h.Values("Limit")) == 0 && !head.Response.NotRun
 	return head
 }
 
--- a/daemon/proxy/request.go
+++ b/daemon/proxy/request.go
@@ -15,6 +15,7 @@
 	"ladderridge.example/core/notice"
 	"ladderridge.example/core/prefixcache"
 	"ladderridge.example/core/quarantine"
+	"ladderridge.example/core/verdict"
 )
 
 // Request is a caller's request as read by a front end. It is immutable.
@@ -118,10 +119,8 @@
 
 // Head is the information in the head of a server's response.
 type Head struct {
-	// NotRun reports that the server has not run the request and will not.
-	NotRun bool
-	// WrongServer reports, with NotRun, that the address now belongs to another server.
-	WrongServer bool
+	// Response is what decides which kind of response it is.
+	Response verdict.Head
 	// Confidence is the model's confidence in its answer, from 0 to 100, if Confident is set.
 	Confidence int
 	Confident  bool
@@ -139,11 +138,8 @@
 type Dialect interface {
 	// Compose returns the headers for a server.
 	Compose(a Attempt) http.Header
-	// Matches reports whether a response belongs to the request with that id. reused is set on a
-	// connection that has carried other requests.
-	Matches(id string, h http.Header, reused bool) bool
-	// ParseHead parses the head of a response.
-	ParseHead(status int, h http.Header) Head
+	// ParseHead parses the head of a response to the request with an id, which was sent to a server.
+	ParseHead(id, server string, status int, h http.Header) Head
 	// ResponseHeaders returns the headers of a response to forward to the caller.
 	ResponseHeaders(h http.Header) http.Header
 }
--- a/daemon/proxy/response.go
+++ b/daemon/proxy/response.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 
+	"ladderridge.example/core/verdict"
 	"ladderridge.example/daemon/channel"
 )
 
@@ -23,34 +24,45 @@
 func (Interrupted) sent() {}
 func (ClientGone) sent()  {}
 
+// responseHead is the head of a response for the caller.
+type responseHead struct {
+	status int
+	header http.Header
+}
+
+// responseHead returns the head of an attempt's response, which the caller may get.
+func (j *job) responseHead(a *attempt, f verdict.Forwardable) responseHead {
+	return responseHead{status: f.Status(), header: j.engine.Dialect.ResponseHeaders(a.reply.Header)}
+}
+
 // unsent is a response of which the caller has received nothing.
 type unsent struct{ sink Sink }
 
 // complete sends a complete response.
 func (w unsent) complete(r *bufferedResponse) sentOutcome {
-	w.sink.Begin(r.status, r.header, int64(len(r.body)))
+	w.sink.Begin(r.head.status, r.head.header, int64(len(r.body)))
 	if _, err := w.sink.Write(r.body); err != nil {
 		return ClientGone{}
 	}
-	return Answered{Status: r.status}
+	return Answered{Status: r.head.status}
 }
 
 // copy sends a response of a length, -1 if that is unknown, whose body starts with begun and goes on
 // with rest. The error says why it is not complete.
-func (w unsent) copy(status int, h http.Header, length int64, begun []byte, rest io.Reader) (sentOutcome, error) {
-	w.sink.Begin(status, h, length)
+func (w unsent) copy(h responseHead, length int64, begun []byte, rest io.Reader) (sentOutcome, error) {
+	w.sink.Begin(h.status, h.header, length)
 	if _, err := w.sink.Write(begun); err != nil {
 		return ClientGone{}, errClientGone
 	}
 	if _, err := io.Copy(w.sink, rest); err != nil {
 		return Interrupted{Reason: Failed}, err
 	}
-	return Answered{Status: status}, nil
+	return Answered{Status: h.status}, nil
 }
 
 // beginStream sends the head of a stream.
-func (w unsent) beginStream(r *channel.Reply, h http.Header) *callerStream {
-	w.sink.Begin(r.Status, h, -1)
+func (w unsent) beginStream(r *channel.Reply, h responseHead) *callerStream {
+	w.sink.Begin(h.status, h.header, -1)
 	return &callerStream{sink: w.sink, head: headOf(r)}
 }
 
@@ -96,4 +108,13 @@
 	return head == w.head
 }
 
+// eventStream is the media type of a stream of events.
+const eventStream = "text/event-stream"
+
+// isStream reports whether a response may be a stream of events. It need not name its media type.
+func isStream(r *channel.Reply) bool {
+	mediaType := headOf(r).mediaType
+	return mediaType == "" || mediaType == eventStream
+}
+
 var errClientGone = errors.New("caller has disconnected")
--- a/daemon/proxy/resume.go
+++ b/daemon/proxy/resume.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"ladderridge.example/core/answer"
+	"ladderridge.example/core/verdict"
 )
 
 // sendStream sends a stream to the caller: the first event, the further events of its response and, when
@@ -73,7 +73,7 @@
 	defer j.finish(a)
 	j.engine.NotContinued.Add(1)
 	discard(a)
-	if a.reply.Status >= http.StatusInternalServerError {
+	if _, failed := a.kind.(verdict.Failure); failed {
 		j.recordFailedResponse(a)
 	} else {
 		j.avoid = append(j.avoid, a.server.Incarnation())
--- a/daemon/proxy/run.go
+++ b/daemon/proxy/run.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/retry"
+	"ladderridge.example/core/verdict"
 )
 
 // run makes attempts until a response has been sent to the caller or no more attempts are allowed.
@@ -64,14 +64,14 @@
 // handleAttempt processes the result of an attempt. Without an outcome the request is retried,
 // for the reason that it returns.
 func (j *job) handleAttempt(ctx context.Context, a *attempt, w unsent) (Outcome, Reason) {
-	switch {
-	case a.result != answered:
+	f, ok := a.kind.(verdict.Forwardable)
+	if a.result != answered || !ok {
 		return nil, j.recordUnanswered(a)
-	case j.route.Streaming && a.reply.Status < http.StatusMultipleChoices:
-		return j.stream(ctx, a, w)
-	default:
-		return j.forwardBuffered(ctx, a, w)
 	}
+	if answer, ok := f.(verdict.Answer); ok && answer.Success() && j.route.Streaming {
+		return j.stream(ctx, a, f, w)
+	}
+	return j.forwardBuffered(ctx, a, f, w)
 }
 
 // recordUnanswered reports an attempt that has no response, and returns the reason for the retry.
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -11,12 +11,19 @@
 	"ladderridge.example/core/cascade"
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/latency"
+	"ladderridge.example/core/verdict"
 	"ladderridge.example/daemon/channel"
 )
 
 // stream sends a stream to the caller, or drops its first response for a larger model's. Without an
 // outcome the request is retried.
-func (j *job) stream(ctx context.Context, a *attempt, w unsent) (Outcome, Reason) {
+func (j *job) stream(ctx context.Context, a *attempt, f verdict.Forwardable, w unsent) (Outcome, Reason) {
+	if !isStream(a.reply) {
+		defer j.finish(a)
+		j.recordFailedResponse(a)
+		j.reportAttempt(a, fmt.Sprintf("status %d, type %q in place of a stream", a.reply.Status, a.reply.Header.Get("Content-Type")))
+		return nil, Failed
+	}
 	j.observeWait(time.Since(a.sent), time.Now())
 	if next, load, ok := j.mayEscalate(ctx, a); ok {
 		defer j.finish(a)
@@ -38,7 +45,7 @@
 			return nil, Failed
 		}
 	}
-	started := w.beginStream(a.reply, j.engine.Dialect.ResponseHeaders(a.reply.Header))
+	started := w.beginStream(a.reply, j.responseHead(a, f))
 	return j.sendStream(ctx, r, ev, end, started), ""
 }
 
