backend: a refusal of another attempt proves nothing

A refusal ("not run") of an earlier attempt that arrives late, in the place of the next answer on its connection, counted as the proof that the next attempt has not run, so that a call that must run once was sent again.

Change: a refusal that names another attempt is a mismatched answer.

Open: a refusal of the chat API's protocol need not name its attempt; one without a name still counts on a kept connection.

--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -198,14 +198,15 @@
 // checkHeader determines from the header of the answer whether the server accepted the
 // request and whether the answer belongs to this attempt.
 func (c *Client) checkHeader(x Exchange, reply *Reply) (*Reply, error) {
-	if reason := reply.Header.Get(wire.HeaderDeclined); reason != "" && reply.Status == http.StatusServiceUnavailable {
+	echo, reason := reply.Header.Get(wire.HeaderAttempt), reply.Header.Get(wire.HeaderDeclined)
+	declines := reason != "" && reply.Status == http.StatusServiceUnavailable
+	if declines && (echo == "" || echo == x.Attempt.ID) {
 		reply.close()
 		if err := x.Attempt.On(attempt.Decline); err != nil {
 			return nil, err
 		}
 		return nil, &Error{Op: opSend, Kind: Declined, Err: merry.New(reason)}
 	}
-	echo := reply.Header.Get(wire.HeaderAttempt)
 	if echo != x.Attempt.ID && (x.NeedEcho || echo != "") {
 		c.MismatchedReplies.Add(1)
 		reply.close()
