front: a chat stream ends only on the word of an engine that knows its last token

A stream that is taken up at another engine ended as complete if that engine sent its terminator without any token, though it may not know the tokens before.

Change: an engine that ends a stream has to have sent its last token. One that sends none is followed by an attempt that asks for the last token again.

Evidence: the form "end after a resume" of scenario.TestOtherAnswersDoNotContinueAStream failed before (status 200, whole stream).

--- a/daemon/front/chat.go
+++ b/daemon/front/chat.go
@@ -128,7 +128,7 @@
 }
 
 func (c *chatJob) newExchange(a *attempt.Attempt, body []byte, offset int) backend.Exchange {
-	pinned := c.session.ref != (table.Ref{}) || offset > 0
+	pinned := c.session.ref != (table.Ref{}) || c.tokens > 0
 	return backend.Exchange{
 		Attempt: a, Request: c.id, Key: c.key, Server: c.sent.Server, Method: http.MethodPost, Target: wire.PathChat,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Once: c.atMostOnce, Offset: offset, NeedEcho: true,
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -167,7 +167,11 @@
 	trial, contentTrial bool
 	// failed is set if the last answer had an error status.
 	failed bool
+	// tokens is how many tokens of a stream the caller has.
 	tokens int
+	// endUnconfirmed is set if an engine that was asked for the tokens behind those has ended its stream
+	// without any.
+	endUnconfirmed bool
 	// attempts counts the attempts so far, without those that a full server
 	// declined.
 	attempts int
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -38,7 +38,9 @@
 			c.reportInterrupted()
 			return reply.Lose(err)
 		}
-		if last && next > 0 && next < c.tokens {
+		if last && next < c.tokens {
+			// An engine that sends no token may not know those that the caller has.
+			c.endUnconfirmed = next == 0
 			c.reportInterrupted()
 			return reply.Lose(merry.Errorf("the stream ended after %d tokens; the caller has %d", next, c.tokens))
 		}
@@ -161,13 +163,22 @@
 			return c.endWithError(out.withRun(attempt.Unknown))
 		}
 		a := c.newAttempt()
-		if cause = c.tryFromToken(a, c.tokens); cause == nil {
+		if cause = c.tryFromToken(a, c.resumeFrom()); cause == nil {
 			return nil
 		}
 		c.history = c.history.With(a.Outcome())
 	}
 }
 
+// resumeFrom returns the index of the first token that the next engine is to send. To confirm an end it sends the last
+// token again, which it can only do if it knows it.
+func (c *chatJob) resumeFrom() int {
+	if c.endUnconfirmed {
+		return c.tokens - 1
+	}
+	return c.tokens
+}
+
 // decideOn chooses another server of the same version.
 func (c *chatJob) decideOn(ref table.Ref) *refusal {
 	pinned := c.session.ref
--- a/daemon/scenario/scenario_test.go
+++ b/daemon/scenario/scenario_test.go
@@ -254,6 +254,7 @@
 		"error after tokens":   {FailAfter: 2},
 		"error after a resume": {CutAfter: 2, FailResumed: true},
 		"shorter answer":       {CutAfter: 5, ReplayTokens: 2},
+		"end after a resume":   {CutAfter: 5, EndResumed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/daemon/standin/engine.go
+++ b/daemon/standin/engine.go
@@ -30,6 +30,8 @@
 	FailAfter int `json:"fail_after"`
 	// FailResumed makes resumed streams begin with an error event and end regularly.
 	FailResumed bool `json:"fail_resumed"`
+	// EndResumed makes resumed streams end regularly without a token.
+	EndResumed bool `json:"end_resumed"`
 	// ReplayTokens makes resumed streams begin anew and end regularly after that many tokens; 0 is never.
 	ReplayTokens int `json:"replay_tokens"`
 	// MismatchAnswers is the number of answers that carry a wrong attempt id.
@@ -369,6 +371,9 @@
 	if f.ReplayTokens > 0 && offset > 0 {
 		offset, tokens = 0, tokens[:min(f.ReplayTokens, len(tokens))]
 	}
+	if f.EndResumed && offset > 0 {
+		tokens = nil
+	}
 	for i := offset; i < len(tokens); i++ {
 		if f.FailAfter > 0 && i-offset >= f.FailAfter || f.FailResumed && offset > 0 {
 			_, _ = fmt.Fprintf(w, "data: {\"error\":{\"message\":\"engine failed\"}}\n\ndata: %s\n\n", wire.Terminator)
