proxy: a stream that proves to be no answer counts as a failure of its version

A version whose streams are false counted as sound by their first events, so that it could be completed, or kept out of the counts if no event came.

Cause: only broken connections end a stream without evidence on purpose, since they show something about the machine; a stream that is found to be no answer was recorded as one.

Change: such a stream is observed as failed, once, and so is a fresh one that ends without an event.

Evidence: TestStreamOfFalseEventsCountsAsAFailure failed before for each form but the one that is broken off, which stays without evidence.

--- a/daemon/proxy/invalid_test.go
+++ b/daemon/proxy/invalid_test.go
@@ -4,12 +4,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"ladderridge.example/core/verdict"
 	"ladderridge.example/daemon/proxy"
+	"ladderridge.example/daemon/storesync"
 )
 
 // invalidResponses are what a faulty server that has run a request sends in place of its answer.
@@ -96,3 +98,20 @@
 		}
 	})
 }
+
+// Guards against a version whose streams prove to be no answers and which counts as sound by their first events.
+func TestStreamOfFalseEventsCountsAsAFailure(t *testing.T) {
+	for name, faulty := range falseEvents {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newFixture(t)
+				b.known.set(resumable(), b.servers(1, faulty)...)
+				b.send(t.Context(), proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Timeout: time.Second, MaxOutput: 10})
+				failed := slices.ContainsFunc(b.known.observations(), func(f storesync.Observation) bool { return f.Failed })
+				if brokenOff := name == "more than the answer has, broken off"; failed == brokenOff {
+					t.Errorf("a failure is observed: %v; attempts %+v", failed, b.reports[0].Attempts)
+				}
+			})
+		})
+	}
+}
--- a/daemon/proxy/observe.go
+++ b/daemon/proxy/observe.go
@@ -31,6 +31,16 @@
 	j.engine.StoreSync.Observe(f)
 }
 
+// observeRefuted reports a stream that was no answer as a failure of its version.
+func (j *job) observeRefuted(r *streamResponse) {
+	f := j.newObservation(r.attempt)
+	f.Failed = true
+	if r.timing.events > 0 {
+		f.Stage = storesync.Remainder
+	}
+	j.engine.StoreSync.Observe(f)
+}
+
 // observeAbandoned reports a response that was no longer awaited: without it the slowest
 // responses would not count.
 func (j *job) observeAbandoned(a *attempt) {
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -72,6 +72,8 @@
 type streamEnd struct {
 	next answer.Next
 	err  error
+	// refuted is set if the response was no answer.
+	refuted bool
 }
 
 // receive reads the next event that the caller is to receive, or the end of the response.
@@ -89,7 +91,7 @@
 		r.timing.event(time.Now())
 		var forward bool
 		if r.run, forward, err = r.run.With(answer.Event{ID: ev.id, Bytes: len(ev.raw), KeepAlive: ev.keepAlive}); err != nil {
-			return ev, &streamEnd{next: r.run.Refuted(), err: err}
+			return ev, &streamEnd{next: r.run.Refuted(), err: err, refuted: true}
 		}
 		if ctx.Err() != nil {
 			return ev, &streamEnd{next: r.run.Interrupted(), err: ctx.Err()}
@@ -106,12 +108,13 @@
 	case errors.Is(err, io.EOF):
 		var end streamEnd
 		r.run, end.next, end.err = r.run.Ended()
+		end.refuted = r.attempt.lastEvent < 0 && r.timing.events == 0
 		return &end
 	case r.timer.stop():
 		j.markPaid()
 		return &streamEnd{next: r.run.Interrupted(), err: errServerTimeout}
 	case errors.Is(err, errEventTooLong), fault.Is(err, channel.Malformed):
-		return &streamEnd{next: r.run.Refuted(), err: err}
+		return &streamEnd{next: r.run.Refuted(), err: err, refuted: true}
 	}
 	return &streamEnd{next: r.run.Interrupted(), err: err}
 }
@@ -144,6 +147,9 @@
 	if r.timing.events == 0 && (errors.Is(end.err, errServerTimeout) || ctx.Err() != nil) {
 		j.observeAbandoned(a)
 	}
+	if end.refuted {
+		j.observeRefuted(r)
+	}
 	j.recordInterruption(a, end.err)
 }
 
