--- a/soak/check.go
+++ b/soak/check.go
@@ -114,7 +114,10 @@
 		c.found("MIXED", "request %s was answered by %q, which has not run it", a.ID, a.Reply.Server)
 	}
 	if a.Kind == standin.Streaming && strings.Contains(a.Reply.Body, standin.EndlessData) {
-		// A faulty server's events in the right form cannot be told from those of an answer.
+		// A faulty server's events in the right form cannot be told from those of an answer, until they are too many.
+		if a.Reply.Complete {
+			c.found("MIXED", "request %s was answered with events without end, which looks whole", a.ID)
+		}
 		return
 	}
 	want, got := expected(a), withoutComments(a.Reply.Body)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -161,6 +161,9 @@
 		{"", func(s *soak.Observations) { s.Revoked["key-0"] = after(5.1) }},
 		{"MIXED", func(s *soak.Observations) { s.Requests[0].Reply.Server = "t" }},
 		{"MIXED", func(s *soak.Observations) { s.Requests[0].Reply.Body = s.Requests[0].Reply.Body[:10] }},
+		{"MIXED", func(s *soak.Observations) {
+			s.Requests[0].Kind, s.Requests[0].Reply.Body = standin.Streaming, "id: 1\ndata: "+standin.EndlessData+"\n\n"
+		}},
 		{"", func(s *soak.Observations) {
 			s.Requests[0].Reply.Body, s.Requests[0].Reply.Complete = s.Requests[0].Reply.Body[:10], false
 		}},
