proxy: the end of a connection ends a response only if its server is running

Cause: the system ends the connections of a killed process in the regular way, and the end of a connection counted as the word of the server that the response ends there. That a new connection tells the two apart was known, but it was opened afterwards, and only for the quarantine's counts.

Change: before such a response counts as complete, its server is connected to, as before with a connection that is kept for the next request. If nothing listens there, or nobody can tell, the response was interrupted: a stream goes on at another server, a request that may run twice is repeated, and otherwise its caller learns that it may have run. A stream whose head names no media type can be continued by one that does.

--- a/daemon/channel/exit_test.go
+++ b/daemon/channel/exit_test.go
@@ -131,7 +131,7 @@
 						h.mu.Lock()
 						defer h.mu.Unlock()
 						exits[i][at.Server] = true
-					}, nil)
+					})
 				}
 				_, _, _ = send(t, daemons[2], addr)
 				time.Sleep(150 * time.Millisecond)
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -180,7 +180,7 @@
 
 // probe checks whether a server that interrupted an answer is still running.
 func (f *Front) probe(p quarantine.Instance) {
-	f.Backend.Pool.Probe(f.quarantineState.tracker, p, f.serverExited, nil)
+	f.Backend.Pool.Probe(f.quarantineState.tracker, p, f.serverExited)
 }
 
 // serverExited records a crash for each request that was in progress at a server
--- a/daemon/proxy/buffered.go
+++ b/daemon/proxy/buffered.go
@@ -65,7 +65,7 @@
 		if dropped {
 			return nil, j.dropFailure(a)
 		}
-		return j.forwardUnbuffered(a, f, w, nil), ""
+		return j.forwardUnbuffered(ctx, a, f, w, nil), ""
 	}
 	defer j.engine.buffered.Add(-held)
 	var late func() bool
@@ -77,11 +77,14 @@
 	switch {
 	case dropped && (late() || len(body) > maxBufferedResponse):
 		return nil, j.dropFailure(a)
-	case err != nil:
+	case len(body) > maxBufferedResponse:
+		return j.forwardUnbuffered(ctx, a, f, w, body), ""
+	case err == nil && !failed:
+		err = j.confirmEnd(ctx, a)
+	}
+	if err != nil {
 		j.recordInterruption(a, err)
 		return nil, Failed
-	case len(body) > maxBufferedResponse:
-		return j.forwardUnbuffered(a, f, w, body), ""
 	}
 	took := time.Since(a.sent)
 	a.complete = a.reply.SelfDelimited
@@ -159,8 +162,13 @@
 }
 
 // forwardUnbuffered forwards a response that is too long to buffer.
-func (j *job) forwardUnbuffered(a *attempt, f verdict.Forwardable, w unsent, begun []byte) sentOutcome {
+func (j *job) forwardUnbuffered(ctx context.Context, a *attempt, f verdict.Forwardable, w unsent, begun []byte) sentOutcome {
 	out, err := w.copy(j.responseHead(a, f), a.reply.Length, begun, a.reply)
+	if err == nil {
+		if err = j.confirmEnd(ctx, a); err != nil {
+			out = Interrupted{Reason: Failed}
+		}
+	}
 	if err != nil {
 		j.reportAttempt(a, err.Error())
 		return out
--- a/daemon/proxy/response.go
+++ b/daemon/proxy/response.go
@@ -93,28 +93,23 @@
 	encoding  string
 }
 
+// headOf returns the head of a response. A stream need not name its media type.
 func headOf(r *channel.Reply) streamHead {
 	mediaType, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if mediaType == "" {
+		mediaType = eventStream
+	}
 	return streamHead{status: r.Status, mediaType: mediaType, encoding: r.Header.Get("Content-Encoding")}
 }
 
 // continuedBy reports whether a response of another server may be the rest of the stream, by its
-// head. It need not name its media type.
-func (w *callerStream) continuedBy(r *channel.Reply) bool {
-	head := headOf(r)
-	if head.mediaType == "" {
-		head.mediaType = w.head.mediaType
-	}
-	return head == w.head
-}
+// head.
+func (w *callerStream) continuedBy(r *channel.Reply) bool { return headOf(r) == w.head }
 
 // eventStream is the media type of a stream of events.
 const eventStream = "text/event-stream"
 
-// isStream reports whether a response may be a stream of events. It need not name its media type.
-func isStream(r *channel.Reply) bool {
-	mediaType := headOf(r).mediaType
-	return mediaType == "" || mediaType == eventStream
-}
+// isStream reports whether a response may be a stream of events.
+func isStream(r *channel.Reply) bool { return headOf(r).mediaType == eventStream }
 
 var errClientGone = errors.New("caller has disconnected")
--- a/daemon/proxy/server_exit.go
+++ b/daemon/proxy/server_exit.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"ladderridge.example/core/fleet"
 	"ladderridge.example/core/quarantine"
+	"ladderridge.example/daemon/channel"
 )
 
 // This file handles servers that exit while requests are in flight there. A broken connection
@@ -59,24 +61,35 @@
 	}
 }
 
-// recordComplete records a complete response. One without framing (no length, not chunked) ends in the
-// same way when its server exits: it proves something only if the server is running afterwards. So does
-// an error, which the server may send before it runs the request.
+// errUnknownEnd is the end of a response without framing whose server is not known to be running.
+var errUnknownEnd = errors.New("connection ended, and the server is not known to be running")
+
+// confirmEnd checks the end of a response. One without framing (no length, not chunked) ends in the same way
+// when its server exits: it is complete only if the server is running afterwards.
+func (j *job) confirmEnd(ctx context.Context, a *attempt) error {
+	if a.reply.SelfDelimited {
+		return nil
+	}
+	at := j.instance(a)
+	switch j.engine.Channels.Check(ctx, at.Addr) {
+	case channel.Running:
+		return nil
+	case channel.Exited:
+		j.engine.serverExited(at)
+	case channel.Unknown:
+	}
+	return errUnknownEnd
+}
+
+// recordComplete records a response that is known to be complete. An error proves nothing about the content:
+// the server may send it before it runs the request.
 func (j *job) recordComplete(a *attempt) {
-	a.complete = a.reply.SelfDelimited
+	a.complete = true
 	if a.reply.Status >= http.StatusMultipleChoices {
 		return
 	}
-	a.answered = a.complete
-	e, s, at := j.engine, j.suspect(a), j.instance(a)
-	answered := func() { e.StoreSync.Answered(at.Server, s) }
-	if a.complete {
-		answered()
-		return
-	}
-	// The probe's connection shows an exit that follows the answer.
-	s.Parts = slices.Clone(s.Parts)
-	e.Channels.Probe(e.runs, at, e.serverExited, answered)
+	a.answered = true
+	j.engine.StoreSync.Answered(j.instance(a).Server, j.suspect(a))
 }
 
 // quarantined returns how long it takes until the request, or one with its parts, may pass as a trial. A trial is sent to one server.
@@ -100,7 +113,7 @@
 }
 
 // probe checks whether a server that closed a connection early is still running.
-func (e *Engine) probe(p quarantine.Instance) { e.Channels.Probe(e.runs, p, e.serverExited, nil) }
+func (e *Engine) probe(p quarantine.Instance) { e.Channels.Probe(e.runs, p, e.serverExited) }
 
 func (e *Engine) probeLater(p quarantine.Instance) { time.AfterFunc(probeDelay, func() { e.probe(p) }) }
 
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -81,7 +81,7 @@
 	for {
 		ev, err := r.events.next()
 		if err != nil {
-			return ev, j.readEnd(r, err)
+			return ev, j.readEnd(ctx, r, err)
 		}
 		r.timer.reset(j.streamIdleTimeout())
 		if r.timing.events == 0 {
@@ -103,9 +103,12 @@
 }
 
 // readEnd returns how a response ends whose next event could not be read.
-func (j *job) readEnd(r *streamResponse, err error) *streamEnd {
+func (j *job) readEnd(ctx context.Context, r *streamResponse, err error) *streamEnd {
 	switch {
 	case errors.Is(err, io.EOF):
+		if err := j.confirmEnd(ctx, r.attempt); err != nil {
+			return &streamEnd{next: r.run.Interrupted(), err: err}
+		}
 		var end streamEnd
 		r.run, end.next, end.err = r.run.Ended()
 		end.refuted = r.attempt.lastEvent < 0 && r.timing.events == 0
