storesync: a version that was rolled back is no old version of the next order

Cause: a daemon knows one order for each service, and "old" was each version but the ordered one. That an earlier order's version was rolled back was looked up for the present order's version only, so that a version of which nothing was known counted as settled.

Change: when an order follows one that was rolled back, or whose version this daemon has withdrawn, that version is rejected: neither choice of a session allows it until it is ordered again. A state "rolled back" that arrives after the next order has the same effect. A version that was completed is never rejected.

TestRolledBackVersionIsNoOldVersionOfTheNextOrder failed before.

Open: a daemon that starts after the next order knows of the earlier one only while its state is still in the store.

--- a/daemon/storesync/rollout_test.go
+++ b/daemon/storesync/rollout_test.go
@@ -523,6 +523,41 @@
 	})
 }
 
+// Guards against a version that was rolled back and gets requests again, as an old one, as soon as the next one is
+// ordered.
+func TestRolledBackVersionIsNoOldVersionOfTheNextOrder(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s, syncers := startRollout(t, 3, 20)
+		for _, d := range syncers {
+			observeFailures(d, 20)
+		}
+		advance(3 * time.Second)
+		if p := s.storedProgress(); p.State != canary.RolledBack {
+			t.Fatalf("the first order is %v", p)
+		}
+		s.store.set(gossip.Servers, "newer", "v3")
+		s.store.set(gossip.Operator, "order/s", `{"Version":"v3","Seconds":20}`)
+		for range 20 {
+			advance(time.Second)
+			for i, d := range syncers {
+				for _, hash := range []uint64{lowestHash, highestHash / 2, highestHash} {
+					if first, second := d.View().Versions("s", hash, time.Now()); first.Allows("v2") || second.Allows("v2") {
+						t.Fatalf("daemon %d uses the version that was rolled back", i)
+					}
+				}
+			}
+		}
+		// The operator may order the version again.
+		s.store.set(gossip.Operator, "order/s", `{"Version":"v2","Seconds":20}`)
+		advance(time.Second)
+		s.store.set(gossip.Operator, "order/s", `{"Version":"v4","Seconds":20}`)
+		advance(time.Second)
+		if first, second := syncers[0].View().Versions("s", highestHash, time.Now()); !first.Allows("v1") || first.Allows("v4") || !second.Allows("v1") {
+			t.Error("the old version is not used")
+		}
+	})
+}
+
 // Daemons write the states of a second order in turn, as those of the first: 62 daemons once
 // wrote "completed" at the same moment.
 func TestStatesOfASecondOrderAreWrittenInTurn(t *testing.T) {
--- a/daemon/storesync/rollouts.go
+++ b/daemon/storesync/rollouts.go
@@ -62,6 +62,9 @@
 	departed  map[daemonRun][]gossip.Count
 	halls     map[string]hallSeen
 	withdrawn map[string]bool
+	// rejected are the versions of earlier orders that were rolled back: they are not old versions of a later
+	// one, though their servers may still be listed.
+	rejected map[string]bool
 	// ejected are the servers ejected as outliers, by service.
 	ejected map[string][]string
 	// suspicions has since when versions are suspected, by service.
@@ -94,7 +97,7 @@
 func newRollouts() *rollouts {
 	return &rollouts{
 		byService: map[string]canary.Rollout{}, rows: map[string]revision.Revision{}, own: map[countKey]canary.Count{},
-		reports: map[source]gossip.Evidence{}, departed: map[daemonRun][]gossip.Count{}, halls: map[string]hallSeen{}, reportedAt: map[source]time.Time{}, withdrawn: map[string]bool{},
+		reports: map[source]gossip.Evidence{}, departed: map[daemonRun][]gossip.Count{}, halls: map[string]hallSeen{}, reportedAt: map[source]time.Time{}, withdrawn: map[string]bool{}, rejected: map[string]bool{},
 		ejected: map[string][]string{}, suspicions: map[string]suspicion{}, writing: map[string]time.Time{}, knownSince: map[string]time.Time{},
 	}
 }
@@ -123,6 +126,10 @@
 		r.byService[o.Service] = was
 		return false
 	}
+	if name := versionName(o.Service, was.Order.Version); known && (was.State == canary.RolledBack || was.State == canary.Running && r.withdrawn[name]) {
+		r.rejected[name] = true
+	}
+	delete(r.rejected, versionName(o.Service, o.Version))
 	r.byService[o.Service] = canary.Rollout{Order: o, Since: now}
 	r.knownSince[o.Service] = now
 	delete(r.ejected, o.Service)
@@ -148,6 +155,9 @@
 	}
 	was, ok := r.byService[service]
 	if !ok || !was.Order.Matches(p) {
+		if ok && p.State == canary.RolledBack && p.Version != was.Order.Version {
+			r.rejected[versionName(service, p.Version)] = true
+		}
 		return false
 	}
 	r.rows[service] = row
@@ -182,6 +192,8 @@
 
 func (r *rollouts) withdrawnCopy() map[string]bool { return maps.Clone(r.withdrawn) }
 
+func (r *rollouts) rejectedCopy() map[string]bool { return maps.Clone(r.rejected) }
+
 // observe counts an observation.
 func (r *rollouts) observe(f Observation, now time.Time) {
 	o, ok := r.byService[f.Service]
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -545,7 +545,8 @@
 	v.Daemons = sy.daemons()
 	v.Topics = sy.topicStatus()
 	v.SuspendedTotal, v.ResumedAt = sy.suspendedTotal, sy.resumedAt
-	v.rollouts, v.withdrawn, v.ejected, v.firstSeen = sy.rollouts.snapshot(), sy.rollouts.withdrawnCopy(), maps.Clone(sy.rollouts.ejected), sy.firstSeen
+	v.rollouts, v.withdrawn, v.rejected = sy.rollouts.snapshot(), sy.rollouts.withdrawnCopy(), sy.rollouts.rejectedCopy()
+	v.ejected, v.firstSeen = maps.Clone(sy.rollouts.ejected), sy.firstSeen
 	sy.view.Store(&v)
 }
 
--- a/daemon/storesync/view.go
+++ b/daemon/storesync/view.go
@@ -62,6 +62,8 @@
 
 	rollouts  map[string]canary.Rollout
 	withdrawn map[string]bool
+	// rejected are versions of earlier orders that were rolled back.
+	rejected map[string]bool
 	// ejected are servers of versions in roll-out that were ejected as outliers, by service.
 	ejected map[string][]string
 	// firstSeen is when a version of a service was first listed.
@@ -210,7 +212,9 @@
 		return VersionChoice{Allows: func(version string) bool { return v.settled(service, version, now) }}, VersionChoice{Allows: func(string) bool { return true }}
 	}
 	isNew := VersionChoice{Allows: func(version string) bool { return version == r.Order.Version }}
-	isOld := VersionChoice{Allows: func(version string) bool { return version != r.Order.Version }}
+	isOld := VersionChoice{Allows: func(version string) bool {
+		return version != r.Order.Version && !v.rejected[versionName(service, version)]
+	}}
 	switch {
 	case r.State == canary.Completed:
 		// Evidence from the last moment does not count any more: the servers of the old version
