--- a/core/verdict/verdict_test.go
+++ b/core/verdict/verdict_test.go
@@ -101,7 +101,7 @@
 				t.Fatalf("%+v, unused %v: forwarded as %#v", h, unused, k)
 			}
 		}
-		if _, ok := k.(verdict.Decline); ok == k.MayHaveRun() || ok && !h.NotRun && !(h.OtherServer && h.Status == 421) {
+		if _, ok := k.(verdict.Decline); ok == k.MayHaveRun() || ok && !h.NotRun && (!h.OtherServer || h.Status != 421) {
 			t.Fatalf("%+v, unused %v: %#v", h, unused, k)
 		}
 	}
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -43,12 +43,7 @@
 	counter("connections_reused_total", "Requests sent on kept connections.", func() float64 { return float64(g.channels.Reused.Load()) })
 	counter("surplus_answers_total", "Answers of servers that belonged to no request.", func() float64 { return float64(g.channels.Surplus.Load()) })
 	counter("continuations_dropped_total", "Answers of servers that were dropped since they were not the rest of a stream that a caller had received in part.", func() float64 { return float64(g.engine.NotContinued.Load()) })
-	for _, form := range proxy.EndlessForms() {
-		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: "answers_endless_total", Help: "Answers of servers that were ended since they had no end, by what was sent without end.", ConstLabels: prometheus.Labels{"form": form}}, func() float64 { return float64(g.engine.Endless.Of(form)) }))
-	}
-	for _, reason := range verdict.Reasons() {
-		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: "responses_invalid_total", Help: "Responses of servers that were no answers, by reason.", ConstLabels: prometheus.Labels{"reason": reason.String()}}, func() float64 { return float64(g.engine.Invalid.Of(reason)) }))
-	}
+	g.registerFaultyResponses(r)
 	counter("refusals_unconfirmed_total", "Refused connections to servers that count as no exit, since no other daemon could tell whether the server or the path is at fault.", func() float64 { return float64(g.channels.Unconfirmed.Load()) })
 	counter("peer_sent_bytes_total", "Bytes sent to other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().SentBytes) })
 	counter("peer_received_bytes_total", "Bytes received from other daemons, QUIC included.", func() float64 { return float64(g.peers.Usage().ReceivedBytes) })
@@ -148,3 +143,17 @@
 	}
 	return ""
 }
+
+// registerFaultyResponses registers the counters of responses that were no answers, by reason, and of those that were
+// ended since they had no end, by form.
+func (g *Gateway) registerFaultyResponses(r *prometheus.Registry) {
+	register := func(name, help, label, value string, count func() int64) {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: value}}, func() float64 { return float64(count()) }))
+	}
+	for _, form := range proxy.EndlessForms() {
+		register("answers_endless_total", "Answers of servers that were ended since they had no end, by what was sent without end.", "form", form, func() int64 { return g.engine.Endless.Of(form) })
+	}
+	for _, reason := range verdict.Reasons() {
+		register("responses_invalid_total", "Responses of servers that were no answers, by reason.", "reason", reason.String(), func() int64 { return g.engine.Invalid.Of(reason) })
+	}
+}
