answer: events of an answer are numbered without a gap, from its beginning

Events without ids, a fresh stream that begins anywhere, events that repeat others of the same response, and a half event before a regular end all passed for parts of an answer: complete if the response ended in the regular way, or continued by another server.

Change: a run's events follow each other by one, from 0 or 1 or from an event that the caller has; anything else shows that the server sends no answer. So does the regular end of a response with a framing within an event.

Tests changed: TestStreamWithEventsWithoutIDsIsNotResumed let the first event without an id through and asked that nothing follows it; now it asks that no such event reaches the caller, and that a sound server serves it.

--- a/core/answer/run.go
+++ b/core/answer/run.go
@@ -10,10 +10,6 @@
 type Received struct {
 	// last is the id of the last event, or -1.
 	last int64
-	// begun is set once the caller has received an event, unnumbered once one without an id: a server
-	// cannot be told to continue after such an event.
-	begun      bool
-	unnumbered bool
 	// unconfirmed is set if a server that was asked for what follows the last event has ended its response
 	// without any event: either there is none, or the server does not know the last event.
 	unconfirmed bool
@@ -35,7 +31,7 @@
 type Run struct {
 	sent   Stream
 	caller Received
-	// last is the highest id of the events that the server sent, or -1.
+	// last is the id of the last event that the server sent, or -1.
 	last int64
 	// confirms is set if the server was asked for the last event again.
 	confirms bool
@@ -52,7 +48,8 @@
 func (r Run) Received() Received { return r.caller }
 
 // With returns the run with another event, and whether the caller is to receive it: not if the caller has
-// it already. An error means that what the server sends is not the stream.
+// it already. An error means that what the server sends is not the stream: its events are numbered without a
+// gap, from the beginning or from an event that the caller has.
 func (r Run) With(e Event) (next Run, forward bool, err error) {
 	if r.sent, err = r.sent.With(e); err != nil {
 		return r, false, err
@@ -60,22 +57,27 @@
 	switch {
 	case e.KeepAlive && e.ID < 0:
 		return r, true, nil
-	case e.ID < 0 && r.caller.begun && !r.contributed:
-		return r, false, &Error{Op: opReadStream, Kind: OutOfSequence, Err: fmt.Errorf("event without an id after event %d", r.caller.last)}
-	case e.ID < 0:
-		r.caller.unnumbered = true
-	case e.ID <= r.caller.last:
-		r.last = max(r.last, e.ID)
+	case !r.follows(e.ID):
+		return r, false, &Error{Op: opReadStream, Kind: OutOfSequence, Err: fmt.Errorf("event %d after event %d, the caller has event %d", e.ID, r.last, r.caller.last)}
+	}
+	if r.last = e.ID; e.ID <= r.caller.last {
 		return r, false, nil
-	case r.caller.last >= 0 && e.ID != r.caller.last+1:
-		return r, false, &Error{Op: opReadStream, Kind: OutOfSequence, Err: fmt.Errorf("event %d after event %d", e.ID, r.caller.last)}
-	default:
-		r.last, r.caller.last, r.caller.unconfirmed = e.ID, e.ID, false
 	}
-	r.caller.begun, r.contributed = true, true
+	r.caller, r.contributed = Received{last: e.ID}, true
 	return r, true, nil
 }
 
+// firstEvent is the largest id of the first event of an answer.
+const firstEvent = 1
+
+// follows reports whether an event may follow those of the run.
+func (r Run) follows(id int64) bool {
+	if r.last >= 0 {
+		return id == r.last+1
+	}
+	return id >= 0 && id <= max(firstEvent, r.caller.last+1)
+}
+
 // Next is what follows a run: Complete, Continue or Abandon.
 type Next interface{ next() }
 
@@ -96,7 +98,7 @@
 // stream is not complete.
 func (r Run) Ended() (Run, Next, error) {
 	switch {
-	case r.last >= 0 && r.last == r.caller.last, r.caller.unnumbered && r.contributed:
+	case r.last >= 0 && r.last == r.caller.last:
 		return r, Complete{}, nil
 	case r.confirms:
 		return r, Abandon{}, &Error{Op: opReadStream, Kind: UnknownEnd, Err: fmt.Errorf("the server does not know event %d", r.caller.last)}
@@ -110,12 +112,7 @@
 }
 
 // Interrupted returns what follows if the connection ended before the response did.
-func (r Run) Interrupted() Next {
-	if r.caller.unnumbered {
-		return Abandon{}
-	}
-	return Continue{}
-}
+func (r Run) Interrupted() Next { return Continue{} }
 
 // Refuted returns what follows if the bytes that the server sent show that they are no answer. Which of its
 // events were those of an answer is unknown then, so a caller that has one of them cannot get the rest.
--- a/core/answer/run_test.go
+++ b/core/answer/run_test.go
@@ -117,17 +117,36 @@
 	}
 }
 
-// Guards against events of two runs that are joined where one of them has no ids: such a stream is complete as
-// its only server sends it, and is not continued.
-func TestStreamWithoutIDsIsOneRun(t *testing.T) {
-	run, forward, err := answer.NewRun(answer.LimitsFor(0), answer.ReceivedUpTo(-1)).With(answer.Event{ID: -1, Bytes: 9})
-	if err != nil || !forward {
-		t.Fatalf("forwarded %v, %v", forward, err)
-	}
-	if _, next, err := run.Ended(); err != nil || fmt.Sprintf("%T", next) != "answer.Complete" {
-		t.Errorf("its end: %T, %v", next, err)
-	}
-	if _, ok := run.Interrupted().(answer.Abandon); !ok {
-		t.Error("it is continued")
+// Guards against events that are not numbered as those of an answer are, and pass for a part of one.
+func TestEventsOfAnAnswerAreNumberedWithoutAGap(t *testing.T) {
+	for _, c := range []struct {
+		from int64
+		ids  []int64
+		ok   bool
+	}{
+		{-1, []int64{1, 2, 3}, true},
+		{-1, []int64{0, 1, 2}, true},
+		{4, []int64{5, 6}, true},
+		{4, []int64{1, 2, 3, 4, 5}, true},
+		{4, []int64{3, 4, 5}, true},
+		{-1, []int64{2, 3}, false},
+		{-1, []int64{1, 3}, false},
+		{-1, []int64{1, 1}, false},
+		{-1, []int64{1, 2, 1}, false},
+		{-1, []int64{-1}, false},
+		{-1, []int64{1, -1}, false},
+		{4, []int64{6}, false},
+		{4, []int64{1, 5}, false},
+		{4, []int64{-1}, false},
+	} {
+		run, err := answer.NewRun(answer.LimitsFor(0), answer.ReceivedUpTo(c.from)), error(nil)
+		for _, id := range c.ids {
+			if run, _, err = run.With(answer.Event{ID: id, Bytes: 9}); err != nil {
+				break
+			}
+		}
+		if (err == nil) != c.ok {
+			t.Errorf("events %v behind %d: %v", c.ids, c.from, err)
+		}
 	}
 }
--- a/daemon/proxy/false_events_test.go
+++ b/daemon/proxy/false_events_test.go
@@ -30,6 +30,9 @@
 	"one again and again":                  raw("200 X", chunked(strings.Repeat("id: 1\ndata: false\n\n", 9000)), false),
 	"with a gap":                           raw("200 X", chunked(numbered(1, 3)+numbered(7, 8)), false),
 	"before a long event":                  raw("200 X", chunked(numbered(1, 3)+"data: "+strings.Repeat("x", 2<<20)+"\n\n"), false),
+	"before one without an id":             raw("200 X", chunked(numbered(1, 3)+"data: false\n\n"), false),
+	"before one that came":                 raw("200 X", chunked(numbered(1, 3)+numbered(2, 4)), false),
+	"before a part of one, ended":          raw("200 X", chunked(numbered(1, 3)+"id: 4\nda"), false),
 	"before bytes that are no chunk":       raw("200 X", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: false\n\n\r\nout of order\r\n", true),
 	"more than the answer has, broken off": raw("200 X", "Content-Type: text/event-stream\r\nContent-Length: 9000\r\n\r\n"+numbered(1, 15), false),
 }
@@ -120,6 +123,8 @@
 	for name, first := range map[string]script{
 		"no event":          raw("200 X", "Proof: false\r\n"+chunked(""), true),
 		"broken off":        raw("200 X", "Proof: false\r\nContent-Type: text/event-stream\r\nContent-Length: 90\r\n\r\nid: 1\n", false),
+		"no id":             raw("200 X", "Proof: false\r\n"+chunked("data: false\n\n"), true),
+		"no beginning":      raw("200 X", "Proof: false\r\n"+chunked(numbered(7, 9)), true),
 		"text in its place": raw("200 X", "Proof: false\r\nContent-Type: text/html\r\nContent-Length: 12\r\n\r\nout of order", true),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/proxy/resume_test.go
+++ b/daemon/proxy/resume_test.go
@@ -176,17 +176,26 @@
 }
 
 // Guards against events that come twice: a server cannot be told after which event without an id it is to
-// continue.
+// continue. Such events are no part of an answer and reach no caller.
 func TestStreamWithEventsWithoutIDsIsNotResumed(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		b := newFixture(t)
-		first := raw("200 X", "Content-Type: text/event-stream\r\n\r\ndata: x\n\nid: 5\nda", false)
-		b.known.set(resumable(), b.servers(3, inOrder(first, raw("200 X", chunked("data: x\n\ndata: y\n\n"), true)))...)
-		got := b.send(t.Context(), proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Timeout: time.Second})
-		if got.outcome != (proxy.Interrupted{Reason: proxy.Failed}) || got.body.String() != "data: x\n\n" {
-			t.Errorf("outcome %#v, body %q", got.outcome, got.body.String())
-		}
-	})
+	for name, second := range map[string]script{
+		"numbered":    events(1, 2, true, "Proof: first"),
+		"without ids": raw("200 X", chunked("data: x\n\ndata: y\n\n"), true),
+	} {
+		inBubble(t, func(t *testing.T) {
+			b := newFixture(t)
+			first := raw("200 X", "Content-Type: text/event-stream\r\n\r\ndata: x\n\nid: 5\nda", false)
+			b.known.set(resumable(), b.servers(3, inOrder(first, second))...)
+			got := b.send(t.Context(), proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Timeout: time.Second})
+			if name == "numbered" {
+				checkEvents(t, got, 2)
+				return
+			}
+			if got.outcome != (proxy.Failure{Reason: proxy.Failed}) || got.body.Len() > 0 {
+				t.Errorf("outcome %#v, body %q", got.outcome, got.body.String())
+			}
+		})
+	}
 }
 
 // Guards against the loss of the rest of a stream that is not sent from its next event, but is the rest:
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -116,7 +116,7 @@
 	case r.timer.stop():
 		j.markPaid()
 		return &streamEnd{next: r.run.Interrupted(), err: errServerTimeout}
-	case errors.Is(err, errEventTooLong), fault.Is(err, channel.Malformed):
+	case errors.Is(err, errEventTooLong), fault.Is(err, channel.Malformed), errors.Is(err, errEventTruncated) && r.attempt.reply.SelfDelimited:
 		return &streamEnd{next: r.run.Refuted(), err: err, refuted: true}
 	}
 	return &streamEnd{next: r.run.Interrupted(), err: err}
