proxy: an event that has arrived is written, also if its request ends meanwhile

A caller whose deadline ended between the arrival of an event and its write did not get that event, which the code before had written.

Cause: whether the request has ended was asked before the event was forwarded instead of behind it.

Change: an event that the caller is to receive is written first, as before; then the response counts as interrupted.

Evidence: TestEventThatHasArrivedIsWritten failed before (empty body).

--- a/daemon/proxy/false_events_test.go
+++ b/daemon/proxy/false_events_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -140,3 +141,17 @@
 		})
 	}
 }
+
+// Guards against an event that has arrived and is dropped since the request ends before it is written.
+func TestEventThatHasArrivedIsWritten(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newFixture(t)
+		b.known.set(resumable(), b.servers(1, answerOf(3))...)
+		ctx, cancel := context.WithCancel(t.Context())
+		b.known.onObserve = cancel
+		got := b.send(ctx, proxy.Request{ID: "r", Path: "/stream/x", Key: "k", Timeout: time.Second})
+		if got.outcome != (proxy.ClientGone{}) || !strings.HasPrefix(got.body.String(), "id: 1\n") {
+			t.Errorf("outcome %#v, body %q", got.outcome, got.body.String())
+		}
+	})
+}
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -69,6 +69,8 @@
 	view     *storesync.View
 	recorded []storesync.Observation
 	exited   []string
+	// onObserve, if set, is called with each observation.
+	onObserve func()
 	// registry has the crash counts of requests.
 	registry *quarantine.Registry
 	parts    *quarantine.Registry
@@ -84,6 +86,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.recorded = append(k.recorded, f)
+	if k.onObserve != nil {
+		k.onObserve()
+	}
 }
 
 // observations returns the observations so far.
--- a/daemon/proxy/stream.go
+++ b/daemon/proxy/stream.go
@@ -93,12 +93,12 @@
 		if r.run, forward, err = r.run.With(answer.Event{ID: ev.id, Bytes: len(ev.raw), KeepAlive: ev.keepAlive}); err != nil {
 			return ev, &streamEnd{next: r.run.Refuted(), err: err, refuted: true}
 		}
-		if ctx.Err() != nil {
-			return ev, &streamEnd{next: r.run.Interrupted(), err: ctx.Err()}
-		}
 		if forward {
 			return ev, nil
 		}
+		if ctx.Err() != nil {
+			return ev, &streamEnd{next: r.run.Interrupted(), err: ctx.Err()}
+		}
 	}
 }
 
@@ -129,6 +129,9 @@
 		if w.write(ev, !r.events.buffered()) != nil {
 			return nil
 		}
+		if ctx.Err() != nil {
+			return &streamEnd{next: r.run.Interrupted(), err: ctx.Err()}
+		}
 		ev, end = j.receive(ctx, r)
 	}
 	return end
