verdict, answer: names and comments after reading the whole change

Nobody, This and Another are requests and say so; Recoded is Encoded, as its text; comments say what is checked instead of what it stands for. No change of behaviour.

--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -1,6 +1,6 @@
-// Package answer decides when what a server sends as a stream is no answer any more, when the stream is
-// complete, and whether another server may continue it. A faulty server may send bytes without end that
-// have the form of an event stream, or end its response anywhere.
+// Package answer decides whether what a server sends can be the answer to a request for a stream, when the
+// stream is complete, and whether another server may continue it. A faulty server may send bytes without end
+// that have the form of an event stream, or end its response anywhere.
 package answer
 
 import (
--- a/core/answer/run.go
+++ b/core/answer/run.go
@@ -2,10 +2,6 @@
 
 import "fmt"
 
-// A stream may be sent by several servers in turn. A Run is what one of them sends. How it ends decides
-// whether the stream is complete: only a server that sent the last event itself can know that it was the
-// last.
-
 // Received is what a caller has of a stream. It is immutable.
 type Received struct {
 	// last is the id of the last event, or -1.
@@ -27,7 +23,8 @@
 	return c.last
 }
 
-// Run is what one server has sent of a stream. It is immutable.
+// Run is what one of several servers has sent of a stream. It is immutable. Only a server that sent the last
+// event itself can know that it was the last.
 type Run struct {
 	sent   Stream
 	caller Received
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -212,8 +212,7 @@
 	return out
 }
 
-// LeftAt returns the servers at an address that have answered a request a moment ago, or at which one was
-// aborted.
+// LeftAt returns the servers at an address at which a request has ended a moment ago, with an answer or aborted.
 func (t *Tracker) LeftAt(addr string, now time.Time) []Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -1,5 +1,5 @@
 // Package verdict decides what the head of a backend server's response means: whether its request may
-// have run, and whether a caller may get it. What a head does not say is never taken as said.
+// have run, and whether a caller may get it. A missing header never counts in favour of the response.
 package verdict
 
 import (
@@ -14,19 +14,19 @@
 
 // The subjects.
 const (
-	// Nobody: the response names no request.
-	Nobody Subject = iota
-	// This is the request that was sent.
-	This
-	// Another is any other request.
-	Another
+	// NoRequest means that the response names none, or several.
+	NoRequest Subject = iota
+	// ThisRequest is the request that was sent.
+	ThisRequest
+	// AnotherRequest is any other one.
+	AnotherRequest
 )
 
 // Head is what the head of a response says.
 type Head struct {
 	Status  int
 	Subject Subject
-	// Signed is set if the server vouches for the response.
+	// Signed is set if the response has the server's signature. It is not verified.
 	Signed bool
 	// Encoded is set if the body has a content encoding.
 	Encoded bool
@@ -109,15 +109,15 @@
 const (
 	// Unnamed: it does not name its request.
 	Unnamed Reason = iota
-	// Unsigned: the server does not vouch for it.
+	// Unsigned: it does not have the server's signature.
 	Unsigned
-	// Recoded: its body has a content encoding, which no request asks for.
-	Recoded
+	// Encoded: its body has a content encoding, which no request asks for.
+	Encoded
 	// UnprovenRefusal: its status promises that the request has not run, but nothing else in it does.
 	UnprovenRefusal
-	// Contradictory: it says that the request has not run, with a status of one that has.
+	// Contradictory: it says that the request has not run, and has a status that a request gets by running.
 	Contradictory
-	// BadStatus: there is no such status.
+	// BadStatus: its status is not one of HTTP.
 	BadStatus
 	reasons
 )
@@ -147,12 +147,12 @@
 // nothing that belongs to an earlier one can arrive on it.
 func Classify(h Head, unused bool) Kind {
 	switch {
-	case h.Subject == Another, h.Subject == Nobody && !unused:
+	case h.Subject == AnotherRequest, h.Subject == NoRequest && !unused:
 		return Surplus{}
-	case h.Subject == Nobody && h.NotRun && h.Status == http.StatusBadRequest:
+	case h.Subject == NoRequest && h.NotRun && h.Status == http.StatusBadRequest:
 		// A server that cannot parse a request does not know its ID.
 		return Decline{}
-	case h.Subject == Nobody:
+	case h.Subject == NoRequest:
 		return Invalid{Unnamed, h.Status}
 	case h.NotRun:
 		return declined(h)
@@ -163,7 +163,7 @@
 	case h.Status < http.StatusOK, h.Status > maxStatus:
 		return Invalid{BadStatus, h.Status}
 	case h.Encoded:
-		return Invalid{Recoded, h.Status}
+		return Invalid{Encoded, h.Status}
 	case h.Status >= http.StatusInternalServerError:
 		return Failure{h.Status}
 	case !h.Signed:
--- a/core/verdict/verdict_test.go
+++ b/core/verdict/verdict_test.go
@@ -9,9 +9,9 @@
 )
 
 // Guards against sound responses that are dropped, and against responses that pass for what they do not say that
-// they are: a success that no server vouches for, and a promise that a request that has run has not.
+// they are: a success without a signature, and a promise that a request that has run has not.
 func TestResponseIsOnlyWhatItSays(t *testing.T) {
-	this, signed := verdict.Head{Subject: verdict.This}, verdict.Head{Subject: verdict.This, Signed: true}
+	this, signed := verdict.Head{Subject: verdict.ThisRequest}, verdict.Head{Subject: verdict.ThisRequest, Signed: true}
 	with := func(h verdict.Head, status int) verdict.Head {
 		h.Status = status
 		return h
@@ -42,7 +42,7 @@
 		{"not understood, no ID", refusal(verdict.Head{}, 400), true, "decline"},
 		{"another server at the address", refusal(this, 421), false, "decline"},
 		{"another server that names itself", with(elsewhere, 421), false, "decline"},
-		{"answer to another request", with(verdict.Head{Subject: verdict.Another, Signed: true}, 200), true, "surplus"},
+		{"answer to another request", with(verdict.Head{Subject: verdict.AnotherRequest, Signed: true}, 200), true, "surplus"},
 		{"surplus without an ID", with(verdict.Head{Signed: true}, 200), false, "surplus"},
 		{"surplus refusal without an ID", refusal(verdict.Head{}, 400), false, "surplus"},
 
@@ -87,7 +87,7 @@
 	return ""
 }
 
-// Guards against a head in some combination that nobody thought of: 100,000 drawn ones.
+// Guards against combinations that the table of heads lacks: 100,000 drawn ones.
 func TestNoDrawnResponseIsForwardedOrDeclinedWithoutProof(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	flip := func() bool { return rng.IntN(2) == 0 }
@@ -97,7 +97,7 @@
 		k := verdict.Classify(h, unused)
 		if f, ok := k.(verdict.Forwardable); ok {
 			promise := f.Status() == 408 || f.Status() == 421 || f.Status() == 429 || f.Status() == 503
-			if f.Status() != h.Status || promise || h.NotRun || h.Encoded || h.Subject != verdict.This || (h.Status < http.StatusInternalServerError && !h.Signed) || !k.MayHaveRun() {
+			if f.Status() != h.Status || promise || h.NotRun || h.Encoded || h.Subject != verdict.ThisRequest || (h.Status < http.StatusInternalServerError && !h.Signed) || !k.MayHaveRun() {
 				t.Fatalf("%+v, unused %v: forwarded as %#v", h, unused, k)
 			}
 		}
--- a/daemon/front/quarantine.go
+++ b/daemon/front/quarantine.go
@@ -171,7 +171,7 @@
 }
 
 // idleConnectionEnded probes a server that has ended an idle connection shortly
-// after an answer.
+// after an answer or an aborted request.
 func (f *Front) idleConnectionEnded(addr string) {
 	for _, p := range f.quarantineState.tracker.LeftAt(addr, time.Now()) {
 		f.probe(p)
--- a/daemon/proxy/harness_test.go
+++ b/daemon/proxy/harness_test.go
@@ -44,13 +44,13 @@
 }
 
 func (dialect) ParseHead(id, _ string, status int, h http.Header) proxy.Head {
-	head := proxy.Head{Response: verdict.Head{Status: status, Subject: verdict.This, Signed: h.Get("Unsigned") == "", NotRun: h.Get("Declined") != "", Encoded: h.Get("Content-Encoding") != ""}}
+	head := proxy.Head{Response: verdict.Head{Status: status, Subject: verdict.ThisRequest, Signed: h.Get("Unsigned") == "", NotRun: h.Get("Declined") != "", Encoded: h.Get("Content-Encoding") != ""}}
 	switch h.Get("Id") {
 	case id:
 	case "":
-		head.Response.Subject = verdict.Nobody
+		head.Response.Subject = verdict.NoRequest
 	default:
-		head.Response.Subject = verdict.Another
+		head.Response.Subject = verdict.AnotherRequest
 	}
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		head.Confidence, head.Confident = n, true
--- a/daemon/proxy/resume.go
+++ b/daemon/proxy/resume.go
@@ -24,16 +24,15 @@
 			}
 		}
 		j.endResponse(ctx, r, end)
-		reason := Failed
 		switch end.next.(type) {
 		case answer.Complete:
 			return Answered{Status: w.head.status}
 		case answer.Abandon:
-			return Interrupted{Reason: reason}
+			return Interrupted{Reason: Failed}
 		case answer.Continue:
 		}
-		var a *attempt
-		if a, reason = j.resume(ctx, w); a == nil {
+		a, reason := j.resume(ctx, w)
+		if a == nil {
 			return Interrupted{Reason: reason}
 		}
 		j.observeWait(time.Since(a.sent), time.Now())
