storesync: a state from before a restore of the store rejects no version

After a restore of the store a state "rolled back" of an earlier order could reject a version that a later order had completed since: the old version of the next order, so that callers of its sessions would have found no server.

Cause: the late state was taken whatever era of the store it came from.

Change: it counts only if the row, its order and the present order are of one era.

Evidence: TestLateStateOfAnEarlierOrderRejectsItsVersion failed before for the state after a restore; a late state of the same era still rejects.

--- a/daemon/storesync/rollout_test.go
+++ b/daemon/storesync/rollout_test.go
@@ -558,6 +558,32 @@
 	})
 }
 
+// Guards against a late state of an earlier order: one that tells that its version was rolled back counts, but not one
+// from before a restore of the store, behind which the version may have been completed.
+func TestLateStateOfAnEarlierOrderRejectsItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		restored bool
+		rejected bool
+	}{{false, true}, {true, false}} {
+		inBubble(t, func(t *testing.T) {
+			s, syncers := startRollout(t, 1, 20)
+			order := s.storedProgress().Order
+			s.store.set(gossip.Servers, "newer", "v3")
+			s.store.set(gossip.Operator, "order/s", `{"Version":"v3","Seconds":20}`)
+			advance(time.Second)
+			if c.restored {
+				order.Era++
+			}
+			s.store.set(gossip.Progress, "s", fmt.Sprintf(`{"State":%d,"Version":"v2","SinceMS":1000,"Order":{"Era":%d,"Number":%d}}`, canary.RolledBack, order.Era, order.Number))
+			advance(time.Second)
+			first, _ := syncers[0].View().Versions("s", highestHash, time.Now())
+			if first.Allows("v2") == c.rejected {
+				t.Errorf("after a restore %v: rejected %v", c.restored, !first.Allows("v2"))
+			}
+		})
+	}
+}
+
 // Daemons write the states of a second order in turn, as those of the first: 62 daemons once
 // wrote "completed" at the same moment.
 func TestStatesOfASecondOrderAreWrittenInTurn(t *testing.T) {
--- a/daemon/storesync/rollouts.go
+++ b/daemon/storesync/rollouts.go
@@ -155,7 +155,9 @@
 	}
 	was, ok := r.byService[service]
 	if !ok || !was.Order.Matches(p) {
-		if ok && p.State == canary.RolledBack && p.Version != was.Order.Version {
+		// After a restore of the store the state may be older than the completion of the same version.
+		current := row.Era == was.Order.Number.Era && p.Order.Era == row.Era
+		if ok && current && p.State == canary.RolledBack && p.Version != was.Order.Version {
 			r.rejected[versionName(service, p.Version)] = true
 		}
 		return false
