platform, storesync: a row that cannot be read hides no other

What callers saw: all processes were restarted while an entry of another writer stood in the list of servers, one of whose numbers was far larger than 64 bits hold, or of another type. A daemon that had started before kept its old list and no longer followed the table.

Cause: Store.call decoded a whole response of the store into one typed value. What could not be read in one record (its version, key or value of another type, a number out of range, a value that is no base64, a nesting beyond 10,000) made the list, its version and its clock unreadable. A daemon that starts has no earlier list.

A row that cannot be read is a fact of its own (Page.Unreadable), the version of the response still moves on. With its key it is a row without content: no server, no daemon, and the configuration in force stays. A change without a key may be that of any row, so all rows are read again.

--- a/daemon/storesync/follow.go
+++ b/daemon/storesync/follow.go
@@ -205,6 +205,11 @@
 			hold = nextHold
 			continue
 		}
+		if err == nil && !full && page.hasUnknownKey() {
+			// Any row may have changed. Only a read of all rows tells.
+			known = false
+			continue
+		}
 		sy.deliver(ctx, storeAnswer{topic: f.topic, page: page, full: full, at: at, suspendedTotal: suspended, err: err})
 		if err != nil {
 			known = known && !needsFullRead(err)
--- a/daemon/storesync/harness_test.go
+++ b/daemon/storesync/harness_test.go
@@ -39,6 +39,8 @@
 	// historyLostTo is the version up to which the change history is discarded.
 	historyLostTo uint64
 	reads         int
+	// unreadable has the rows whose records cannot be read, by whether their keys can.
+	unreadable map[string]bool
 }
 
 type removal struct {
@@ -86,18 +88,39 @@
 		if row.Version.Number > after {
 			// The store compares rows by version number alone, without the era.
 			row.Version.Era = s.era
-			p.Rows = append(p.Rows, row)
+			keyed, unreadable := s.unreadable[row.Key]
+			if unreadable {
+				row.Data, row.Version.Number = nil, s.version
+				p.Unreadable = append(p.Unreadable, storesync.UnreadableRow{Key: map[bool]string{true: row.Key}[keyed], Err: errors.New("unreadable")})
+			}
+			if !unreadable || keyed {
+				p.Rows = append(p.Rows, row)
+			}
 		}
 	}
 	for _, r := range s.removed {
 		// A row that was written again is not removed: the last change of a key counts.
 		if _, back := s.tables[topic][r.key]; r.topic == topic && r.version > after && !back {
+			if keyed, unreadable := s.unreadable[r.key]; unreadable && !keyed {
+				p.Unreadable = append(p.Unreadable, storesync.UnreadableRow{Err: errors.New("unreadable")})
+				continue
+			}
 			p.Removed = append(p.Removed, r.key)
 		}
 	}
 	return p
 }
 
+// spoil makes the record of a row unreadable from its next change on.
+func (s *fakeStore) spoil(key string, keyed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unreadable == nil {
+		s.unreadable = map[string]bool{}
+	}
+	s.unreadable[key] = keyed
+}
+
 // storeCopy is a backup of the rows at one moment.
 type storeCopy struct {
 	version uint64
@@ -278,7 +301,7 @@
 		if lost {
 			return storesync.Page{}, &storesync.Error{Op: "follow", Kind: storesync.HistoryLost}
 		}
-		if len(p.Rows)+len(p.Removed) > 0 {
+		if len(p.Rows)+len(p.Removed)+len(p.Unreadable) > 0 {
 			return l.answer(ctx, p, delay)
 		}
 		select {
@@ -368,7 +391,7 @@
 	if _, addr, ok := strings.Cut(row.Key, "="); ok {
 		s.Addr = addr
 	}
-	if row.Data[0] == '!' {
+	if len(row.Data) == 0 || row.Data[0] == '!' {
 		return s, errors.New("corrupted row")
 	}
 	data, born, _ := strings.Cut(string(row.Data), "#")
--- a/daemon/storesync/read.go
+++ b/daemon/storesync/read.go
@@ -14,16 +14,36 @@
 
 func isKind(err error, kind Kind) bool { return fault.Is(err, kind) }
 
+// malformedRow identifies a row that cannot be decoded.
+type malformedRow struct {
+	topic gossip.Topic
+	key   string
+}
+
+// maxMalformedRows bounds the rows of which it is recorded that they have been logged.
+const maxMalformedRows = 1024
+
 // malformed logs a row that cannot be decoded, once per content.
 func (sy *Syncer) malformed(topic gossip.Topic, row gossip.Row, err error) {
-	if sy.malformedSums[row.Key] == row.Sum() {
+	name := malformedRow{topic, row.Key}
+	if sum, logged := sy.malformedSums[name]; logged && sum == row.Sum() {
 		return
 	}
-	sy.malformedSums[row.Key] = row.Sum()
+	if len(sy.malformedSums) >= maxMalformedRows {
+		clear(sy.malformedSums)
+	}
+	sy.malformedSums[name] = row.Sum()
 	sy.CorruptedRows.Add(1)
 	sy.Log.Error().Str("topic", string(topic)).Str("key", row.Key).Stringer("version", row.Version).Err(err).Msg("storesync: cannot decode a row; a server is not listed, for other rows the last valid content stays in force")
 }
 
+// unreadable logs the rows of a page whose records cannot be read.
+func (sy *Syncer) unreadable(topic gossip.Topic, page Page) {
+	for _, row := range page.Unreadable {
+		sy.malformed(topic, gossip.Row{Key: row.Key, Version: page.Version}, row.Err)
+	}
+}
+
 // readOperator reads the configuration, the roll-out orders and the data halls to be drained.
 func (sy *Syncer) readOperator(now time.Time) {
 	drained := map[string]bool{}
--- a/daemon/storesync/store.go
+++ b/daemon/storesync/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ladderridge.example/core/canary"
@@ -45,12 +46,27 @@
 	// Rows are all rows, or those that have changed. Removed are the keys of removed rows.
 	Rows    []gossip.Row
 	Removed []string
+	// Unreadable are rows that exist, but whose records cannot be read. Those of which the key is known are
+	// among Rows, too, without data.
+	Unreadable []UnreadableRow
 	// Version is the latest version that the page includes.
 	Version revision.Revision
 	// ClockMS is the monotonic clock of the store, in milliseconds.
 	ClockMS uint64
 }
 
+// hasUnknownKey reports whether the page has a row whose key cannot be read.
+func (p Page) hasUnknownKey() bool {
+	return slices.ContainsFunc(p.Unreadable, func(r UnreadableRow) bool { return r.Key == "" })
+}
+
+// UnreadableRow is a row whose record cannot be read: another writer may have left anything there.
+type UnreadableRow struct {
+	// Key is empty if it cannot be read either.
+	Key string
+	Err error
+}
+
 // Store is the store that all daemons share. Its answers are linearizable. Calls end when their
 // context is done.
 type Store interface {
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -244,9 +244,8 @@
 	planned *plannedEnds
 	// reportedExits has when the exits of servers were last reported, by the hash of the server.
 	reportedExits map[uint64]time.Time
-	// malformedSums has the checksums of rows that could not be decoded, by key, so that each
-	// is logged once.
-	malformedSums map[string]uint64
+	// malformedSums has the checksums of rows that could not be decoded, so that each is logged once.
+	malformedSums map[malformedRow]uint64
 }
 
 // event is an input of the syncer's goroutine.
@@ -290,7 +289,7 @@
 		topics: map[gossip.Topic]*topicState{}, states: map[fleet.Incarnation]*fleet.ServerState{}, unlisted: map[fleet.Incarnation]unlisted{}, halls: map[string]*fleet.HallState{}, services: map[string]*fleet.ServiceState{},
 		drained: map[string]time.Time{}, undrainedAt: map[string]time.Time{}, coldUntil: map[fleet.Incarnation]time.Time{}, coldRows: map[fleet.Incarnation]revision.Revision{}, lapsed: map[string]time.Time{},
 		firstSeen: map[string]time.Time{}, pendingRequests: map[uint64]time.Time{}, subscribers: map[string]time.Time{}, announcedSums: map[gossip.Topic]uint64{}, readers: newReaders(),
-		malformedSums: map[string]uint64{}, rollouts: newRollouts(), sessions: newSessions(), serverLoad: serverload.NewTracker(), limits: newLimits(),
+		malformedSums: map[malformedRow]uint64{}, rollouts: newRollouts(), sessions: newSessions(), serverLoad: serverload.NewTracker(), limits: newLimits(),
 		entries: map[string]serverEntry{}, starts: map[string]int64{}, contents: newContentSync(), parts: newPartSync(), planned: newPlannedEnds(), reportedExits: map[uint64]time.Time{},
 	}
 	for _, t := range []gossip.Topic{gossip.Operator, gossip.Servers, gossip.Progress, gossip.Members} {
@@ -435,6 +434,7 @@
 	var gone []string
 	var newer bool
 	sy.checkEra(e.topic, e.page.Version, now)
+	sy.unreadable(e.topic, e.page)
 	if e.full {
 		gone, newer = t.replace(e.page.Rows, e.page.Version, e.at, now)
 	} else {
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -115,7 +115,7 @@
 		t.recordOldContent(key, now)
 	}
 	before := t.sum
-	t.rows, t.version, t.known, t.sum = next, version, true, gossip.Sum(rows)
+	t.rows, t.version, t.known, t.sum = next, version, true, gossip.Sum(slices.Collect(maps.Values(next)))
 	t.recordChange(before, changed)
 	t.confirm(confirmed)
 	return gone, newer
--- a/daemon/storesync/verify.go
+++ b/daemon/storesync/verify.go
@@ -128,6 +128,7 @@
 	if at := e.at.Add(e.suspendedTotal - sy.SuspendClock.Now()); at.After(sy.verification.confirmed) {
 		sy.verification.confirmed = at
 	}
+	sy.unreadable(gossip.Operator, e.page)
 	gone, newer := t.applyPage(e.page, time.Time{}, now)
 	sy.applyTopicChange(gossip.Operator, gone, newer, now)
 }
