storesync: a daemon whose entry was replaced writes it again

A daemon whose own entry another writer had replaced stayed out of the list of all others until it was restarted: they dropped its messages, and it read the store for itself.

Cause: relist looked for a row under the daemon's key, whatever it holds.

Change: an entry that cannot be decoded is written again, at most once in 2 s. The wait that a lost row needs, for a list that was confirmed later, is not needed: the row was read.

--- a/daemon/storesync/members.go
+++ b/daemon/storesync/members.go
@@ -55,24 +55,24 @@
 const relistInterval = 2 * time.Second
 
 // relist has the entry of this daemon written again if the store has lost it: a list that was read after
-// the store had accepted the entry lacks it, and was confirmed since. A list that another daemon has sent
-// by mistake is not confirmed.
+// the store had accepted the entry lacks it or has something else in its place, and was confirmed since. A
+// list that another daemon has sent by mistake is not confirmed.
 func (sy *Syncer) relist(now time.Time) {
 	t, published := sy.topics[gossip.Members], sy.publishedAt.Load()
 	// A version of 0 says that the store has lost the row, and that others hold it for a while.
 	row, known := t.rows[sy.Self.ID]
 	switch {
-	case known && row.Version.Number > 0 || published == 0 || !t.known || !t.confirmed.After(time.Unix(0, published)):
+	case known && row.Version.Number > 0 && !sy.selfMalformed || published == 0 || !t.known || !t.confirmed.After(time.Unix(0, published)):
 		sy.unlistedSince = time.Time{}
 		return
-	case sy.unlistedSince.IsZero():
+	case !sy.selfMalformed && sy.unlistedSince.IsZero():
 		sy.unlistedSince = now
 		return
-	case !t.confirmed.After(sy.unlistedSince) || now.Sub(sy.relistedAt) < relistInterval:
+	case !sy.selfMalformed && !t.confirmed.After(sy.unlistedSince) || now.Sub(sy.relistedAt) < relistInterval:
 		return
 	}
 	sy.relistedAt = now
-	sy.Log.Warn().Stringer("version", t.version).Msg("storesync: the store has lost the entry of this daemon; it is written again")
+	sy.Log.Warn().Stringer("version", t.version).Msg("storesync: the store has no valid entry of this daemon; it is written again")
 	sy.requestRepublish()
 }
 
@@ -99,6 +99,7 @@
 // readMembers reads the list of daemons and the requests in quarantine.
 func (sy *Syncer) readMembers(now time.Time) {
 	members := map[string]Member{}
+	sy.selfMalformed = false
 	for _, row := range sy.topics[gossip.Members].rows {
 		if strings.HasPrefix(row.Key, quarantinePrefix) {
 			sy.readQuarantine(row, now)
@@ -111,6 +112,7 @@
 		}
 		if err != nil {
 			sy.malformed(gossip.Members, row, err)
+			sy.selfMalformed = sy.selfMalformed || row.Key == sy.Self.ID
 			continue
 		}
 		members[m.ID] = m
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -246,6 +246,8 @@
 	reportedExits map[uint64]time.Time
 	// malformedSums has the checksums of rows that could not be decoded, so that each is logged once.
 	malformedSums map[malformedRow]uint64
+	// selfMalformed is set if the entry of this daemon cannot be decoded.
+	selfMalformed bool
 }
 
 // event is an input of the syncer's goroutine.
--- a/daemon/storesync/unlisted_test.go
+++ b/daemon/storesync/unlisted_test.go
@@ -30,3 +30,27 @@
 		})
 	}
 }
+
+// A daemon whose entry another writer had replaced stayed unlisted until it was restarted.
+func TestDaemonWhoseEntryWasReplacedIsListedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCluster(t)
+		s.writeConfig(1, "k")
+		daemons := startTwoHalls(s, 1)
+		advance(4 * time.Second)
+		for _, d := range daemons {
+			s.store.set(gossip.Members, d.Self.ID, "nonsense")
+		}
+		advance(6 * time.Second)
+		for _, d := range daemons {
+			if n := len(d.Others()); n != len(daemons)-1 || s.store.get(gossip.Members, d.Self.ID) == "nonsense" {
+				t.Errorf("%s knows %d others, its entry is %.20q", d.Self.ID, n, s.store.get(gossip.Members, d.Self.ID))
+			}
+		}
+		calls := daemons[0].Calls.Load()
+		advance(10 * time.Second)
+		if n := daemons[0].Calls.Load() - calls; n > 60 {
+			t.Errorf("%d calls in 10 s", n)
+		}
+	})
+}
