--- a/core/rawjson/rawjson.go
+++ b/core/rawjson/rawjson.go
@@ -60,6 +60,12 @@
 	return out, nil
 }
 
+// Optional decodes a member of an object that may be missing, and reports whether it has the right type.
+func Optional(members map[string][]byte, name string, to any) bool {
+	text, ok := members[name]
+	return !ok || json.Unmarshal(text, to) == nil
+}
+
 // String decodes a JSON string. It reports false for any other text.
 func String(text []byte) (value string, ok bool) {
 	if len(text) < 2 || text[0] != '"' || !utf8.Valid(text) {
