--- a/daemon/storesync/rollouts.go
+++ b/daemon/storesync/rollouts.go
@@ -165,7 +165,8 @@
 	r.rows[service] = row
 	was.Started, was.InitialShare = true, p.InitialShare
 	was.State = max(was.State, p.State)
-	was.Since = now.Add(-time.Duration(int64(r.storeClock(now))-int64(p.SinceMS)) * time.Millisecond)
+	clock := r.storeClock(now)
+	was.Since = now.Add(-time.Duration(clock-min(clock, p.SinceMS)) * time.Millisecond)
 	r.byService[service] = was
 	r.updateOpen()
 	return true
