soak, stand-in: records of other writers that cannot be read

The soak's corrupter writes every second entry as a record that cannot be read, in the tables of servers, of the operator or of the daemons, besides the entries whose value is odd.

--- a/soak/corruption.go
+++ b/soak/corruption.go
@@ -14,8 +14,8 @@
 	"ladderridge.example/core/clock"
 )
 
-// corrupter writes corrupted server entries into the store. They name the address of a trap
-// server, which no daemon may contact.
+// corrupter writes corrupted server entries into the store, and records that cannot be read into its
+// tables. They name the address of a trap server, which no daemon may contact.
 type corrupter struct {
 	cluster *cluster
 	random  *rand.Rand
@@ -33,6 +33,9 @@
 	corruptStream = 6000
 )
 
+// corruptTables are the tables with records that cannot be read.
+var corruptTables = []string{"servers", "op", "daemons"}
+
 func newCorrupter(s *cluster, seed uint64) *corrupter {
 	w := &corrupter{cluster: s, random: newRand(seed, corruptStream)}
 	w.trap = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -45,10 +48,13 @@
 func (w *corrupter) start(ctx context.Context) {
 	w.running.Go(func() {
 		for n := 0; !w.stopped.Load() && ctx.Err() == nil; n++ {
-			addr := strings.TrimPrefix(w.trap.URL, "http://")
-			if err := w.cluster.store.CorruptServer(fmt.Sprintf("stranger-%d", n%corruptKeys), addr, w.random); err != nil {
+			addr, key := strings.TrimPrefix(w.trap.URL, "http://"), fmt.Sprintf("stranger-%d", n%corruptKeys)
+			if err := w.cluster.store.CorruptServer(key, addr, w.random); err != nil {
 				w.cluster.recorder.found("SOAK", err.Error())
 			}
+			if w.random.IntN(2) == 0 {
+				w.cluster.store.CorruptRecord(corruptTables[w.random.IntN(len(corruptTables))], key, addr, w.random)
+			}
 			clock.Wait(ctx, time.Duration(w.random.Int64N(int64(corruptInterval))))
 		}
 	})
