storesync: a restored store is read without a second pause

Cause: the first answer of a restored store is that its era has changed, or that its history is lost. It counted as one more failure: the pause, which had doubled to up to a second while the store was away, passed again before the rows were read.

Change: such an answer ends the doubling of the pause, as any other answer does. The pause of 75 to 150 ms that remains keeps daemons apart.

--- a/daemon/storesync/follow.go
+++ b/daemon/storesync/follow.go
@@ -212,7 +212,10 @@
 		}
 		sy.deliver(ctx, storeAnswer{topic: f.topic, page: page, full: full, at: at, suspendedTotal: suspended, err: err})
 		if err != nil {
-			known = known && !needsFullRead(err)
+			if known && needsFullRead(err) {
+				// The store has answered.
+				known, pause = false, minBackoff
+			}
 			pause = sy.backOff(ctx, pause, random)
 			// The next call returns at once: its answer shows that the store is available
 			// again.
