channel, relay: a reset is no end of an answer

Cause: the system reports a reset once. The goroutine that writes the upload received it, and the read after that says end of file, which for an answer without a length means that it is complete.

Change: all reads of a server's connection, by this daemon and for others, go through persistentConn.receive. At an end of file it looks at the state of the TCP connection: after the regular end of the server alone it is not closed. If it is closed, a pending EPIPE, or EPIPE as the first error of a write, tells that the reset came behind the regular end; in any other case the read fails with the reset (or the time-out) that the write has received. A relaying daemon that learns of a reset leaves the other one 100 ms to receive the bytes before it, since a reset of its stream drops them.

--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,8 +37,11 @@
 	readErr error
 	// openedAt is when the connection was established, or zero if unknown.
 	openedAt time.Time
-	// written counts the bytes sent to the server.
-	written atomic.Int64
+	// written counts the bytes sent to the server. writing is held during a write, writeErr is the first
+	// error of one.
+	written  atomic.Int64
+	writing  sync.Mutex
+	writeErr error
 	// idleSince is when the last answer ended. keepAlive is how long the server
 	// keeps an idle connection from then on, or 0 if it does not say.
 	idleSince time.Time
@@ -82,7 +86,7 @@
 		p = p[:min(len(p), c.headLeft)]
 	}
 	var n int
-	n, c.readErr = c.conn.Read(p)
+	n, c.readErr = c.receive(p)
 	if c.headLeft != noLimit {
 		c.headLeft -= n
 	}
@@ -97,13 +101,6 @@
 	return Interrupted
 }
 
-// Write counts the bytes that it writes; it implements io.Writer.
-func (c *persistentConn) Write(p []byte) (int, error) {
-	n, err := c.conn.Write(p)
-	c.written.Add(int64(n))
-	return n, err
-}
-
 func (c *persistentConn) close() { _ = c.conn.Close() }
 
 // reusable reports whether the connection may carry another request: it has not
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
 
 	"ladderridge.example/core/fault"
 	"ladderridge.example/core/reach"
@@ -358,3 +360,76 @@
 		t.Errorf("%d bytes, %v", len(body), err)
 	}
 }
+
+// upload sends a request of 20 MB through the helper and returns the reply.
+func (s *site) upload(t *testing.T, addr string) *channel.Reply {
+	t.Helper()
+	x := request(addr)
+	x.Body = make([]byte, 20<<20)
+	for {
+		reply, err := s.entryPool().Send(t.Context(), x)
+		if fault.Is(err, channel.Unreachable) && t.Context().Err() == nil {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+}
+
+// reset resets a connection once the other side has acknowledged all bytes.
+func reset(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	for unsent := 1; err == nil && unsent > 0; {
+		err = raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		runtime.Gosched()
+	}
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// A part of an answer looked complete at the entry daemon: the helper's write of the request had received the
+// reset, and its read after it an end of file.
+func TestResetUnderAnUploadIsNoEndOfARelayedAnswer(t *testing.T) {
+	s := newSite(t)
+	for range 20 {
+		headRead := make(chan struct{})
+		addr := s.backend(t, func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			<-headRead
+			reset(c.(*net.TCPConn))
+		})
+		reply := s.upload(t, addr)
+		close(headRead)
+		body, err := io.ReadAll(reply)
+		reply.Close()
+		if !fault.Is(err, channel.Interrupted) {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+}
+
+// An answer that marks its own end must arrive whole although the helper learns of a reset behind it.
+func TestResetBehindARelayedAnswerTakesNothingFromIt(t *testing.T) {
+	s := newSite(t)
+	rest := strings.Repeat("0123456789abcdef", 4<<10)
+	for range 20 {
+		headRead := make(chan struct{})
+		addr := s.backend(t, func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(rest))+"\r\n\r\n")
+			<-headRead
+			_, _ = io.WriteString(c, rest)
+			reset(c.(*net.TCPConn))
+		})
+		reply := s.upload(t, addr)
+		close(headRead)
+		body, err := io.ReadAll(reply)
+		reply.Close()
+		if err != nil || string(body) != rest {
+			t.Fatalf("%d bytes, %v", len(body), err)
+		}
+	}
+}
--- a/daemon/relay/server.go
+++ b/daemon/relay/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"ladderridge.example/core/clock"
 	"ladderridge.example/core/reach"
 	"ladderridge.example/daemon/channel"
 )
@@ -129,6 +130,11 @@
 		// The other daemon reads to the end, and then closes the stream.
 		_ = stream.Close()
 	case !errors.Is(readErr, os.ErrDeadlineExceeded):
+		if n > 0 {
+			// CancelWrite drops what the other daemon has not received yet, with which its answer may be
+			// complete.
+			awaitEnd(ended)
+		}
 		stream.CancelWrite(resetCode(readErr))
 	}
 	complete := <-ended
@@ -142,6 +148,18 @@
 	abort(stream, codeAborted)
 }
 
+// deliveryTime is how long the other daemon has to receive the last bytes of a connection that broke.
+const deliveryTime = 100 * time.Millisecond
+
+// awaitEnd waits up to deliveryTime until the other daemon has ended the exchange.
+func awaitEnd(ended chan bool) {
+	select {
+	case complete := <-ended:
+		ended <- complete
+	case <-clock.After(deliveryTime):
+	}
+}
+
 // forwardRequest copies from the other daemon to the server and reports whether the exchange was
 // complete.
 func forwardRequest(stream *quic.Stream, conn *channel.ServerConn, served *Served) bool {
