--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -178,29 +178,13 @@
 // into it.
 const writeBuffer = 32 << 10
 
-// readHead reads the head of an answer and skips interim (1xx) responses.
-func (c *persistentConn) readHead(method string) (*http.Response, error) {
-	c.headLeft = maxHead
-	defer func() { c.headLeft = noLimit }()
-	for {
-		resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-		_ = resp.Body.Close()
-	}
-}
-
 // discard reads and drops an answer that belongs to no request on this
 // connection.
-func discard(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+func discard(r *response) error {
+	if !r.selfDelimited {
 		return errors.New("the surplus answer has no end but that of its connection")
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBytes+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(r.body, maxSurplusBytes+1))
 	if err == nil && n > maxSurplusBytes {
 		err = errors.New("the surplus answer is too long")
 	}
--- /dev/null
+++ b/daemon/channel/head.go
@@ -0,0 +1,174 @@
+package channel
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// The head of an answer is read by the rules of RFC 9112, where package net/http is lenient: it takes status
+// 000, names with blanks, and a transfer coding beside a length or in HTTP/1.0. A proxy would pass such a
+// head on, or read another body than the server has sent.
+
+// errSyntax means that a head or a trailer is not one of HTTP.
+type errSyntax string
+
+// Error implements error.
+func (e errSyntax) Error() string { return string(e) }
+
+// response is an answer whose body is still to be read.
+type response struct {
+	status int
+	header http.Header
+	// length is the length of the body in bytes, or -1 if it is not known.
+	length int64
+	// selfDelimited is set if the body marks its own end. Any other one ends with its connection.
+	selfDelimited bool
+	// close is set if the connection carries no further answer.
+	close bool
+	body  io.Reader
+}
+
+// readHead reads the head of an answer to a request and skips interim responses.
+func (c *persistentConn) readHead(method string) (*response, error) {
+	c.headLeft = maxHead
+	defer func() { c.headLeft = noLimit }()
+	for {
+		line, err := readLine(c.read)
+		if err != nil {
+			return nil, err
+		}
+		minor, status, err := parseStatusLine(line)
+		if err != nil {
+			return nil, err
+		}
+		h, err := readFields(c.read)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case status == http.StatusSwitchingProtocols:
+			return nil, errSyntax("the protocol is switched, which no request asks for")
+		case status >= http.StatusOK:
+			return c.frame(method, minor, status, h)
+		case len(h["Content-Length"])+len(h["Transfer-Encoding"]) > 0:
+			return nil, errSyntax("an interim response has a body")
+		}
+	}
+}
+
+// parseStatusLine returns the minor version of HTTP and the status.
+func parseStatusLine(line []byte) (minor, status int, err error) {
+	const version = "HTTP/1."
+	version0, rest, _ := bytes.Cut(line, []byte(" "))
+	digit, ok := bytes.CutPrefix(version0, []byte(version))
+	if !ok || len(digit) != 1 || !isDigits(digit) {
+		return 0, 0, errSyntax("the version is not HTTP/1.x")
+	}
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
+	if len(code) != 3 || !isDigits(code) || code[0] == '0' {
+		return 0, 0, errSyntax("the status is not a number from 100 to 999")
+	}
+	if !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return 0, 0, errSyntax("the reason phrase has control characters")
+	}
+	status, err = strconv.Atoi(string(code))
+	return int(digit[0] - '0'), status, err
+}
+
+func isDigits(text []byte) bool {
+	return len(text) > 0 && !bytes.ContainsFunc(text, func(r rune) bool { return r < '0' || r > '9' })
+}
+
+// readLine reads a line and returns it without its end.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadBytes('\n')
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")), nil
+}
+
+// readFields reads the fields of a head or a trailer, to the empty line behind them.
+func readFields(r *bufio.Reader) (http.Header, error) {
+	h, last := http.Header{}, ""
+	for {
+		line, err := readLine(r)
+		if err != nil || len(line) == 0 {
+			return h, err
+		}
+		folded := line[0] == ' ' || line[0] == '\t'
+		name, value, found := strings.Cut(string(line), ":")
+		if folded {
+			name, value = last, string(line)
+		}
+		switch {
+		case !folded && !found, !httpguts.ValidHeaderFieldName(name):
+			return nil, errSyntax("the name of a field is missing or has invalid characters")
+		case !httpguts.ValidHeaderFieldValue(value):
+			return nil, errSyntax("the value of a field has control characters")
+		}
+		if value = strings.Trim(value, " \t"); folded {
+			// A line that continues a value is replaced by a space.
+			values := h[name]
+			values[len(values)-1] = strings.TrimLeft(values[len(values)-1]+" "+value, " ")
+			continue
+		}
+		last = textproto.CanonicalMIMEHeaderKey(name)
+		h[last] = append(h[last], value)
+	}
+}
+
+// frame determines where the body of an answer ends.
+func (c *persistentConn) frame(method string, minor, status int, h http.Header) (*response, error) {
+	out := &response{status: status, header: h, length: -1, body: c.read, close: !keepsOpen(minor, h)}
+	codings, lengths := h["Transfer-Encoding"], h["Content-Length"]
+	switch {
+	case len(codings) > 0 && (len(lengths) > 0 || minor == 0 || len(codings) > 1 || !strings.EqualFold(codings[0], "chunked")):
+		return nil, errSyntax("the transfer coding is unknown or contradicts the length or the version")
+	case len(lengths) > 0:
+		n, ok := parseLength(lengths)
+		if !ok {
+			return nil, errSyntax("the length is not a number, or there are several")
+		}
+		out.length = n
+	}
+	switch {
+	case method == http.MethodHead, status == http.StatusNoContent, status == http.StatusNotModified:
+		out.length, out.body, out.selfDelimited = 0, http.NoBody, true
+	case len(codings) > 0:
+		out.body, out.selfDelimited = newChunkedBody(c), true
+	case out.length >= 0:
+		out.body, out.selfDelimited = &fixedBody{c.read, out.length}, true
+	}
+	return out, nil
+}
+
+// keepsOpen reports whether a connection carries further answers by the head of one.
+func keepsOpen(minor int, h http.Header) bool {
+	return !httpguts.HeaderValuesContainsToken(h["Connection"], "close") && (minor > 0 || httpguts.HeaderValuesContainsToken(h["Connection"], "keep-alive"))
+}
+
+// parseLength returns the length that the values of Content-Length name. It may be repeated.
+func parseLength(values []string) (n int64, ok bool) {
+	all := strings.Split(strings.Join(values, ","), ",")
+	for i := range all {
+		all[i] = strings.Trim(all[i], " \t")
+	}
+	if !isDigits([]byte(all[0])) || slices.ContainsFunc(all, func(other string) bool { return other != all[0] }) {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(all[0], 10, 64)
+	return n, err == nil
+}
--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -345,7 +345,7 @@
 	// however that ends.
 	SelfDelimited bool
 
-	body    io.ReadCloser
+	body    io.Reader
 	pool    *Pool
 	addr    string
 	conn    *persistentConn
@@ -362,19 +362,18 @@
 // daemon may have carried requests of that daemon, so it never counts as unused.
 func (r *Reply) head(x Request, unused bool) error {
 	for range maxSurplusAnswers + 1 {
-		resp, err := r.conn.readHead(x.Method) //nolint:bodyclose // The Reply owns the body.
+		resp, err := r.conn.readHead(x.Method)
 		if err != nil {
 			return &Error{Op: opExchange, Kind: Interrupted, Err: merry.Wrap(err)}
 		}
-		if x.Surplus == nil || !x.Surplus(resp.StatusCode, resp.Header, unused) {
-			r.Status, r.Header, r.Length, r.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
-			r.conn.keepAlive = keepAliveTimeout(resp.Header)
-			r.SelfDelimited = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-			r.reusable = !resp.Close && r.SelfDelimited
+		if x.Surplus == nil || !x.Surplus(resp.status, resp.header, unused) {
+			r.Status, r.Header, r.Length, r.body, r.SelfDelimited = resp.status, resp.header, resp.length, resp.body, resp.selfDelimited
+			r.conn.keepAlive = keepAliveTimeout(resp.header)
+			r.reusable = !resp.close && resp.selfDelimited
 			return nil
 		}
 		r.pool.Surplus.Add(1)
-		if err := discard(resp); err != nil || resp.Close {
+		if err := discard(resp); err != nil || resp.close {
 			return &Error{Op: opExchange, Kind: Mismatched, Err: fmt.Errorf("an answer to another request came: %w", merry.Prepend(err, "discard"))}
 		}
 	}
