--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -13,12 +13,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"ladderridge.example/core/notice"
+	"ladderridge.example/daemon/tcpconn"
 )
 
 // readBuffer is the size of a connection's read buffer, in bytes: the events of
@@ -28,7 +28,9 @@
 // persistentConn is a connection to a server. One goroutine at a time uses it.
 type persistentConn struct {
 	conn net.Conn
-	read *bufio.Reader
+	// bytes is conn for reading and writing.
+	bytes *tcpconn.Conn
+	read  *bufio.Reader
 	// headLeft is how many bytes may be received until the head of the next
 	// answer is complete, or noLimit.
 	headLeft int
@@ -37,11 +39,8 @@
 	readErr error
 	// openedAt is when the connection was established, or zero if unknown.
 	openedAt time.Time
-	// written counts the bytes sent to the server. writing is held during a write, writeErr is the first
-	// error of one.
-	written  atomic.Int64
-	writing  sync.Mutex
-	writeErr error
+	// written counts the bytes sent to the server.
+	written atomic.Int64
 	// idleSince is when the last answer ended. keepAlive is how long the server
 	// keeps an idle connection from then on, or 0 if it does not say.
 	idleSince time.Time
@@ -56,7 +55,7 @@
 }
 
 func newPersistentConn(conn net.Conn) *persistentConn {
-	c := &persistentConn{conn: conn, headLeft: noLimit, openedAt: time.Now(), userTimeout: userTimeout}
+	c := &persistentConn{conn: conn, bytes: tcpconn.New(conn), headLeft: noLimit, openedAt: time.Now(), userTimeout: userTimeout}
 	c.read = bufio.NewReaderSize(connReader{c}, readBuffer)
 	return c
 }
@@ -86,7 +85,7 @@
 		p = p[:min(len(p), c.headLeft)]
 	}
 	var n int
-	n, c.readErr = c.receive(p)
+	n, c.readErr = c.bytes.Read(p)
 	if c.headLeft != noLimit {
 		c.headLeft -= n
 	}
@@ -101,6 +100,13 @@
 	return Interrupted
 }
 
+// Write counts the bytes that it writes; it implements io.Writer.
+func (c *persistentConn) Write(p []byte) (int, error) {
+	n, err := c.bytes.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
 func (c *persistentConn) close() { _ = c.conn.Close() }
 
 // reusable reports whether the connection may carry another request: it has not
--- a/daemon/channel/head_test.go
+++ b/daemon/channel/head_test.go
@@ -36,8 +36,12 @@
 // the next answer behind it, a name with a blank with the line as it stood or with another body.
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
 	status := func(line string) string { return line + "\r\nId: r\r\nContent-Length: 4\r\n\r\nbody" }
-	field := func(line string) string { return "HTTP/1.1 200 OK\r\nId: r\r\n" + line + "Content-Length: 4\r\n\r\nbody" }
-	framed := func(fields string) string { return "HTTP/1.1 200 OK\r\nId: r\r\n" + fields + "\r\n4\r\nbody\r\n0\r\n\r\n" }
+	field := func(line string) string {
+		return "HTTP/1.1 200 OK\r\nId: r\r\n" + line + "Content-Length: 4\r\n\r\nbody"
+	}
+	framed := func(fields string) string {
+		return "HTTP/1.1 200 OK\r\nId: r\r\n" + fields + "\r\n4\r\nbody\r\n0\r\n\r\n"
+	}
 	for name, text := range map[string]string{
 		"status 000":                             "HTTP/1.1 000 X\r\nId: r\r\n\r\n" + whole,
 		"status 000 with a length":               status("HTTP/1.1 000 X"),
--- a/daemon/channel/end.go
+++ b/daemon/tcpconn/tcpconn.go
@@ -1,32 +1,56 @@
-package channel
+// Package tcpconn tells the regular end of a TCP connection from a reset. The system reports a reset once, to
+// a read or to a write: if a goroutine that writes has received it, the next read says end of file.
+package tcpconn
 
 import (
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// tcpClosed is the state TCP_CLOSE of Linux: the connection was reset or timed out. After the regular end of
+// Conn is a connection of which io.EOF means that the other side has ended it in the regular way. Without a
+// TCP socket of its own it is that of the connection within.
+type Conn struct {
+	net.Conn
+	// writing is held during a write, writeErr is the first error of one.
+	writing  sync.Mutex
+	writeErr error
+}
+
+// New returns a connection over another one, which must not be read from or written to directly.
+func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// stateClosed is the state TCP_CLOSE of Linux: the connection was reset or timed out. After the regular end of
 // the other side alone it is another one.
-const tcpClosed = 7
+const stateClosed = 7
 
-// receive reads from the connection. io.EOF means that the server has ended the connection in the regular
-// way, which for an answer without a length means that it is complete.
-func (c *persistentConn) receive(p []byte) (int, error) {
-	n, err := c.conn.Read(p)
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
 	if err == io.EOF { //nolint:errorlint // net.Conn returns io.EOF itself.
-		err = c.endOfFile()
+		err = c.end()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
 	}
 	return n, err
 }
 
-// endOfFile returns io.EOF, or the error with which the connection broke. The system reports a reset once: if
-// a write has received it, the next read says end of file.
-func (c *persistentConn) endOfFile() error {
-	sys, ok := c.conn.(syscall.Conn)
+// end returns io.EOF, or the error with which the connection broke.
+func (c *Conn) end() error {
+	sys, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return io.EOF
 	}
@@ -34,7 +58,7 @@
 	switch {
 	case err != nil:
 		return err
-	case state != tcpClosed, pending == unix.EPIPE:
+	case state != stateClosed, pending == unix.EPIPE:
 		// EPIPE is pending after a reset that came behind the regular end.
 		return io.EOF
 	}
@@ -68,23 +92,3 @@
 	})
 	return state, pending, errors.Join(err, failed)
 }
-
-// Write implements io.Writer. It counts the bytes and records the first error.
-func (c *persistentConn) Write(p []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	n, err := c.conn.Write(p)
-	c.written.Add(int64(n))
-	if c.writeErr == nil {
-		c.writeErr = err
-	}
-	return n, err
-}
-
-// Read implements net.Conn.
-func (c *ServerConn) Read(p []byte) (int, error) { return c.conn.receive(p) }
-
-// Write implements net.Conn.
-func (c *ServerConn) Write(p []byte) (int, error) { return c.conn.Write(p) }
-
-var _ net.Conn = (*ServerConn)(nil)
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -83,7 +83,7 @@
 	}
 	b.keepID, b.startedAt = false, time.Now().UnixMilli()
 	start := b.starts
-	r := &standin.Runner{ID: b.id, Slots: slots, Work: processingTime, OnFall: func() { b.fall(start) }}
+	r := &standin.Runner{ID: b.id, Slots: slots, Work: processingTime, ResetLong: resetOneIn, OnFall: func() { b.fall(start) }}
 	if b.cluster.brittle {
 		r.Slots, r.Queue = brittleSlots, slots-brittleSlots
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,6 +70,8 @@
 	FailedContinuations bool
 	// EndlessAnswers has some servers send bytes without end in place of answers.
 	EndlessAnswers bool
+	// Uploads has a caller send long requests, of which servers answer some early and reset them.
+	Uploads bool
 	// SlowVersions has the bad versions that are rolled out answer every second request several times
 	// slower, in place of failing all.
 	SlowVersions bool
@@ -120,7 +122,12 @@
 	if o.BrittleServers {
 		brittler.start(ctx)
 	}
+	uploader := newUploader(s, o.Seed)
+	if o.Uploads {
+		uploader.start(ctx)
+	}
 	s.play(ctx, o, plan)
+	uploader.stop()
 	cutter.stop()
 	brittler.stop()
 	announcer.stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// TestShortRunWithUploads has servers answer long requests early and reset their connections.
+func TestShortRunWithUploads(t *testing.T) {
+	report := run(t, soak.Options{Seed: 10, Daemons: 3, Faults: -1, Length: 4 * time.Second, Uploads: true})
+	if len(report.Findings) > 0 {
+		t.Error(report)
+	}
+}
+
 // TestShortRunWithASlowVersion has an operator bring in a version of which many answers are several times
 // slower.
 func TestShortRunWithASlowVersion(t *testing.T) {
@@ -227,7 +235,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			o := soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag, BrittleServers: extras && *brittleFlag, FailedContinuations: extras && seed%3 == 0, EndlessAnswers: extras && seed%4 == 1, SlowVersions: seed%2 == 0}
+			o := soak.Options{Seed: seed, Daemons: *daemonsFlag, Length: length, Bounds: true, CrashingRequest: extras, CorruptEntries: extras, Announcements: extras, StoreRestores: extras, ServerCuts: extras && *cutsFlag, BrittleServers: extras && *brittleFlag, FailedContinuations: extras && seed%3 == 0, EndlessAnswers: extras && seed%4 == 1, Uploads: extras && seed%5 == 2, SlowVersions: seed%2 == 0}
 			if *skewFlag {
 				o = skewOptions(seed, *daemonsFlag, 2*length)
 			}
--- a/soak/tcpproxy.go
+++ b/soak/tcpproxy.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"ladderridge.example/daemon/tcpconn"
 )
 
 // Direction is a direction of traffic through a proxy.
@@ -168,9 +170,10 @@
 		return
 	}
 	defer l.remove(from, to)
+	caller, server := tcpconn.New(from), tcpconn.New(to)
 	var both sync.WaitGroup
-	both.Go(func() { l.copy(to, from, ToServer) })
-	both.Go(func() { l.copy(from, to, ToClient) })
+	both.Go(func() { l.copy(server, caller, ToServer) })
+	both.Go(func() { l.copy(caller, server, ToClient) })
 	both.Wait()
 }
 
@@ -199,25 +202,25 @@
 const bufferSize = 16 << 10
 
 // copy forwards one direction. It propagates an end of stream as such, and a reset as a reset.
-func (l *TCPProxy) copy(to, from net.Conn, d Direction) {
+func (l *TCPProxy) copy(to, from *tcpconn.Conn, d Direction) {
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buf)
 		l.waitToForward(d)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
-				abort(from)
+				abort(from.Conn)
 				return
 			}
 		}
 		if err == nil {
 			continue
 		}
-		if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF { //nolint:errorlint // Read returns io.EOF itself.
+		if tcp, ok := to.Conn.(*net.TCPConn); ok && err == io.EOF { //nolint:errorlint // Read returns io.EOF itself.
 			_ = tcp.CloseWrite()
 			return
 		}
-		abort(to)
+		abort(to.Conn)
 		return
 	}
 }
