Lint: a change without a key is read again by fetch; shorter functions

A change without a key now gives the read of all rows as the answer of the same call, so that follow has one branch less.

--- a/daemon/storesync/follow.go
+++ b/daemon/storesync/follow.go
@@ -205,18 +205,10 @@
 			hold = nextHold
 			continue
 		}
-		if err == nil && !full && page.hasUnknownKey() {
-			// Any row may have changed. Only a read of all rows tells.
-			known = false
-			continue
-		}
 		sy.deliver(ctx, storeAnswer{topic: f.topic, page: page, full: full, at: at, suspendedTotal: suspended, err: err})
 		if err != nil {
-			if known && needsFullRead(err) {
-				// The store has answered.
-				known, pause = false, minBackoff
-			}
-			pause = sy.backOff(ctx, pause, random)
+			known = known && !needsFullRead(err)
+			pause = sy.backOff(ctx, pause, random, err)
 			// The next call returns at once: its answer shows that the store is available
 			// again.
 			hold = unheld
@@ -236,9 +228,13 @@
 // needsFullRead reports whether an error means that all rows must be read again.
 func needsFullRead(err error) bool { return isKind(err, HistoryLost) || isKind(err, EraChanged) }
 
-// backOff waits after a failed call and returns the next pause.
-func (sy *Syncer) backOff(ctx context.Context, pause time.Duration, random *rand.Rand) time.Duration {
+// backOff waits after a call that failed with an error and returns the next pause.
+func (sy *Syncer) backOff(ctx context.Context, pause time.Duration, random *rand.Rand, err error) time.Duration {
 	ceiling := maxBackoff
+	if needsFullRead(err) {
+		// The store has answered.
+		pause = minBackoff
+	}
 	if sy.passive.Load() {
 		pause, ceiling = max(pause, minPassiveBackoff), maxPassiveBackoff
 	}
@@ -262,8 +258,12 @@
 		}
 		return page, true, err
 	}
-	ctx, cancel := f.begin(ctx, hold, callTimeout)
+	callCtx, cancel := f.begin(ctx, hold, callTimeout)
 	defer cancel()
-	page, err := sy.Store.Follow(ctx, f.topic, after, hold)
+	page, err := sy.Store.Follow(callCtx, f.topic, after, hold)
+	if err == nil && page.hasUnknownKey() {
+		// Any row may have changed. Only a read of all rows tells.
+		return sy.fetch(ctx, f, false, after, 0)
+	}
 	return page, false, err
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -99,39 +99,19 @@
 	}
 	callers := newCallers(s, o)
 	callers.start(ctx)
-	crasher, corrupter, announcer, limiter := newCrasher(s, o.Seed), newCorrupter(s, o.Seed), newAnnouncer(s, o.Seed), newLimiter(s, o.Seed)
+	crasher, corrupter, restorer := newCrasher(s, o.Seed), newCorrupter(s, o.Seed), newRestorer(s, o.Seed)
 	if o.CrashingRequest {
 		crasher.start(ctx)
 	}
 	if o.CorruptEntries {
 		corrupter.start(ctx)
 	}
-	if o.Announcements {
-		announcer.start(ctx)
-		limiter.start(ctx)
-	}
-	restorer := newRestorer(s, o.Seed)
 	if o.StoreRestores {
 		restorer.start(ctx)
 	}
-	cutter := newCutter(s, o.Seed)
-	if o.ServerCuts {
-		cutter.start(ctx)
-	}
-	brittler := newBrittler(s, o.Seed)
-	if o.BrittleServers {
-		brittler.start(ctx)
-	}
-	uploader := newUploader(s, o.Seed)
-	if o.Uploads {
-		uploader.start(ctx)
-	}
+	stop := s.startExtras(ctx, o)
 	s.play(ctx, o, plan)
-	uploader.stop()
-	cutter.stop()
-	brittler.stop()
-	announcer.stop()
-	limiter.stop()
+	stop()
 	restorer.stop()
 	recoverErr := s.awaitReady(ctx, readyTimeout)
 	s.recorder.settled(time.Now())
@@ -150,3 +130,28 @@
 	}
 	return s.recorder.report(o, plan), nil
 }
+
+// startExtras starts the faults beside the plan that end with it, and returns a function that stops them.
+func (s *cluster) startExtras(ctx context.Context, o Options) (stop func()) {
+	announcer, limiter, cutter, brittler, uploader := newAnnouncer(s, o.Seed), newLimiter(s, o.Seed), newCutter(s, o.Seed), newBrittler(s, o.Seed), newUploader(s, o.Seed)
+	if o.Announcements {
+		announcer.start(ctx)
+		limiter.start(ctx)
+	}
+	if o.ServerCuts {
+		cutter.start(ctx)
+	}
+	if o.BrittleServers {
+		brittler.start(ctx)
+	}
+	if o.Uploads {
+		uploader.start(ctx)
+	}
+	return func() {
+		uploader.stop()
+		cutter.stop()
+		brittler.stop()
+		announcer.stop()
+		limiter.stop()
+	}
+}
