proxy, gateway: requests that outlast a planned stop are answered

Here it could happen to requests that were taken in the first part of the grace, while the balancer still sends them, and that outlast it; later ones are refused if their deadline is after the end.

Cause: at the end Shutdown gave up waiting and the process ended with its connections. A closed connection does not tell whether a request may have run.

Change: half a second before the end of the grace the engine gives up the requests in flight: they get 502 if they may have run and 503 otherwise, a stream that has begun is broken off as before. The connections have 250 ms more for that.

--- a/daemon/gateway/stop.go
+++ b/daemon/gateway/stop.go
@@ -21,8 +21,10 @@
 	notReadyPeriod = 2500 * time.Millisecond
 	// pollInterval is the time between two checks whether all accepted requests have ended.
 	pollInterval = 50 * time.Millisecond
-	// closeMargin is how long before the end of the grace period requests are aborted.
-	closeMargin = 500 * time.Millisecond
+	// closeMargin is how long before the end of the grace period requests are given up, answerMargin the
+	// time to write to their callers that they are.
+	closeMargin  = 500 * time.Millisecond
+	answerMargin = closeMargin / 2
 )
 
 // stop shuts the daemon down without aborting requests: it reports not ready, takes
@@ -41,7 +43,11 @@
 	for g.engine.InFlight.Load()+g.relayServer.Serving() > 0 && time.Until(end) > pollInterval {
 		time.Sleep(pollInterval)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	if open := g.engine.InFlight.Load(); open > 0 {
+		g.log.Warn().Int64("open", open).Msg("gateway: shutting down: requests exceed the grace period and are given up")
+		g.engine.GiveUp()
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(answerMargin))
 	defer cancel()
 	if err := g.callers.http.Shutdown(ctx); err != nil {
 		g.log.Warn().Err(err).Int64("open", g.engine.InFlight.Load()).Msg("gateway: shutting down: requests exceeded the grace period")
--- a/daemon/proxy/engine.go
+++ b/daemon/proxy/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -93,8 +94,11 @@
 	// buffered is the size of the buffered responses in bytes.
 	buffered atomic.Int64
 
-	// shutdownBy is the time by which this daemon stops, nil if it is not stopping.
+	// shutdownBy is the time by which this daemon stops, nil if it is not stopping. stopped is done once
+	// requests in flight are to be given up.
 	shutdownBy atomic.Pointer[time.Time]
+	stopped    context.Context
+	giveUpAll  context.CancelFunc
 
 	// maxKeyAge is the maximum age of the configuration at which keys are accepted, or refused
 	// as unknown; maxKeyAgeOffline is the maximum age at which known keys are accepted.
@@ -127,9 +131,17 @@
 // requests with a deadline no later than that.
 func (e *Engine) ShutdownBy(at time.Time) { e.shutdownBy.Store(&at) }
 
+// GiveUp ends the requests in flight: this daemon ends in a moment. Their callers learn whether they may have
+// run, which a connection that is closed does not tell.
+func (e *Engine) GiveUp() {
+	e.ShutdownBy(time.Now())
+	e.giveUpAll()
+}
+
 // New returns an engine without state.
 func New() *Engine {
-	return &Engine{latencies: newKeyed[latency.Estimate](), references: newKeyed[latency.Reference](), comparison: newComparison(), runTimes: newKeyed[estimate.Model](), runs: quarantine.NewTracker()}
+	stopped, giveUpAll := context.WithCancel(context.Background())
+	return &Engine{stopped: stopped, giveUpAll: giveUpAll, latencies: newKeyed[latency.Estimate](), references: newKeyed[latency.Reference](), comparison: newComparison(), runTimes: newKeyed[estimate.Model](), runs: quarantine.NewTracker()}
 }
 
 // Report is the outcome of a request and its reasons, for logs and metrics.
@@ -265,11 +277,8 @@
 	if out := j.admitRequest(now); out != nil {
 		return out
 	}
-	if !j.deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, j.deadline)
-		defer cancel()
-	}
+	ctx, cancel := j.withEnd(ctx)
+	defer cancel()
 	release, out := j.awaitPermit(ctx, now)
 	if out != nil {
 		return out
@@ -282,6 +291,27 @@
 	return out
 }
 
+// withEnd returns a context that is done at the deadline, or when the daemon gives up its requests.
+func (j *job) withEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(j.engine.stopped, func() { cancel(errStopped) })
+	end := func() {
+		unregister()
+		cancel(nil)
+	}
+	if j.deadline.IsZero() {
+		return ctx, end
+	}
+	ctx, cancelDeadline := context.WithDeadline(ctx, j.deadline)
+	return ctx, func() {
+		cancelDeadline()
+		end()
+	}
+}
+
+// errStopped ends the requests in flight at a daemon that stops.
+var errStopped = errors.New("daemon stops")
+
 // awaitStart waits a moment for the first configuration of a daemon that has just started, or
 // for the configuration to be confirmed after a suspension of the VM. The store is read at once
 // in both cases, and a refusal would cost the caller more.
--- a/daemon/proxy/engine_test.go
+++ b/daemon/proxy/engine_test.go
@@ -1006,3 +1006,35 @@
 		}
 	})
 }
+
+// Requests that were in flight at the end of the grace period were cut with a closed connection, which does
+// not tell whether they may have run.
+func TestRequestsInFlightAtTheEndOfAStopAreAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		script script
+		want   proxy.Outcome
+	}{
+		"no answer":       {"/once/x", silent, proxy.Failure{Reason: proxy.ShuttingDown}},
+		"repeatable":      {"/again/x", silent, proxy.Failure{Reason: proxy.ShuttingDown}},
+		"stream":          {"/stream/x", silent, proxy.Failure{Reason: proxy.ShuttingDown}},
+		"part of a body":  {"/once/x", raw("200 X", "Proof: p\r\nContent-Length: 9\r\n\r\npart", true), proxy.Failure{Reason: proxy.ShuttingDown}},
+		"complete before": {"/once/x", whole(200, "ok"), proxy.Answered{Status: 200}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newFixture(t)
+				b.known.set(resumable(), b.server("a", c.script))
+				time.AfterFunc(100*time.Millisecond, b.engine.GiveUp)
+				got := b.send(t.Context(), proxy.Request{ID: "r", Path: c.path, Key: "k", Timeout: 9 * time.Second})
+				if got.outcome != c.want || got.took > 100*time.Millisecond {
+					t.Errorf("outcome %#v after %v", got.outcome, got.took)
+				}
+				time.Sleep(200 * time.Millisecond)
+				if out, ok := b.send(t.Context(), proxy.Request{ID: "s", Path: c.path, Key: "k", Timeout: time.Second}).outcome.(proxy.Refused); !ok || out.Reason != proxy.ShuttingDown {
+					t.Errorf("a request afterwards: %#v", out)
+				}
+			})
+		})
+	}
+}
--- a/daemon/proxy/pools.go
+++ b/daemon/proxy/pools.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,8 @@
 		return release, nil
 	case fault.Is(err, permits.NoSlot):
 		return nil, Refused{Reason: NoSlot, RetryAfter: permits.RetryAfterOf(err)}
+	case errors.Is(context.Cause(ctx), errStopped):
+		return nil, Refused{Reason: ShuttingDown, RetryAfter: shutdownRetry}
 	default:
 		return nil, Refused{Reason: DeadlineExceeded}
 	}
--- a/daemon/proxy/run.go
+++ b/daemon/proxy/run.go
@@ -92,8 +92,11 @@
 // giveUp ends a request without another attempt: with a server's last error response, if there
 // is one, and otherwise with a refusal or failure.
 func (j *job) giveUp(ctx context.Context, w unsent, reason Reason) Outcome {
-	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		reason = DeadlineExceeded
+	case errors.Is(cause, errStopped):
+		reason = ShuttingDown
 	}
 	if j.failedResponse != nil {
 		return w.complete(j.failedResponse)
@@ -131,6 +134,8 @@
 		return retry.SuggestedDelay(j.expectedLatency(time.Now()))
 	case DeadlineExceeded:
 		return 0
+	case ShuttingDown:
+		return shutdownRetry
 	case Quarantined:
 		left, _ := j.quarantined(time.Now())
 		return left
