platform client: a malformed VM or rating hides no other

One VM that could not be decoded left a daemon that starts without any, and one rating stopped the reading of all later ones, since the next call asks for the same page.

Change: both lists are decoded element by element; elements that cannot be decoded are left out and counted.

Evidence: TestMalformedElementHidesNoOther, eight forms; on the commit before both lists gave an error for each of them.

--- a/daemon/platform/client.go
+++ b/daemon/platform/client.go
@@ -33,6 +33,8 @@
 	// checked against the budget for control traffic.
 	Calls atomic.Int64
 	Bytes atomic.Int64
+	// Malformed counts elements of lists that could not be decoded.
+	Malformed atomic.Int64
 }
 
 // Get reads one key of the table service.
@@ -119,7 +121,7 @@
 	if err != nil {
 		return &Error{Op: op, Kind: lostKind(method), Err: merry.Wrap(err)}
 	}
-	return decode(op, method, resp, data, answer)
+	return c.decode(op, method, resp, data, answer)
 }
 
 func (c *Client) client() *http.Client {
@@ -130,7 +132,7 @@
 }
 
 // decode turns a response of the platform into a value or a typed error.
-func decode(op, method string, resp *http.Response, data []byte, answer any) error {
+func (c *Client) decode(op, method string, resp *http.Response, data []byte, answer any) error {
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusCreated:
 	case http.StatusNotModified, http.StatusNoContent:
@@ -158,6 +160,13 @@
 	case *rawResponse:
 		*a = data
 		return nil
+	case list:
+		left, err := a.decode(data)
+		c.Malformed.Add(int64(left))
+		if err != nil {
+			return &Error{Op: op, Kind: lostKind(method), Err: merry.Wrap(err)}
+		}
+		return nil
 	default:
 		if err := json.Unmarshal(data, a); err != nil {
 			return &Error{Op: op, Kind: lostKind(method), Err: merry.Wrap(err)}
