storesync: entries expire only while the store answers nobody

Cause: entries of running servers expire while the store is away, and such servers are kept for two seconds after its return. That the store was away was judged by the daemon's own calls: a hall that was cut off from a store that served all others took a server that had left for an expired one.

Change: entries may have expired only if the store has answered nobody, as far as other daemons vouch for it, for two intervals of the servers' reports: three reports are missing, and the first was due at once. The interval is a setting, servers.report_interval, which the platform fills in.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -142,6 +142,7 @@
 	}}
 	g.syncer.Store, g.syncer.Decoder, g.syncer.Peers, g.syncer.Log = g.Platform.Store, g.Platform.Decoder, sender{g.peers}, g.log
 	g.syncer.InForceWithin, g.syncer.SessionPause, g.syncer.FirstStart = s.InForceWithin, s.SessionPause, s.FirstStart
+	g.syncer.ReportInterval = s.ReportInterval
 	g.syncer.Self = storesync.Member{ID: s.ID, Hall: s.Hall, Addr: s.PeerAddr(), Public: keys.Public(), Start: g.Start, Capacity: s.Capacity()}
 	g.reporter = newReporter(g.log)
 	g.channels = channel.NewPool()
--- a/daemon/settings/gateway.go
+++ b/daemon/settings/gateway.go
@@ -40,6 +40,8 @@
 
 	// InForceWithin is the time within which a changed configuration must take effect.
 	InForceWithin time.Duration
+	// ReportInterval is the time between two reports of a server to the store.
+	ReportInterval time.Duration
 
 	// SessionPause is how long a session must be idle before it may move to a
 	// version in roll-out.
@@ -150,6 +152,7 @@
 	{"keys", "usable_for", "5000ms", false, func(s *Gateway, v string) error { return setDuration(&s.KeyAge, v, true) }},
 	{"keys", "usable_when_cut", "0s", false, func(s *Gateway, v string) error { return setDuration(&s.OutageKeyAge, v, false) }},
 	{"config", "in_force_within", "2000ms", false, func(s *Gateway, v string) error { return setDuration(&s.InForceWithin, v, true) }},
+	{"servers", "report_interval", "1s", false, func(s *Gateway, v string) error { return setDuration(&s.ReportInterval, v, true) }},
 	{"sessions", "pause", "5s", false, func(s *Gateway, v string) error { return setDuration(&s.SessionPause, v, true) }},
 	{"repeats", "ratio", "0.5", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatRatio, v) }},
 	{"repeats", "slack", "20", false, func(s *Gateway, v string) error { return setRatio(&s.RepeatSlack, v) }},
@@ -224,7 +227,9 @@
 type Static struct {
 	ID, Hall, Callers, Readiness, Admin, Peers, PeersReachedAt, StoreURL, LogLevel string
 
-	InForceWithin time.Duration
+	InForceWithin  time.Duration
+	ReportInterval time.Duration
+
 	SessionPause  time.Duration
 	Capacity      int
 	ExposureShare float64
@@ -247,7 +252,7 @@
 func StaticOf(s *Gateway) Static {
 	return Static{
 		ID: s.ID, Hall: s.Hall, Callers: s.Callers, Readiness: s.Readiness, Admin: s.Admin, Peers: s.Peers, PeersReachedAt: s.PeersReachedAt, StoreURL: s.StoreURL, LogLevel: s.LogLevel,
-		InForceWithin: s.InForceWithin, SessionPause: s.SessionPause, Capacity: s.Capacity(),
+		InForceWithin: s.InForceWithin, ReportInterval: s.ReportInterval, SessionPause: s.SessionPause, Capacity: s.Capacity(),
 		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack,
 		Regions: s.Regions, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, RequestBodies: s.RequestBodyBytes(), FewSlots: s.FewSlots,
 		DutiesURL: s.DutiesURL, Duties: s.Duties, DutyLease: s.DutyLease, DutyRate: s.DutyRate, UsageWindow: s.UsageWindow, UsageDeadline: s.UsageDeadline,
--- a/daemon/storesync/lapsed_test.go
+++ b/daemon/storesync/lapsed_test.go
@@ -37,3 +37,29 @@
 		})
 	}
 }
+
+// After a hall had been cut off from a store that served all others, it used a server that had been removed
+// at the end of the cut for two seconds more.
+func TestServerRemovedWhileTheStoreServedOthersIsDroppedAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCluster(t)
+		s.writeConfig(1, "k")
+		s.store.set(gossip.Servers, "x", "v1")
+		s.store.set(gossip.Servers, "y", "v1")
+		s.startDaemonIn("a", "h1")
+		b := s.startDaemonIn("b", "h2")
+		advance(5 * time.Second)
+		s.links["b"].fail(errDown)
+		advance(6 * time.Second)
+		s.network.dropOutgoing("a")
+		advance(100 * time.Millisecond)
+		s.store.set(gossip.Servers, "x", "")
+		advance(500 * time.Millisecond)
+		s.links["b"].fail(nil)
+		// The next call comes within a second.
+		advance(1500 * time.Millisecond)
+		if diff := cmp.Diff([]string{"y"}, serverIDs(b)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/daemon/storesync/peers.go
+++ b/daemon/storesync/peers.go
@@ -109,7 +109,7 @@
 	}
 	now := time.Now()
 	for _, t := range sy.topics {
-		t.endOutage(now)
+		t.endOutage(sy.entriesMayHaveExpired(now), now)
 	}
 }
 
@@ -307,6 +307,9 @@
 // applyUpdate merges the state of a topic at another daemon.
 func (sy *Syncer) applyUpdate(from string, update gossip.Update, confirmed, now time.Time) {
 	t := sy.topics[update.Topic]
+	if update.Topic == gossip.Operator {
+		sy.servedOthersAt = latest(sy.servedOthersAt, confirmed)
+	}
 	if recoveredAt := now.Add(-time.Duration(update.ReturnedMS) * time.Millisecond); update.ReturnedMS > 0 && recoveredAt.After(t.recoveredAt) {
 		t.recoveredAt = recoveredAt
 	}
--- a/daemon/storesync/syncer.go
+++ b/daemon/storesync/syncer.go
@@ -6,6 +6,7 @@
 package storesync
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -39,6 +40,12 @@
 	// takes three reports that the store does not accept; the first failure of a read is known up to
 	// pollWait and callTimeout after the store became unavailable.
 	minOutage = time.Second
+	// expiryReports is the least time from the last answer of the store to anybody until entries of running
+	// servers may have expired, in intervals of their reports: three are missing, and the first was due at
+	// once.
+	expiryReports = 2
+	// defaultReportInterval replaces ReportInterval if the settings do not set it.
+	defaultReportInterval = time.Second
 	// eventBacklog bounds the event queue of the syncer.
 	eventBacklog = 4096
 )
@@ -63,6 +70,8 @@
 	// InForceWithin is the time in which a configuration must be in force everywhere. 0 means
 	// two seconds.
 	InForceWithin time.Duration
+	// ReportInterval is the time between two reports of a server to the store. 0 means one second.
+	ReportInterval time.Duration
 	// SessionPause is how long a session must be idle before it may move to a version in
 	// roll-out. 0 means five seconds.
 	SessionPause time.Duration
@@ -244,6 +253,8 @@
 	planned *plannedEnds
 	// reportedExits has when the exits of servers were last reported, by the hash of the server.
 	reportedExits map[uint64]time.Time
+	// servedOthersAt is the latest time at which the store is known to have answered another daemon.
+	servedOthersAt time.Time
 	// malformedSums has the checksums of rows that could not be decoded, so that each is logged once.
 	malformedSums map[malformedRow]uint64
 	// selfMalformed is set if the entry of this daemon cannot be decoded.
@@ -428,7 +439,7 @@
 	if !t.unavailableSince.IsZero() {
 		sy.Recoveries.Add(1)
 		sy.Log.Info().Str("topic", string(e.topic)).Dur("away", now.Sub(t.unavailableSince)).Stringer("version", e.page.Version).Msg("storesync: store available again")
-		t.endOutage(now)
+		t.endOutage(sy.entriesMayHaveExpired(now), now)
 	}
 	sy.recordStoreVersion(e.topic, e.page.Version, now)
 	t.served, t.lostAtPeer = true, 0
@@ -529,7 +540,7 @@
 func (sy *Syncer) recordLapsed(gone []string, now time.Time) {
 	t := sy.topics[gossip.Servers]
 	until := t.recoveredAt.Add(relistTimeout)
-	if t.longUnavailable(now) {
+	if t.longUnavailable(now) && sy.entriesMayHaveExpired(now) {
 		until = now.Add(relistTimeout)
 	}
 	for _, id := range gone {
@@ -539,6 +550,13 @@
 	}
 }
 
+// entriesMayHaveExpired reports whether the store has answered no other daemon for so long that entries of
+// running servers may have expired.
+func (sy *Syncer) entriesMayHaveExpired(now time.Time) bool {
+	interval := cmp.Or(sy.ReportInterval, defaultReportInterval)
+	return now.Sub(sy.servedOthersAt) >= expiryReports*interval
+}
+
 // publishView publishes a view of the current state.
 func (sy *Syncer) publishView() {
 	v := *sy.view.Load()
--- a/daemon/storesync/topic.go
+++ b/daemon/storesync/topic.go
@@ -17,7 +17,7 @@
 	confirmed time.Time
 	known     bool
 	// unavailableSince is since when the reads of this daemon fail, or zero. recoveredAt is
-	// when they last succeeded again after they had failed for at least minOutage.
+	// when they last succeeded again after an outage in which entries may have expired.
 	unavailableSince time.Time
 	recoveredAt      time.Time
 	// sum is the hash of the rows. history has the latest changes, oldest first.
@@ -257,9 +257,10 @@
 	return !t.unavailableSince.IsZero() && now.Sub(t.unavailableSince) >= minOutage
 }
 
-// endOutage records that reads succeed again, or that others read for this daemon.
-func (t *topicState) endOutage(now time.Time) {
-	if t.longUnavailable(now) {
+// endOutage records that reads succeed again, or that others read for this daemon. Entries that are gone may
+// have expired meanwhile, or not.
+func (t *topicState) endOutage(mayHaveExpired bool, now time.Time) {
+	if mayHaveExpired && t.longUnavailable(now) {
 		t.recoveredAt = now
 	}
 	t.unavailableSince = time.Time{}
