--- a/daemon/channel/head.go
+++ b/daemon/channel/head.go
@@ -100,33 +100,24 @@
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")), nil
 }
 
-// readFields reads the fields of a head or a trailer, to the empty line behind them.
+// readFields reads the fields of a head or a trailer, to the empty line behind them. A line that continues a
+// value, which no sender may generate, cannot be told from a name that begins with a blank.
 func readFields(r *bufio.Reader) (http.Header, error) {
-	h, last := http.Header{}, ""
+	h := http.Header{}
 	for {
 		line, err := readLine(r)
 		if err != nil || len(line) == 0 {
 			return h, err
 		}
-		folded := line[0] == ' ' || line[0] == '\t'
 		name, value, found := strings.Cut(string(line), ":")
-		if folded {
-			name, value = last, string(line)
-		}
 		switch {
-		case !folded && !found, !httpguts.ValidHeaderFieldName(name):
+		case !found, !httpguts.ValidHeaderFieldName(name):
 			return nil, errSyntax("the name of a field is missing or has invalid characters")
 		case !httpguts.ValidHeaderFieldValue(value):
 			return nil, errSyntax("the value of a field has control characters")
 		}
-		if value = strings.Trim(value, " \t"); folded {
-			// A line that continues a value is replaced by a space.
-			values := h[name]
-			values[len(values)-1] = strings.TrimLeft(values[len(values)-1]+" "+value, " ")
-			continue
-		}
-		last = textproto.CanonicalMIMEHeaderKey(name)
-		h[last] = append(h[last], value)
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		h[name] = append(h[name], strings.Trim(value, " \t"))
 	}
 }
 
