--- a/daemon/channel/channel.go
+++ b/daemon/channel/channel.go
@@ -28,9 +28,9 @@
 // persistentConn is a connection to a server. One goroutine at a time uses it.
 type persistentConn struct {
 	conn net.Conn
-	// bytes is conn for reading and writing.
-	bytes *tcpconn.Conn
-	read  *bufio.Reader
+	// stream is conn for reading and writing.
+	stream *tcpconn.Conn
+	read   *bufio.Reader
 	// headLeft is how many bytes may be received until the head of the next
 	// answer is complete, or noLimit.
 	headLeft int
@@ -55,7 +55,7 @@
 }
 
 func newPersistentConn(conn net.Conn) *persistentConn {
-	c := &persistentConn{conn: conn, bytes: tcpconn.New(conn), headLeft: noLimit, openedAt: time.Now(), userTimeout: userTimeout}
+	c := &persistentConn{conn: conn, stream: tcpconn.New(conn), headLeft: noLimit, openedAt: time.Now(), userTimeout: userTimeout}
 	c.read = bufio.NewReaderSize(connReader{c}, readBuffer)
 	return c
 }
@@ -85,7 +85,7 @@
 		p = p[:min(len(p), c.headLeft)]
 	}
 	var n int
-	n, c.readErr = c.bytes.Read(p)
+	n, c.readErr = c.stream.Read(p)
 	if c.headLeft != noLimit {
 		c.headLeft -= n
 	}
@@ -102,7 +102,7 @@
 
 // Write counts the bytes that it writes; it implements io.Writer.
 func (c *persistentConn) Write(p []byte) (int, error) {
-	n, err := c.bytes.Write(p)
+	n, err := c.stream.Write(p)
 	c.written.Add(int64(n))
 	return n, err
 }
--- a/daemon/channel/head.go
+++ b/daemon/channel/head.go
@@ -18,11 +18,18 @@
 // 000, names with blanks, and a transfer coding beside a length or in HTTP/1.0. A proxy would pass such a
 // head on, or read another body than the server has sent.
 
-// errSyntax means that a head or a trailer is not one of HTTP.
-type errSyntax string
-
-// Error implements error.
-func (e errSyntax) Error() string { return string(e) }
+// Reasons why a head or a trailer is not one of HTTP.
+var (
+	errHTTPVersion  = errors.New("the version is not HTTP/1.x")
+	errStatus       = errors.New("the status is not a number from 100 to 999")
+	errReasonPhrase = errors.New("the reason phrase has control characters")
+	errSwitched     = errors.New("the protocol is switched, which no request asks for")
+	errInterimBody  = errors.New("an interim response has a body")
+	errFieldName    = errors.New("the name of a field is missing or has invalid characters")
+	errFieldValue   = errors.New("the value of a field has control characters")
+	errCoding       = errors.New("the transfer coding is unknown or contradicts the length or the version")
+	errLength       = errors.New("the length is not a number, or there are several")
+)
 
 // response is an answer whose body is still to be read.
 type response struct {
@@ -56,29 +63,28 @@
 		}
 		switch {
 		case status == http.StatusSwitchingProtocols:
-			return nil, errSyntax("the protocol is switched, which no request asks for")
+			return nil, errSwitched
 		case status >= http.StatusOK:
 			return c.frame(method, minor, status, h)
 		case len(h["Content-Length"])+len(h["Transfer-Encoding"]) > 0:
-			return nil, errSyntax("an interim response has a body")
+			return nil, errInterimBody
 		}
 	}
 }
 
 // parseStatusLine returns the minor version of HTTP and the status.
 func parseStatusLine(line []byte) (minor, status int, err error) {
-	const version = "HTTP/1."
-	version0, rest, _ := bytes.Cut(line, []byte(" "))
-	digit, ok := bytes.CutPrefix(version0, []byte(version))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	digit, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
 	if !ok || len(digit) != 1 || !isDigits(digit) {
-		return 0, 0, errSyntax("the version is not HTTP/1.x")
+		return 0, 0, errHTTPVersion
 	}
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	if len(code) != 3 || !isDigits(code) || code[0] == '0' {
-		return 0, 0, errSyntax("the status is not a number from 100 to 999")
+		return 0, 0, errStatus
 	}
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return 0, 0, errSyntax("the reason phrase has control characters")
+		return 0, 0, errReasonPhrase
 	}
 	status, err = strconv.Atoi(string(code))
 	return int(digit[0] - '0'), status, err
@@ -112,9 +118,9 @@
 		name, value, found := strings.Cut(string(line), ":")
 		switch {
 		case !found, !httpguts.ValidHeaderFieldName(name):
-			return nil, errSyntax("the name of a field is missing or has invalid characters")
+			return nil, errFieldName
 		case !httpguts.ValidHeaderFieldValue(value):
-			return nil, errSyntax("the value of a field has control characters")
+			return nil, errFieldValue
 		}
 		name = textproto.CanonicalMIMEHeaderKey(name)
 		h[name] = append(h[name], strings.Trim(value, " \t"))
@@ -127,11 +133,11 @@
 	codings, lengths := h["Transfer-Encoding"], h["Content-Length"]
 	switch {
 	case len(codings) > 0 && (len(lengths) > 0 || minor == 0 || len(codings) > 1 || !strings.EqualFold(codings[0], "chunked")):
-		return nil, errSyntax("the transfer coding is unknown or contradicts the length or the version")
+		return nil, errCoding
 	case len(lengths) > 0:
 		n, ok := parseLength(lengths)
 		if !ok {
-			return nil, errSyntax("the length is not a number, or there are several")
+			return nil, errLength
 		}
 		out.length = n
 	}
--- a/daemon/channel/serve.go
+++ b/daemon/channel/serve.go
@@ -73,7 +73,7 @@
 }
 
 func (p *Pool) serverConn(addr string, c *persistentConn) *ServerConn {
-	return &ServerConn{Conn: c.bytes, pool: p, addr: addr, conn: c}
+	return &ServerConn{Conn: c.stream, pool: p, addr: addr, conn: c}
 }
 
 // provePath reports whether direct connections to other servers than the given
--- a/daemon/tcpconn/tcpconn.go
+++ b/daemon/tcpconn/tcpconn.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Conn is a connection of which io.EOF means that the other side has ended it in the regular way. Without a
-// TCP socket of its own it is that of the connection within.
+// Conn is a connection of which io.EOF means that the other side has ended it in the regular way. An end of
+// file of a connection that is not a TCP socket is passed on.
 type Conn struct {
 	net.Conn
 	// writing is held during a write, writeErr is the first error of one.
