channel: an answer without a length needs a request that is written

What callers saw: nothing in a report; found on reading the change. A server that answered a long upload early without a length, ended its side in the regular way after a part, and then reset the request: the part was a complete answer.

Cause: the end of the connection alone counted, also while the request was being written or after that had failed.

Change: at the end of such an answer the write of the request is waited for, and its error is that of the answer. The wait ends when the exchange is given up, which closes the connection. A server that reads on still completes its answer.

Evidence: TestRequestThatIsNotWrittenLeavesAnAnswerWithoutLengthIncomplete gave "part" without an error before.

--- a/daemon/channel/pool.go
+++ b/daemon/channel/pool.go
@@ -385,6 +385,9 @@
 	n, err := r.body.Read(p)
 	switch {
 	case err == io.EOF: //nolint:errorlint // io.Reader returns io.EOF itself.
+		if failed := r.writeFailure(); failed != nil {
+			return n, &Error{Op: "read answer", Kind: Interrupted, Err: merry.Wrap(failed)}
+		}
 		r.complete = true
 		return n, io.EOF
 	case err != nil:
@@ -394,6 +397,18 @@
 	return n, nil
 }
 
+// writeFailure returns why the request was not written to its end, if that leaves the answer without an end: one
+// that ends with its connection is complete only for a whole request. It waits for the write, which ends at
+// the latest when the exchange is given up.
+func (r *Reply) writeFailure() error {
+	if r.SelfDelimited {
+		return nil
+	}
+	w := <-r.sent
+	r.sent <- w
+	return w.err
+}
+
 // recordClose records that the server closed a direct connection before its
 // answer was complete. On a kept connection that has answered nothing yet the
 // server may have closed it for having been idle.
--- a/daemon/channel/reset_test.go
+++ b/daemon/channel/reset_test.go
@@ -113,11 +113,6 @@
 			a.begin("all")
 			_, _ = io.Copy(io.Discard, a.body)
 		},
-		"the rest is reset after the end": func(a arrival) {
-			a.begin("a part")
-			_ = a.CloseWrite()
-			a.reset()
-		},
 	} {
 		for range 20 {
 			if body, _, err := readUnderUpload(t, script); err != nil || body != "part" {
@@ -127,6 +122,20 @@
 	}
 }
 
+// A server that ends its answer and resets the request has not taken it to the end.
+func TestRequestThatIsNotWrittenLeavesAnAnswerWithoutLengthIncomplete(t *testing.T) {
+	for range 20 {
+		body, _, err := readUnderUpload(t, func(a arrival) {
+			a.begin("a part")
+			_ = a.CloseWrite()
+			a.reset()
+		})
+		if !fault.Is(err, channel.Interrupted) {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+}
+
 // An answer that marks its own end is complete whatever follows.
 func TestResetAfterAnEarlyAnswerWithALengthIsIgnored(t *testing.T) {
 	for range 20 {
