relay: the entry daemon learns that a request could not be written

A regular end after a part, with the request reset behind it, was a complete answer at the entry daemon.

Evidence: TestRequestThatIsNotWrittenLeavesARelayedAnswerIncomplete gave "part" without an error before.

--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -411,6 +411,25 @@
 	}
 }
 
+// The entry daemon must learn that the helper could not write the request to its end.
+func TestRequestThatIsNotWrittenLeavesARelayedAnswerIncomplete(t *testing.T) {
+	s := newSite(t)
+	for range 20 {
+		addr := s.backend(t, func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			_ = c.(*net.TCPConn).CloseWrite()
+			reset(c.(*net.TCPConn))
+		})
+		reply := s.upload(t, addr)
+		body, err := io.ReadAll(reply)
+		reply.Close()
+		if !fault.Is(err, channel.Interrupted) {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+}
+
 // An answer that marks its own end must arrive whole although the helper learns of a reset behind it.
 func TestResetBehindARelayedAnswerTakesNothingFromIt(t *testing.T) {
 	s := newSite(t)
--- a/daemon/relay/server.go
+++ b/daemon/relay/server.go
@@ -129,6 +129,7 @@
 	case errors.Is(readErr, io.EOF):
 		// The other daemon reads to the end, and then closes the stream.
 		_ = stream.Close()
+		awaitEnd(ended)
 	case !errors.Is(readErr, os.ErrDeadlineExceeded):
 		if n > 0 {
 			// CancelWrite drops what the other daemon has not received yet, with which its answer may be
@@ -156,6 +157,9 @@
 	select {
 	case complete := <-ended:
 		ended <- complete
+		if !complete {
+			<-clock.After(deliveryTime)
+		}
 	case <-clock.After(deliveryTime):
 	}
 }
@@ -166,10 +170,9 @@
 	n, readErr, writeErr := copyBytes(conn, stream)
 	served.SentBytes = n
 	if writeErr != nil {
-		// The server may have answered before it closed the connection. What else the other
-		// daemon sends is of no use; it ends the stream.
-		_, _ = io.Copy(io.Discard, stream)
-		_ = conn.Close()
+		// The server may have answered before it closed the connection, so its bytes are still read. The
+		// other daemon's write fails: an answer without a length is complete only for a whole request.
+		stream.CancelRead(codeServerReset)
 		return false
 	}
 	if !errors.Is(readErr, io.EOF) {
