platform client: a pause out of range is bounded

A Retry-After of 1e30, NaN or Inf gave a pause of -2562047 hours on x86-64, so that the call was repeated at once, and the largest duration on arm64.

Change: NaN is no pause, and a pause is at most an hour.

Evidence: TestPauseOutOfRangeIsBounded, three of five forms failed before.

--- a/daemon/platform/client.go
+++ b/daemon/platform/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -194,10 +195,14 @@
 	return Unknown
 }
 
+// maxRetryAfter bounds the pause that the platform may ask for. What a float that no duration holds would become
+// depends on the processor.
+const maxRetryAfter = time.Hour
+
 func retryAfter(resp *http.Response) time.Duration {
 	s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	if err != nil || s < 0 {
+	if err != nil || math.IsNaN(s) || s < 0 {
 		return time.Second
 	}
-	return time.Duration(s * float64(time.Second))
+	return time.Duration(min(s, maxRetryAfter.Seconds()) * float64(time.Second))
 }
--- a/daemon/platform/lists_test.go
+++ b/daemon/platform/lists_test.go
@@ -1,11 +1,13 @@
 package platform_test
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"ladderridge.example/daemon/platform"
 )
@@ -37,3 +39,19 @@
 		s.Close()
 	}
 }
+
+// A pause that no duration holds was the smallest duration, or the largest, depending on the processor.
+func TestPauseOutOfRangeIsBounded(t *testing.T) {
+	for _, value := range []string{"1e30", "NaN", "Inf", "-1", "soon"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", value)
+			w.WriteHeader(http.StatusTooManyRequests)
+		}))
+		_, err := (&platform.Client{URL: s.URL}).Get(t.Context(), "k")
+		var retry *platform.RetryError
+		if !errors.As(err, &retry) || retry.After <= 0 || retry.After > time.Hour {
+			t.Errorf("%s: %+v, %v", value, retry, err)
+		}
+		s.Close()
+	}
+}
